Serve a request from end to end through three routers

Three gentianhead processes read their settings, share a configuration through the table service, exchange heartbeats over msgpack frames, and pass whole and streamed chats and plain service calls on to endpoints. gentianheadctl applies resources, waits until they are in force, and tries calls. Stand-ins play the platform, the engines and the services.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# The daily commands. README.md explains them.
+GO ?= go
+MODULES = ./core/... ./fleet/... ./standin/...
+FORMATTED = core fleet standin
+SEED ?= 1
+N ?= 1000
+
+.PHONY: build check format lint test demo faults measure model bench
+
+build:
+	$(GO) build -o bin ./fleet/cmd/... ./standin/cmd/...
+
+# check gives the same verdict every time.
+check: format lint test
+
+format:
+	@unformatted="$$($(GO) tool gofumpt -l $(FORMATTED))"; \
+	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+
+lint:
+	$(GO) vet $(MODULES)
+	$(GO) tool staticcheck $(MODULES)
+
+test: build
+	bash scripts/test.sh
+
+demo: build
+	demo/demo.sh
+
+# The rest explores longer than check does.
+faults measure model bench: build
+	bash scripts/$@.sh
--- /dev/null
+++ b/core/request/outcome/outcome.go
@@ -0,0 +1,63 @@
+// Package outcome names what became of a request. Every answer that a caller
+// receives carries exactly one Outcome, and every refusal is a Problem value.
+package outcome
+
+import "time"
+
+// Outcome says what is certain about a request.
+type Outcome string
+
+const (
+	// Completed means that the endpoint ran the request and the whole answer is known.
+	Completed Outcome = "completed"
+	// NotRun means that no byte of the request reached an endpoint and none can any more.
+	NotRun Outcome = "not-run"
+	// Unknown means that the request may or may not have run.
+	Unknown Outcome = "unknown"
+)
+
+// Code is the stable machine-readable name of a problem.
+type Code string
+
+// The codes that callers may see. docs/operators/problems.md explains each.
+const (
+	CodeBadRequest        Code = "bad-request"
+	CodeBodyTooLarge      Code = "body-too-large"
+	CodeUnauthenticated   Code = "unauthenticated"
+	CodeUnknownModel      Code = "unknown-model"
+	CodeUnknownService    Code = "unknown-service"
+	CodeKeyMissing        Code = "idempotency-key-missing"
+	CodeKeyReused         Code = "idempotency-key-reused"
+	CodeInProgress        Code = "in-progress"
+	CodeAccountLimit      Code = "account-limit"
+	CodeLoadBound         Code = "load-bound"
+	CodeNoEndpoint        Code = "no-endpoint"
+	CodeNotReady          Code = "not-ready"
+	CodeIsolated          Code = "isolated"
+	CodeStoreDown         Code = "store-down"
+	CodeEndpointFailed    Code = "endpoint-failed"
+	CodeAnswerTruncated   Code = "answer-truncated"
+	CodeAnswerMismatched  Code = "answer-mismatched"
+	CodeDeadline          Code = "deadline-exceeded"
+	CodeAbandoned         Code = "abandoned"
+	CodeInternal          Code = "internal"
+	CodeMethodNotAllowed  Code = "method-not-allowed"
+	CodeAccountNotAllowed Code = "account-not-allowed"
+)
+
+// Problem is a refusal or a failure, in the terms of RFC 9457.
+type Problem struct {
+	// Status is the HTTP status.
+	Status int
+	Code   Code
+	// Outcome is never Completed.
+	Outcome Outcome
+	Detail  string
+	// RetryAfter is the time after which asking again helps; zero when it does not.
+	RetryAfter time.Duration
+}
+
+// Error makes a Problem usable where Go code expects an error.
+func (p *Problem) Error() string {
+	return string(p.Code) + ": " + p.Detail
+}
--- /dev/null
+++ b/core/request/placement/placement.go
@@ -0,0 +1,87 @@
+// Package placement decides which endpoint runs a request.
+//
+// A Picker is immutable but for its load counters and is replaced whole when
+// the configuration or the view changes. Pick is called from traffic
+// goroutines; Picker values are built by the control goroutine.
+package placement
+
+import (
+	"errors"
+
+	"gentianhead/core/process/entry"
+)
+
+// PickInfo describes the request to be placed.
+type PickInfo struct {
+	// Chat identifies the conversation; requests of one chat share a prompt prefix.
+	Chat string
+	// Model or Service names what is asked for; exactly one is set.
+	Model   string
+	Service string
+	// Account is the client account that asks.
+	Account string
+	// PromptTokens estimates the length of the prompt.
+	PromptTokens int
+	// Excluded endpoints were tried already.
+	Excluded []string
+}
+
+// PickResult names the endpoint that was picked.
+type PickResult struct {
+	Endpoint string
+	URL      string
+	// Done must be called once when the request has left the endpoint.
+	Done func()
+}
+
+// ErrNoEndpoint means that no endpoint serves the model or service. The request
+// was not run.
+var ErrNoEndpoint = errors.New("no live endpoint")
+
+// Candidate is an endpoint that may be picked.
+type Candidate struct {
+	Name string
+	URL  string
+}
+
+// Picker picks one of the candidates of a model or service.
+type Picker struct {
+	byModel   map[string][]Candidate
+	byService map[string][]Candidate
+}
+
+// NewPicker returns a picker over these candidates.
+func NewPicker(byModel, byService map[string][]Candidate) *Picker {
+	return &Picker{byModel: byModel, byService: byService}
+}
+
+// Pick returns the endpoint for a request, or ErrNoEndpoint.
+func (p *Picker) Pick(info PickInfo) (PickResult, error) {
+	candidates := p.byModel[info.Model]
+	if info.Service != "" {
+		candidates = p.byService[info.Service]
+	}
+	best := -1
+	var bestScore uint64
+	for i, candidate := range candidates {
+		if isExcluded(info.Excluded, candidate.Name) {
+			continue
+		}
+		if score := entry.Score(info.Chat, candidate.Name); best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return PickResult{}, ErrNoEndpoint
+	}
+	return PickResult{Endpoint: candidates[best].Name, URL: candidates[best].URL, Done: func() {}}, nil
+}
+
+func isExcluded(excluded []string, name string) bool {
+	for _, e := range excluded {
+		if e == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/version/resource/validate.go
@@ -0,0 +1,139 @@
+package resource
+
+import (
+	"fmt"
+	"net/url"
+	"regexp"
+	"strings"
+)
+
+// ValidationError says which field of which object was refused, and what is allowed.
+type ValidationError struct {
+	Key     Key
+	Field   string
+	Allowed string
+}
+
+// Error implements error.
+func (e *ValidationError) Error() string {
+	return fmt.Sprintf("%s %q: %s: allowed: %s", e.Key.Kind, e.Key.Name, e.Field, e.Allowed)
+}
+
+// Limits of what an object may hold.
+const (
+	// MaxNameBytes is the longest name of an object.
+	MaxNameBytes = 100
+	// MaxListEntries is the most models, services or paths that an object may list.
+	MaxListEntries = 256
+	// MaxLoadBound is the loosest bound that a model may set.
+	MaxLoadBound = 10
+	// MaxWeight is the largest share weight of a client account.
+	MaxWeight = 1000
+)
+
+var (
+	namePattern  = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+	tokenPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// Validate returns nil, or the first field of o that is out of its range.
+func (o Object) Validate() error {
+	if len(o.Name) > MaxNameBytes || !namePattern.MatchString(o.Name) {
+		return o.invalid("name", "1 to 100 of a-z 0-9 . _ -, starting and ending with a letter or digit")
+	}
+	if o.Deleted {
+		return nil
+	}
+	if !o.hasOneSpec() {
+		return o.invalid("spec", "exactly the field that the kind names")
+	}
+	switch o.Kind {
+	case KindEndpoint:
+		return o.validateEndpoint()
+	case KindAccount:
+		return o.validateAccount()
+	case KindModel:
+		return o.validateModel()
+	case KindService:
+		return o.validateService()
+	}
+	return o.invalid("kind", "endpoint, client-account, model or service")
+}
+
+func (o Object) hasOneSpec() bool {
+	present := map[Kind]bool{
+		KindEndpoint: o.Endpoint != nil,
+		KindAccount:  o.Account != nil,
+		KindModel:    o.Model != nil,
+		KindService:  o.Service != nil,
+	}
+	count := 0
+	for _, set := range present {
+		if set {
+			count++
+		}
+	}
+	return count == 1 && present[o.Kind]
+}
+
+func (o Object) invalid(field, allowed string) error {
+	return &ValidationError{Key: o.Key(), Field: field, Allowed: allowed}
+}
+
+func (o Object) validateEndpoint() error {
+	e := o.Endpoint
+	u, err := url.Parse(e.URL)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return o.invalid("endpoint.url", "http://HOST:PORT or https://HOST:PORT")
+	}
+	if e.Zone == "" {
+		return o.invalid("endpoint.zone", "the name of an availability zone")
+	}
+	if len(e.Models)+len(e.Services) == 0 {
+		return o.invalid("endpoint.models", "at least one model or service")
+	}
+	if len(e.Models) > MaxListEntries || len(e.Services) > MaxListEntries {
+		return o.invalid("endpoint.models", "at most 256 models and 256 services")
+	}
+	if e.Fencing != "" && e.Fencing != FencingIgnored && e.Fencing != FencingChecked {
+		return o.invalid("endpoint.fencing", "ignored or checked")
+	}
+	return nil
+}
+
+func (o Object) validateAccount() error {
+	a := o.Account
+	if !tokenPattern.MatchString(a.TokenSHA256) {
+		return o.invalid("clientAccount.tokenSha256", "64 lower-case hex digits")
+	}
+	if !(a.RequestsPerSecond >= 0) {
+		return o.invalid("clientAccount.requestsPerSecond", "0 (no limit) or more")
+	}
+	if a.Weight < 0 || a.Weight > MaxWeight {
+		return o.invalid("clientAccount.weight", "0 to 1000")
+	}
+	return nil
+}
+
+func (o Object) validateModel() error {
+	m := o.Model
+	if m.LoadBound != 0 && !(m.LoadBound >= 1 && m.LoadBound <= MaxLoadBound) {
+		return o.invalid("model.loadBound", "1 to 10, or 0 for the default of 1.25")
+	}
+	if !(m.ReuseWeight >= 0 && m.ReuseWeight <= 1) {
+		return o.invalid("model.reuseWeight", "0 to 1")
+	}
+	return nil
+}
+
+func (o Object) validateService() error {
+	if len(o.Service.NonIdempotent) > MaxListEntries {
+		return o.invalid("service.nonIdempotent", "at most 256 paths")
+	}
+	for _, path := range o.Service.NonIdempotent {
+		if !strings.HasPrefix(path, "/") {
+			return o.invalid("service.nonIdempotent", "paths that start with /")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/cmd/gentianheadctl/commands.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"io"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+)
+
+// commands holds what the commands share.
+type commands struct {
+	stdin          io.Reader
+	stdout, stderr io.Writer
+
+	flags   *ff.FlagSet
+	router  *string
+	callers *string
+	token   *string
+	output  *string
+}
+
+func newCommands(stdin io.Reader, stdout, stderr io.Writer) *commands {
+	flags := ff.NewFlagSet("gentianheadctl")
+	return &commands{
+		stdin:   stdin,
+		stdout:  stdout,
+		stderr:  stderr,
+		flags:   flags,
+		router:  flags.StringLong("router", "http://127.0.0.1:8201", "operators' address of a router"),
+		callers: flags.StringLong("callers", "http://127.0.0.1:8101", "callers' address of a router"),
+		token:   flags.StringLong("token", "", "bearer token: the operators' one, or a client account's for entry and call"),
+		output:  flags.StringEnumLong("output", "output format: table, json or yaml", "table", "json", "yaml"),
+	}
+}
+
+func (c *commands) root() *ff.Command {
+	return &ff.Command{
+		Name:      "gentianheadctl",
+		Usage:     "gentianheadctl [FLAGS] COMMAND ...",
+		ShortHelp: "declares resources, shows what is in force, and tries calls",
+		LongHelp:  "Flags may be given as environment variables, such as GENTIANHEADCTL_TOKEN.\nExit codes: 0 done, 1 failed, 2 wrong usage.",
+		Flags:     c.flags,
+		Subcommands: []*ff.Command{
+			c.applyCommand(),
+			c.getCommand(),
+			c.deleteCommand(),
+			c.watchCommand(),
+			c.statusCommand(),
+			c.entryCommand(),
+			c.callCommand(),
+		},
+	}
+}
+
+// defaultWait bounds apply --wait.
+const defaultWait = 16 * time.Second
+
+func (c *commands) applyCommand() *ff.Command {
+	flags := ff.NewFlagSet("apply").SetParent(c.flags)
+	file := flags.String('f', "file", "-", "YAML or JSON file of resources, one a document; - reads standard input")
+	wait := flags.BoolLong("wait", "return once the change is in force on every router")
+	timeout := flags.DurationLong("timeout", defaultWait, "how long to wait")
+	return &ff.Command{
+		Name:      "apply",
+		Usage:     "gentianheadctl apply -f FILE [--wait]",
+		ShortHelp: "create or replace resources",
+		Flags:     flags,
+		Exec:      c.applyExec(file, wait, timeout),
+	}
+}
+
+func (c *commands) getCommand() *ff.Command {
+	return &ff.Command{
+		Name:      "get",
+		Usage:     "gentianheadctl get [KIND [NAME]]",
+		ShortHelp: "show resources in force",
+		Flags:     ff.NewFlagSet("get").SetParent(c.flags),
+		Exec:      c.get,
+	}
+}
+
+func (c *commands) deleteCommand() *ff.Command {
+	return &ff.Command{
+		Name:      "delete",
+		Usage:     "gentianheadctl delete KIND NAME",
+		ShortHelp: "delete a resource",
+		Flags:     ff.NewFlagSet("delete").SetParent(c.flags),
+		Exec:      c.remove,
+	}
+}
+
+func (c *commands) watchCommand() *ff.Command {
+	flags := ff.NewFlagSet("watch").SetParent(c.flags)
+	after := flags.Uint64Long("after", 0, "show changes after this revision")
+	return &ff.Command{
+		Name:      "watch",
+		Usage:     "gentianheadctl watch [--after REVISION]",
+		ShortHelp: "print changes as they come into force, until interrupted",
+		Flags:     flags,
+		Exec:      c.watchExec(after),
+	}
+}
+
+func (c *commands) statusCommand() *ff.Command {
+	return &ff.Command{
+		Name:      "status",
+		Usage:     "gentianheadctl status",
+		ShortHelp: "show which revision is in force on which router",
+		Flags:     ff.NewFlagSet("status").SetParent(c.flags),
+		Exec:      c.status,
+	}
+}
+
+func (c *commands) entryCommand() *ff.Command {
+	return &ff.Command{
+		Name:      "entry",
+		Usage:     "gentianheadctl entry CHAT",
+		ShortHelp: "show which addresses to use for a chat",
+		Flags:     ff.NewFlagSet("entry").SetParent(c.flags),
+		Exec:      c.entry,
+	}
+}
+
+func (c *commands) callCommand() *ff.Command {
+	flags := ff.NewFlagSet("call").SetParent(c.flags)
+	options := &callOptions{
+		model:   flags.StringLong("model", "", "model to chat with"),
+		service: flags.StringLong("service", "", "plain service to call, in place of a model"),
+		path:    flags.StringLong("path", "/", "path of the service call"),
+		chat:    flags.StringLong("chat", "", "id of the conversation"),
+		key:     flags.StringLong("key", "", "Idempotency-Key of a call that may run at most once"),
+		stream:  flags.BoolLong("stream", "stream the answer"),
+	}
+	return &ff.Command{
+		Name:      "call",
+		Usage:     "gentianheadctl call --model MODEL [--stream] TEXT\n  gentianheadctl call --service SERVICE --path PATH [--key KEY] BODY",
+		ShortHelp: "send a chat or a service call and print the answer",
+		Flags:     flags,
+		Exec:      c.callExec(options),
+	}
+}
--- /dev/null
+++ b/fleet/cmd/gentianheadctl/main.go
@@ -0,0 +1,50 @@
+// Command gentianheadctl is for operators, and for callers who try the system.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
+
+func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	root := newCommands(stdin, stdout, stderr).root()
+	err := root.Parse(args, ff.WithEnvVarPrefix("GENTIANHEADCTL"))
+	if errors.Is(err, ff.ErrHelp) {
+		fmt.Fprint(stdout, ffhelp.Command(root.GetSelected()))
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "gentianheadctl: %v\n\n%s", err, ffhelp.Command(root))
+		return exitUsage
+	}
+	if err := root.Run(ctx); err != nil {
+		fmt.Fprintf(stderr, "gentianheadctl: %v\n", err)
+		if errors.Is(err, ff.ErrNoExec) {
+			fmt.Fprint(stderr, ffhelp.Command(root))
+			return exitUsage
+		}
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/fleet/connection/frame/frame.go
@@ -0,0 +1,131 @@
+// Package frame carries typed msgpack messages between routers over TCP.
+//
+// A frame is a version byte, a type byte, a big-endian 32-bit length and a
+// msgpack body. Sizes are bounded and every read and write has a deadline.
+package frame
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// Version is the protocol version that this build speaks.
+	Version = 1
+	// HeaderBytes is the size of a frame's header.
+	HeaderBytes = 6
+	// MaxBodyBytes is the largest body that is sent or accepted.
+	MaxBodyBytes = 16 << 20
+	// Timeout bounds the writing of one frame, and the reading of a frame
+	// whose header has begun to arrive.
+	Timeout = 5 * time.Second
+)
+
+// Type says how a frame's body is to be decoded.
+type Type uint8
+
+var (
+	// ErrVersion means that the other side speaks another protocol version.
+	ErrVersion = errors.New("frame: unknown version")
+	// ErrTooLarge means that a body is larger than MaxBodyBytes.
+	ErrTooLarge = errors.New("frame: body too large")
+)
+
+// Frame is a message as it came off the wire.
+type Frame struct {
+	Type Type
+	Body []byte
+}
+
+// Decode decodes the body into message, which must be a pointer.
+func (f Frame) Decode(message any) error {
+	return errors.Wrap(msgpack.Unmarshal(f.Body, message), "frame: decode")
+}
+
+// Encode returns the bytes of a frame.
+func Encode(frameType Type, message any) ([]byte, error) {
+	body, err := msgpack.Marshal(message)
+	if err != nil {
+		return nil, errors.Wrap(err, "frame: encode")
+	}
+	if len(body) > MaxBodyBytes {
+		return nil, ErrTooLarge
+	}
+	encoded := make([]byte, HeaderBytes, HeaderBytes+len(body))
+	encoded[0] = Version
+	encoded[1] = byte(frameType)
+	binary.BigEndian.PutUint32(encoded[2:], uint32(len(body)))
+	return append(encoded, body...), nil
+}
+
+// Read reads one frame. It returns io.EOF only between two frames.
+func Read(r io.Reader) (Frame, error) {
+	var header [HeaderBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return Frame{}, err
+	}
+	if header[0] != Version {
+		return Frame{}, ErrVersion
+	}
+	size := binary.BigEndian.Uint32(header[2:])
+	if size > MaxBodyBytes {
+		return Frame{}, ErrTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(r, int64(size)))
+	if err != nil {
+		return Frame{}, errors.Wrap(err, "frame: body")
+	}
+	if len(body) < int(size) {
+		return Frame{}, io.ErrUnexpectedEOF
+	}
+	return Frame{Type: Type(header[1]), Body: body}, nil
+}
+
+// Conn reads and writes frames on a connection. One goroutine may read while
+// another writes.
+type Conn struct {
+	net    net.Conn
+	reader *bufio.Reader
+}
+
+// NewConn returns a Conn over c.
+func NewConn(c net.Conn) *Conn {
+	return &Conn{net: c, reader: bufio.NewReader(c)}
+}
+
+// Read waits at most idle for a frame to begin and at most Timeout for its rest.
+func (c *Conn) Read(idle time.Duration) (Frame, error) {
+	if err := c.net.SetReadDeadline(time.Now().Add(idle)); err != nil {
+		return Frame{}, err
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return Frame{}, err
+	}
+	if err := c.net.SetReadDeadline(time.Now().Add(Timeout)); err != nil {
+		return Frame{}, err
+	}
+	return Read(c.reader)
+}
+
+// Write writes one frame within Timeout and returns the bytes written.
+func (c *Conn) Write(frameType Type, message any) (int, error) {
+	encoded, err := Encode(frameType, message)
+	if err != nil {
+		return 0, err
+	}
+	if err := c.net.SetWriteDeadline(time.Now().Add(Timeout)); err != nil {
+		return 0, err
+	}
+	return c.net.Write(encoded)
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	return c.net.Close()
+}
--- /dev/null
+++ b/fleet/process/node/inject.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"gentianhead/core/process/membership"
+	"gentianhead/fleet/connection/engine"
+	"gentianhead/fleet/connection/peer"
+	"gentianhead/fleet/connection/platform"
+	"gentianhead/fleet/process/control"
+	"gentianhead/fleet/process/settings"
+	"gentianhead/fleet/process/telemetry"
+	"gentianhead/fleet/request/admin"
+	"gentianhead/fleet/request/gateway"
+	"gentianhead/fleet/version/desired"
+)
+
+// secrets are the values that the settings name.
+type secrets struct {
+	operatorToken string
+	fleetKey      string
+}
+
+func readSecrets(s settings.Secrets) (secrets, error) {
+	operatorToken, err := s.OperatorToken.Read()
+	if err != nil {
+		return secrets{}, err
+	}
+	fleetKey, err := s.FleetKey.Read()
+	return secrets{operatorToken: operatorToken, fleetKey: fleetKey}, err
+}
+
+// newInjector says how each part of the process is made. Parts are made once,
+// when first asked for.
+func newInjector(s *settings.Settings, logger *slog.Logger) (do.Injector, error) {
+	keys, err := readSecrets(s.Secrets)
+	if err != nil {
+		return nil, err
+	}
+	injector := do.New()
+	do.ProvideValue(injector, s)
+	do.Provide(injector, func(do.Injector) (*platform.Client, error) {
+		return platform.NewClient(s.Platform.URL), nil
+	})
+	do.Provide(injector, func(do.Injector) (*engine.Client, error) {
+		return engine.NewClient(), nil
+	})
+	do.Provide(injector, func(do.Injector) (*peer.Pool, error) {
+		return peer.NewPool([]byte(keys.fleetKey)), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*desired.Store, error) {
+		return desired.NewStore(do.MustInvoke[*platform.Client](i)), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*control.Loop, error) {
+		return control.New(control.Options{
+			Self:     self(s),
+			Desired:  do.MustInvoke[*desired.Store](i),
+			Platform: do.MustInvoke[*platform.Client](i),
+			Peers:    do.MustInvoke[*peer.Pool](i),
+			Log:      telemetry.Part(logger, "control"),
+		}), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*peer.Server, error) {
+		return peer.NewServer([]byte(keys.fleetKey), do.MustInvoke[*control.Loop](i), telemetry.Part(logger, "peer")), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*gateway.Gateway, error) {
+		return gateway.New(gateway.Options{
+			Control:  do.MustInvoke[*control.Loop](i),
+			Engine:   do.MustInvoke[*engine.Client](i),
+			Limits:   s.Limits,
+			Shutdown: s.Shutdown,
+			Log:      telemetry.Part(logger, "gateway"),
+		}), nil
+	})
+	do.Provide(injector, func(i do.Injector) (admin.Options, error) {
+		return admin.Options{
+			Control: do.MustInvoke[*control.Loop](i),
+			Desired: do.MustInvoke[*desired.Store](i),
+			Token:   keys.operatorToken,
+			Log:     telemetry.Part(logger, "admin"),
+		}, nil
+	})
+	return injector, nil
+}
+
+func self(s *settings.Settings) membership.Router {
+	return membership.Router{
+		Instance:      s.Instance,
+		Zone:          s.Zone,
+		CallerAddress: s.Listen.Callers,
+		PeerAddress:   s.Listen.Peers,
+		Incarnation:   uint64(time.Now().UnixNano()),
+	}
+}
--- /dev/null
+++ b/fleet/process/node/node.go
@@ -0,0 +1,148 @@
+// Package node puts the parts of a router together and runs them from start to
+// graceful shutdown.
+package node
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/do/v2"
+
+	"gentianhead/fleet/connection/engine"
+	"gentianhead/fleet/connection/peer"
+	"gentianhead/fleet/process/control"
+	"gentianhead/fleet/process/settings"
+	"gentianhead/fleet/process/telemetry"
+	"gentianhead/fleet/request/admin"
+	"gentianhead/fleet/request/gateway"
+)
+
+// Node is a running router.
+type Node struct {
+	settings  *settings.Settings
+	log       *slog.Logger
+	control   *control.Loop
+	pool      *peer.Pool
+	peers     *peer.Server
+	engine    *engine.Client
+	callers   *http.Server
+	operators *http.Server
+	listeners listeners
+}
+
+type listeners struct {
+	callers, operators, peers net.Listener
+}
+
+// New puts a router together. It opens no port.
+func New(s *settings.Settings, logger *slog.Logger) (*Node, error) {
+	injector, err := newInjector(s, logger)
+	if err != nil {
+		return nil, err
+	}
+	loop := do.MustInvoke[*control.Loop](injector)
+	return &Node{
+		settings: s,
+		log:      telemetry.Part(logger, "node"),
+		control:  loop,
+		pool:     do.MustInvoke[*peer.Pool](injector),
+		peers:    do.MustInvoke[*peer.Server](injector),
+		engine:   do.MustInvoke[*engine.Client](injector),
+		callers: &http.Server{
+			Handler:           do.MustInvoke[*gateway.Gateway](injector).Handler(),
+			ReadHeaderTimeout: gateway.ReadHeaderTimeout,
+			MaxHeaderBytes:    gateway.MaxHeaderBytes,
+		},
+		operators: &http.Server{
+			Handler:           operatorsHandler(do.MustInvoke[admin.Options](injector)),
+			ReadHeaderTimeout: gateway.ReadHeaderTimeout,
+			MaxHeaderBytes:    gateway.MaxHeaderBytes,
+		},
+	}, nil
+}
+
+// operatorsHandler serves metrics and health beside the resource API.
+func operatorsHandler(options admin.Options) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", admin.Handler(options))
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	return mux
+}
+
+// Run serves until ctx ends, then shuts down gracefully: it leaves the entry
+// answers, waits until none that names it can still be kept, and waits for the
+// requests in flight.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.listen(); err != nil {
+		return err
+	}
+	stopTraces, err := telemetry.StartTraces(ctx, n.settings.Traces.OTLPEndpoint, n.settings.Instance, n.settings.Zone)
+	if err != nil {
+		return err
+	}
+	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoop()
+	go n.control.Run(loopCtx)
+	go n.peers.Serve(n.listeners.peers)
+	failed := make(chan error, 2)
+	go func() { failed <- n.callers.Serve(n.listeners.callers) }()
+	go func() { failed <- n.operators.Serve(n.listeners.operators) }()
+	n.log.Info("Serving.", "callers", n.settings.Listen.Callers, "operators", n.settings.Listen.Operators, "peers", n.settings.Listen.Peers)
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return errors.Wrap(err, "node")
+	}
+	err = n.shutdown()
+	stopLoop()
+	flushCtx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
+	defer cancel()
+	return errors.CombineErrors(err, stopTraces(flushCtx))
+}
+
+// traceFlushTimeout bounds the sending of the last spans.
+const traceFlushTimeout = 5 * time.Second
+
+func (n *Node) listen() error {
+	for _, port := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&n.listeners.callers, n.settings.Listen.Callers},
+		{&n.listeners.operators, n.settings.Listen.Operators},
+		{&n.listeners.peers, n.settings.Listen.Peers},
+	} {
+		listener, err := net.Listen("tcp", port.address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		*port.listener = listener
+	}
+	return nil
+}
+
+func (n *Node) shutdown() error {
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown.EntryLife+n.settings.Shutdown.Grace)
+	defer cancel()
+	n.log.Info("Leaving.", "entryLife", n.settings.Shutdown.EntryLife)
+	n.control.Leave(ctx)
+	select {
+	case <-time.After(n.settings.Shutdown.EntryLife):
+	case <-ctx.Done():
+	}
+	n.log.Info("Waiting for requests in flight.")
+	err := n.callers.Shutdown(ctx)
+	err = errors.CombineErrors(err, n.operators.Shutdown(ctx))
+	_ = n.listeners.peers.Close()
+	n.peers.Close()
+	n.pool.Close()
+	n.engine.CloseIdle()
+	n.log.Info("Stopped.")
+	return err
+}
--- /dev/null
+++ b/fleet/process/settings/settings.go
@@ -0,0 +1,140 @@
+// Package settings reads and checks a router's settings file before any port opens.
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// Settings is everything that a router is told by its operator. It lives as
+// long as the process.
+type Settings struct {
+	// Instance is the router's name, unique in the fleet.
+	Instance string `yaml:"instance"`
+	// Zone is the availability zone that the router runs in.
+	Zone     string   `yaml:"zone"`
+	Listen   Listen   `yaml:"listen"`
+	Platform Platform `yaml:"platform"`
+	Secrets  Secrets  `yaml:"secrets"`
+	Log      Log      `yaml:"log"`
+	Traces   Traces   `yaml:"traces"`
+	Limits   Limits   `yaml:"limits"`
+	Shutdown Shutdown `yaml:"shutdown"`
+}
+
+// Listen holds the router's addresses, as HOST:PORT with an IP number.
+type Listen struct {
+	// Callers is where chats and service calls arrive.
+	Callers string `yaml:"callers"`
+	// Operators is where the resource API and the metrics are served.
+	Operators string `yaml:"operators"`
+	// Peers is where other routers connect.
+	Peers string `yaml:"peers"`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	// URL is the base address of table service, object store and instance list.
+	URL string `yaml:"url"`
+}
+
+// Secret names a secret without holding it; exactly one field is set.
+type Secret struct {
+	// Env is the environment variable that holds the secret.
+	Env string `yaml:"env"`
+	// File is the path of a file that holds it; surrounding white space is dropped.
+	File string `yaml:"file"`
+}
+
+// Secrets are never logged.
+type Secrets struct {
+	// OperatorToken is the bearer token of the resource API.
+	OperatorToken Secret `yaml:"operatorToken"`
+	// FleetKey is shared by all routers and admits frames between them.
+	FleetKey Secret `yaml:"fleetKey"`
+}
+
+// Log sets what is logged and how.
+type Log struct {
+	// Level is debug, info, warn or error; empty means info.
+	Level string `yaml:"level"`
+	// Format is text or json; empty means text.
+	Format string `yaml:"format"`
+}
+
+// Traces sets where spans go.
+type Traces struct {
+	// OTLPEndpoint is the URL of an OTLP/HTTP collector; empty turns traces off.
+	OTLPEndpoint string `yaml:"otlpEndpoint"`
+}
+
+// Limits bound what one request may use. Zero means the default.
+type Limits struct {
+	// BodyBytes is the largest request body; zero means DefaultBodyBytes.
+	BodyBytes int64 `yaml:"bodyBytes"`
+	// RequestDeadline bounds a request; zero means DefaultRequestDeadline.
+	RequestDeadline time.Duration `yaml:"requestDeadline"`
+}
+
+// Shutdown sets how a planned stop goes.
+type Shutdown struct {
+	// Grace bounds the wait for requests in flight after entry answers that
+	// name this router have expired; zero means DefaultShutdownGrace.
+	Grace time.Duration `yaml:"grace"`
+	// EntryLife is how long callers may keep an entry answer; zero means DefaultEntryLife.
+	EntryLife time.Duration `yaml:"entryLife"`
+}
+
+// Defaults of settings that are left out.
+const (
+	DefaultBodyBytes       = 8 << 20
+	DefaultRequestDeadline = 10 * time.Minute
+	DefaultShutdownGrace   = 10 * time.Minute
+	DefaultEntryLife       = 30 * time.Second
+)
+
+// Load reads, completes and checks the settings in the file at path.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return Parse(path, data)
+}
+
+// Parse is Load for settings that are in memory; path is named in errors.
+func Parse(path string, data []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := yaml.UnmarshalWithOptions(data, s, yaml.Strict()); err != nil {
+		return nil, errors.Wrapf(err, "%s", path)
+	}
+	s.complete()
+	if err := s.check(path, data); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) complete() {
+	if s.Log.Level == "" {
+		s.Log.Level = "info"
+	}
+	if s.Log.Format == "" {
+		s.Log.Format = "text"
+	}
+	if s.Limits.BodyBytes == 0 {
+		s.Limits.BodyBytes = DefaultBodyBytes
+	}
+	if s.Limits.RequestDeadline == 0 {
+		s.Limits.RequestDeadline = DefaultRequestDeadline
+	}
+	if s.Shutdown.Grace == 0 {
+		s.Shutdown.Grace = DefaultShutdownGrace
+	}
+	if s.Shutdown.EntryLife == 0 {
+		s.Shutdown.EntryLife = DefaultEntryLife
+	}
+}
--- /dev/null
+++ b/fleet/request/gateway/gateway.go
@@ -0,0 +1,164 @@
+// Package gateway serves callers: chats, calls to plain services, and entry
+// answers. Everything here lives for one request.
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"gentianhead/core/request/outcome"
+	"gentianhead/fleet/connection/engine"
+	"gentianhead/fleet/process/control"
+	"gentianhead/fleet/process/settings"
+	"gentianhead/fleet/process/telemetry"
+)
+
+// HeaderChat names the conversation that a request belongs to.
+const HeaderChat = "X-Chat-Id"
+
+// Limits of a caller's request beside its body.
+const (
+	// MaxHeaderBytes bounds the head of a request.
+	MaxHeaderBytes = 32 << 10
+	// ReadHeaderTimeout bounds how slowly a head may arrive.
+	ReadHeaderTimeout = 5 * time.Second
+	// BodyReadTimeout bounds how slowly a body may arrive.
+	BodyReadTimeout = 30 * time.Second
+	// maxRequestIDBytes is the longest request id that is taken from a caller.
+	maxRequestIDBytes = 128
+)
+
+// Options are what a Gateway needs. All fields are required.
+type Options struct {
+	Control  *control.Loop
+	Engine   *engine.Client
+	Limits   settings.Limits
+	Shutdown settings.Shutdown
+	Log      *slog.Logger
+}
+
+// Gateway serves callers. It is safe for concurrent use.
+type Gateway struct {
+	options Options
+	tracer  trace.Tracer
+}
+
+// New returns a gateway.
+func New(options Options) *Gateway {
+	return &Gateway{options: options, tracer: otel.Tracer(telemetry.TracerName)}
+}
+
+// Handler returns the HTTP interface for callers.
+func (g *Gateway) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", g.serve(g.chat))
+	mux.HandleFunc("/v1/services/{service}/{path...}", g.serve(g.service))
+	mux.HandleFunc("GET /v1/entry", g.entry)
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", g.ready)
+	return mux
+}
+
+// exchange is one request with what is known of it.
+type exchange struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	id      string
+	account string
+	chat    string
+	body    []byte
+	// state stays the same for the whole request.
+	state *control.State
+}
+
+// handlerFunc serves an exchange. It returns a problem only while nothing was
+// written to the caller yet.
+type handlerFunc func(ctx context.Context, x *exchange) *outcome.Problem
+
+// serve does what all requests share: id, trace, account, body, deadline.
+func (g *Gateway) serve(next handlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{w: w, r: r, id: requestID(r), state: g.options.Control.State()}
+		w.Header().Set(engine.HeaderRequestID, x.id)
+		ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, cancel := context.WithTimeout(ctx, g.options.Limits.RequestDeadline)
+		defer cancel()
+		ctx, span := g.tracer.Start(ctx, "gateway "+r.Method, trace.WithSpanKind(trace.SpanKindServer),
+			trace.WithAttributes(attribute.String("request.id", x.id)))
+		defer span.End()
+		problem := g.prepare(x)
+		if problem == nil {
+			problem = next(ctx, x)
+		}
+		if problem != nil {
+			span.SetAttributes(attribute.String("problem.code", string(problem.Code)))
+			g.options.Log.Info("Request refused.", "request", x.id, "code", problem.Code, "outcome", problem.Outcome)
+			writeProblem(w, x.id, problem)
+		}
+	}
+}
+
+func requestID(r *http.Request) string {
+	if id := r.Header.Get(engine.HeaderRequestID); id != "" && len(id) <= maxRequestIDBytes {
+		return id
+	}
+	return uuid.NewString()
+}
+
+// prepare checks the account and reads the body.
+func (g *Gateway) prepare(x *exchange) *outcome.Problem {
+	if !x.state.IsReady {
+		return notRun(http.StatusServiceUnavailable, outcome.CodeNotReady, "no configuration is in force on this router yet").after(time.Second)
+	}
+	if problem := x.authenticate(); problem != nil {
+		return problem
+	}
+	x.chat = x.r.Header.Get(HeaderChat)
+	return g.readBody(x)
+}
+
+func (x *exchange) authenticate() *outcome.Problem {
+	token, ok := strings.CutPrefix(x.r.Header.Get("Authorization"), "Bearer ")
+	digest := sha256.Sum256([]byte(token))
+	account, known := x.state.Config.AccountByToken(hex.EncodeToString(digest[:]))
+	if !ok || !known {
+		return notRun(http.StatusUnauthorized, outcome.CodeUnauthenticated, "no client account has this bearer token").Problem
+	}
+	x.account = account
+	return nil
+}
+
+func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	if !g.options.Control.State().IsReady {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// failure turns an error of the engine client into what is certain.
+func failure(err error) *outcome.Problem {
+	switch {
+	case errors.Is(err, engine.ErrNotSent):
+		return notRun(http.StatusBadGateway, outcome.CodeEndpointFailed, "the endpoint could not be reached").after(time.Second)
+	case errors.Is(err, engine.ErrWithdrawn):
+		return notRun(http.StatusServiceUnavailable, outcome.CodeNoEndpoint, "the endpoint is withdrawn").after(time.Second)
+	case errors.Is(err, engine.ErrMismatched):
+		return unknown(http.StatusBadGateway, outcome.CodeAnswerMismatched, "the endpoint answered another request")
+	case errors.Is(err, engine.ErrTruncated):
+		return unknown(http.StatusBadGateway, outcome.CodeAnswerTruncated, "the endpoint's answer ended before it was whole")
+	}
+	return unknown(http.StatusBadGateway, outcome.CodeEndpointFailed, "the endpoint did not answer")
+}
--- /dev/null
+++ b/fleet/request/gateway/problem.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gentianhead/core/request/outcome"
+	"gentianhead/fleet/connection/engine"
+)
+
+// refusal is a problem whose time to come back may still be set.
+type refusal struct{ *outcome.Problem }
+
+func (r refusal) after(d time.Duration) *outcome.Problem {
+	r.RetryAfter = d
+	return r.Problem
+}
+
+func notRun(status int, code outcome.Code, detail string) refusal {
+	return refusal{&outcome.Problem{Status: status, Code: code, Outcome: outcome.NotRun, Detail: detail}}
+}
+
+func unknown(status int, code outcome.Code, detail string) *outcome.Problem {
+	return &outcome.Problem{Status: status, Code: code, Outcome: outcome.Unknown, Detail: detail}
+}
+
+// problemBody is a problem as callers see it.
+type problemBody struct {
+	Type      string          `json:"type"`
+	Title     string          `json:"title"`
+	Status    int             `json:"status"`
+	Detail    string          `json:"detail"`
+	Code      outcome.Code    `json:"code"`
+	Outcome   outcome.Outcome `json:"outcome"`
+	RequestID string          `json:"requestId"`
+}
+
+func encodeProblem(id string, problem *outcome.Problem) []byte {
+	body, _ := json.Marshal(problemBody{
+		Type:      "urn:gentianhead:problem:" + string(problem.Code),
+		Title:     http.StatusText(problem.Status),
+		Status:    problem.Status,
+		Detail:    problem.Detail,
+		Code:      problem.Code,
+		Outcome:   problem.Outcome,
+		RequestID: id,
+	})
+	return body
+}
+
+func writeProblem(w http.ResponseWriter, id string, problem *outcome.Problem) {
+	if problem.RetryAfter > 0 {
+		seconds := int(math.Ceil(problem.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(problem.Status)
+	_, _ = w.Write(encodeProblem(id, problem))
+}
+
+// readBody reads the body within the limits of size and time.
+func (g *Gateway) readBody(x *exchange) *outcome.Problem {
+	controller := http.NewResponseController(x.w)
+	_ = controller.SetReadDeadline(time.Now().Add(BodyReadTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, g.options.Limits.BodyBytes))
+	_ = controller.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		detail := "the body is above " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"
+		return notRun(http.StatusRequestEntityTooLarge, outcome.CodeBodyTooLarge, detail).Problem
+	}
+	if err != nil {
+		return notRun(http.StatusBadRequest, outcome.CodeBadRequest, "the body did not arrive whole").Problem
+	}
+	x.body = body
+	return nil
+}
+
+// copyAnswerHeader hands on what the caller needs of an endpoint's head.
+func copyAnswerHeader(w http.ResponseWriter, response *http.Response, id string) {
+	if contentType := response.Header.Get("Content-Type"); contentType != "" {
+		w.Header().Set("Content-Type", contentType)
+	}
+	w.Header().Set(engine.HeaderRequestID, id)
+}
--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,53 @@
+// Command standin serves a stand-in of the platform, of a model engine or of a
+// plain service, for demos and tests.
+//
+//	standin platform -listen 127.0.0.1:9000
+//	standin engine -listen 127.0.0.1:9101 -name e1 -token-delay 5ms
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"gentianhead/standin/engine"
+	"gentianhead/standin/platform"
+)
+
+func main() {
+	if len(os.Args) < 2 {
+		fatal("usage: standin platform|engine [flags]")
+	}
+	flags := flag.NewFlagSet(os.Args[1], flag.ExitOnError)
+	listen := flags.String("listen", "127.0.0.1:9000", "address to listen on")
+	name := flags.String("name", "e1", "name shown in answers")
+	tokens := flags.Int("tokens", 8, "tokens in an answer")
+	tokenDelay := flags.Duration("token-delay", 5*time.Millisecond, "time between two tokens")
+	checksFencing := flags.Bool("checks-fencing", false, "refuse old fencing numbers")
+	_ = flags.Parse(os.Args[2:])
+
+	var handler http.Handler
+	switch os.Args[1] {
+	case "platform":
+		handler = platform.NewServer().Handler()
+	case "engine":
+		handler = engine.New(engine.Options{
+			Name:          *name,
+			Tokens:        *tokens,
+			TokenDelay:    *tokenDelay,
+			ChecksFencing: *checksFencing,
+		}).Handler()
+	default:
+		fatal("unknown stand-in " + os.Args[1] + "; allowed: platform, engine")
+	}
+	if err := http.ListenAndServe(*listen, handler); err != nil {
+		fatal(err.Error())
+	}
+}
+
+func fatal(message string) {
+	fmt.Fprintln(os.Stderr, "standin: "+message)
+	os.Exit(2)
+}
