--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The daily commands. README.md explains them.
 GO ?= go
-MODULES = ./core/... ./fleet/... ./standin/...
-FORMATTED = core fleet standin
+MODULES = ./core/... ./fleet/... ./measure/... ./standin/...
+FORMATTED = core fleet measure standin
 SEED ?= 1
 N ?= 1000
 
@@ -28,5 +28,7 @@
 	demo/demo.sh
 
 # The rest explores longer than check does.
+faults measure model bench: export SEED := $(SEED)
+faults: export N := $(N)
 faults measure model bench: build
 	bash scripts/$@.sh
--- a/fleet/connection/frame/frame.go
+++ b/fleet/connection/frame/frame.go
@@ -1,7 +1,8 @@
 // Package frame carries typed msgpack messages between routers over TCP.
 //
-// A frame is a version byte, a type byte, a big-endian 32-bit length and a
-// msgpack body. Sizes are bounded and every read and write has a deadline.
+// A frame is a version byte, a type byte, a call number and a length, both
+// big-endian with 32 bits, and a msgpack body. Sizes are bounded and every read
+// and write has a deadline.
 package frame
 
 import (
@@ -19,7 +20,7 @@
 	// Version is the protocol version that this build speaks.
 	Version = 1
 	// HeaderBytes is the size of a frame's header.
-	HeaderBytes = 6
+	HeaderBytes = 10
 	// MaxBodyBytes is the largest body that is sent or accepted.
 	MaxBodyBytes = 16 << 20
 	// Timeout bounds the writing of one frame, and the reading of a frame
@@ -40,6 +41,8 @@
 // Frame is a message as it came off the wire.
 type Frame struct {
 	Type Type
+	// Call is chosen by the asking side; the answer carries it too.
+	Call uint32
 	Body []byte
 }
 
@@ -49,7 +52,7 @@
 }
 
 // Encode returns the bytes of a frame.
-func Encode(frameType Type, message any) ([]byte, error) {
+func Encode(frameType Type, call uint32, message any) ([]byte, error) {
 	body, err := msgpack.Marshal(message)
 	if err != nil {
 		return nil, errors.Wrap(err, "frame: encode")
@@ -60,7 +63,8 @@
 	encoded := make([]byte, HeaderBytes, HeaderBytes+len(body))
 	encoded[0] = Version
 	encoded[1] = byte(frameType)
-	binary.BigEndian.PutUint32(encoded[2:], uint32(len(body)))
+	binary.BigEndian.PutUint32(encoded[2:], call)
+	binary.BigEndian.PutUint32(encoded[6:], uint32(len(body)))
 	return append(encoded, body...), nil
 }
 
@@ -73,7 +77,7 @@
 	if header[0] != Version {
 		return Frame{}, ErrVersion
 	}
-	size := binary.BigEndian.Uint32(header[2:])
+	size := binary.BigEndian.Uint32(header[6:])
 	if size > MaxBodyBytes {
 		return Frame{}, ErrTooLarge
 	}
@@ -84,11 +88,15 @@
 	if len(body) < int(size) {
 		return Frame{}, io.ErrUnexpectedEOF
 	}
-	return Frame{Type: Type(header[1]), Body: body}, nil
+	return Frame{
+		Type: Type(header[1]),
+		Call: binary.BigEndian.Uint32(header[2:]),
+		Body: body,
+	}, nil
 }
 
 // Conn reads and writes frames on a connection. One goroutine may read while
-// another writes.
+// another writes; neither may be done by two at once.
 type Conn struct {
 	net    net.Conn
 	reader *bufio.Reader
@@ -114,8 +122,8 @@
 }
 
 // Write writes one frame within Timeout and returns the bytes written.
-func (c *Conn) Write(frameType Type, message any) (int, error) {
-	encoded, err := Encode(frameType, message)
+func (c *Conn) Write(frameType Type, call uint32, message any) (int, error) {
+	encoded, err := Encode(frameType, call, message)
 	if err != nil {
 		return 0, err
 	}
--- a/fleet/connection/frame/frame_test.go
+++ b/fleet/connection/frame/frame_test.go
@@ -9,11 +9,12 @@
 )
 
 func TestReadRefusesWhatItMustNotTrust(t *testing.T) {
-	whole, err := Encode(7, "hello")
+	whole, err := Encode(7, 3, "hello")
 	assert.NilError(t, err)
 
 	f, err := Read(bytes.NewReader(whole))
 	assert.NilError(t, err)
+	assert.Equal(t, f.Call, uint32(3))
 	var text string
 	assert.NilError(t, f.Decode(&text))
 	assert.Equal(t, text, "hello")
@@ -27,15 +28,15 @@
 	assert.ErrorIs(t, err, ErrVersion)
 
 	tooLarge := bytes.Clone(whole)
-	tooLarge[2] = 0xff
+	tooLarge[6] = 0xff
 	_, err = Read(bytes.NewReader(tooLarge))
 	assert.ErrorIs(t, err, ErrTooLarge)
 }
 
 func FuzzRead(f *testing.F) {
-	whole, _ := Encode(1, map[string]int{"a": 1})
+	whole, _ := Encode(1, 1, map[string]int{"a": 1})
 	f.Add(whole)
-	f.Add([]byte{Version, 1, 0, 0, 0, 200})
+	f.Add([]byte{Version, 1, 0, 0, 0, 1, 0, 0, 0, 200})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		frame, err := Read(bytes.NewReader(data))
 		if err == nil && len(frame.Body) > len(data) {
--- a/fleet/connection/peer/handshake.go
+++ b/fleet/connection/peer/handshake.go
@@ -37,7 +37,7 @@
 func shakeHands(conn *frame.Conn, key []byte, own, other side) error {
 	nonce := make([]byte, nonceBytes)
 	_, _ = rand.Read(nonce)
-	if _, err := conn.Write(typeChallenge, challenge{Nonce: nonce}); err != nil {
+	if _, err := conn.Write(typeChallenge, 0, challenge{Nonce: nonce}); err != nil {
 		return err
 	}
 	var theirs challenge
@@ -47,7 +47,7 @@
 	if len(theirs.Nonce) != nonceBytes {
 		return ErrKey
 	}
-	if _, err := conn.Write(typeProof, proof{MAC: mac(key, own, theirs.Nonce, nonce)}); err != nil {
+	if _, err := conn.Write(typeProof, 0, proof{MAC: mac(key, own, theirs.Nonce, nonce)}); err != nil {
 		return err
 	}
 	var answer proof
--- a/fleet/connection/peer/message.go
+++ b/fleet/connection/peer/message.go
@@ -1,5 +1,6 @@
-// Package peer connects routers to each other: a server that answers frames of
-// other routers, and a pool of client connections to them.
+// Package peer connects routers to each other. A Server answers the calls of
+// other routers, and a Pool makes calls to them. Both sides prove that they hold
+// the fleet's key before any call is taken.
 package peer
 
 import (
@@ -8,14 +9,23 @@
 	"gentianhead/fleet/connection/frame"
 )
 
-// Frame types of the peer protocol.
+// Frame types of the handshake.
 const (
 	typeChallenge frame.Type = iota + 1
 	typeProof
-	typeHeartbeat
-	typeHeartbeatAnswer
-	typeChangesRequest
-	typeChangesAnswer
+)
+
+// Types of calls. The answer to a call has the type of the call with answerBit.
+const (
+	TypeHeartbeat frame.Type = 10
+	TypeChanges   frame.Type = 20
+)
+
+// answerBit marks the answer to a call, and failureBit an answer without body
+// to a call that was refused.
+const (
+	answerBit  frame.Type = 0x80
+	failureBit frame.Type = 0x40
 )
 
 // Heartbeat is a sign of life of its sender.
@@ -38,12 +48,3 @@
 	IsWhole  bool              `msgpack:"w,omitempty"`
 	Revision resource.Revision `msgpack:"r"`
 }
-
-// Handler answers the frames of other routers. Its methods are called from
-// connection goroutines and must not block.
-type Handler interface {
-	// HandleHeartbeat takes note of a peer and returns this router's heartbeat.
-	HandleHeartbeat(Heartbeat) Heartbeat
-	// HandleChanges returns what this router has after a revision.
-	HandleChanges(ChangesRequest) ChangesAnswer
-}
--- a/fleet/connection/peer/pool.go
+++ b/fleet/connection/peer/pool.go
@@ -5,99 +5,108 @@
 	"net"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"gentianhead/fleet/connection/frame"
 )
 
-// Pool keeps one connection to each peer that is asked. It is safe for
-// concurrent use; calls to one peer take turns.
+var (
+	// ErrNotSent means that no byte of the call left this process.
+	ErrNotSent = errors.New("peer: call not sent")
+	// ErrNoAnswer means that the call was sent and no answer came.
+	ErrNoAnswer = errors.New("peer: no answer")
+	// ErrUnknownCall means that the peer does not know the type of call.
+	ErrUnknownCall = errors.New("peer: call not known to the peer")
+)
+
+// Pool keeps one connection to each peer that is called. It is safe for
+// concurrent use; calls share the connection, and answers find their call by
+// its number, so that a late answer is dropped and never taken for another's.
 type Pool struct {
 	key []byte
 
-	mu    sync.Mutex
-	peers map[string]*connection
+	mu     sync.Mutex
+	peers  map[string]*client
+	closed bool
 }
 
-type connection struct {
-	mu   sync.Mutex
-	conn *frame.Conn
-}
-
-// NewPool returns an empty pool that shows key to peers.
+// NewPool returns an empty pool that proves to peers that it holds key.
 func NewPool(key []byte) *Pool {
-	return &Pool{key: key, peers: make(map[string]*connection)}
-}
-
-// Heartbeat sends a heartbeat to the peer at address and returns the peer's own.
-func (p *Pool) Heartbeat(ctx context.Context, address string, heartbeat Heartbeat) (Heartbeat, error) {
-	var answer Heartbeat
-	err := p.call(ctx, address, typeHeartbeat, heartbeat, typeHeartbeatAnswer, &answer)
-	return answer, err
-}
-
-// Changes asks the peer at address for the changes after a revision.
-func (p *Pool) Changes(ctx context.Context, address string, request ChangesRequest) (ChangesAnswer, error) {
-	var answer ChangesAnswer
-	err := p.call(ctx, address, typeChangesRequest, request, typeChangesAnswer, &answer)
-	return answer, err
+	return &Pool{key: key, peers: make(map[string]*client)}
 }
 
-// Close closes every connection.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, peer := range p.peers {
-		peer.mu.Lock()
-		peer.reset()
-		peer.mu.Unlock()
-		delete(p.peers, address)
+// Call sends question to the peer at address and decodes its answer, for which
+// it waits until ctx ends. It returns ErrNotSent, ErrNoAnswer or ErrUnknownCall.
+func (p *Pool) Call(ctx context.Context, address string, callType frame.Type, question, answer any) error {
+	c, err := p.client(ctx, address)
+	if err != nil {
+		return errors.Mark(err, ErrNotSent)
 	}
+	return c.call(ctx, callType, question, answer)
 }
 
-func (p *Pool) call(ctx context.Context, address string, ask frame.Type, question any, want frame.Type, answer any) error {
+// client returns the connection to address and opens it if need be. Only one
+// caller opens it; the others wait for that.
+func (p *Pool) client(ctx context.Context, address string) (*client, error) {
 	p.mu.Lock()
-	peer, ok := p.peers[address]
+	if p.closed {
+		p.mu.Unlock()
+		return nil, errors.New("peer: pool is closed")
+	}
+	c, ok := p.peers[address]
 	if !ok {
-		peer = &connection{}
-		p.peers[address] = peer
+		c = newClient()
+		p.peers[address] = c
+		go p.open(c, address)
 	}
 	p.mu.Unlock()
-	peer.mu.Lock()
-	defer peer.mu.Unlock()
-	if err := peer.dial(ctx, address, p.key); err != nil {
-		return err
+	select {
+	case <-c.opened:
+		return c, c.openErr
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	if _, err := peer.conn.Write(ask, question); err != nil {
-		peer.reset()
-		return err
+}
+
+// open dials the peer and then hands out its answers until the connection ends.
+func (p *Pool) open(c *client, address string) {
+	conn, err := dial(address, p.key)
+	c.conn, c.openErr = conn, err
+	close(c.opened)
+	if err == nil {
+		c.receive()
 	}
-	if err := readFrame(peer.conn, want, answer); err != nil {
-		peer.reset()
-		return err
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.peers[address] == c {
+		delete(p.peers, address)
 	}
-	return nil
 }
 
-func (c *connection) dial(ctx context.Context, address string, key []byte) error {
-	if c.conn != nil {
-		return nil
-	}
-	dialer := net.Dialer{Timeout: frame.Timeout}
-	netConn, err := dialer.DialContext(ctx, "tcp", address)
+func dial(address string, key []byte) (*frame.Conn, error) {
+	netConn, err := net.DialTimeout("tcp", address, frame.Timeout)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	conn := frame.NewConn(netConn)
+	conn := frame.NewConn(&countedConn{Conn: netConn})
 	if err := shakeHands(conn, key, sideClient, sideServer); err != nil {
 		_ = conn.Close()
-		return err
+		return nil, err
 	}
-	c.conn = conn
-	return nil
+	return conn, nil
 }
 
-func (c *connection) reset() {
-	if c.conn != nil {
-		_ = c.conn.Close()
-		c.conn = nil
+// Close closes every connection. Calls in flight end with ErrNoAnswer.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	peers := p.peers
+	p.peers = make(map[string]*client)
+	p.mu.Unlock()
+	for _, c := range peers {
+		<-c.opened
+		if c.openErr == nil {
+			_ = c.conn.Close()
+		}
 	}
 }
--- a/fleet/connection/peer/server.go
+++ b/fleet/connection/peer/server.go
@@ -17,11 +17,27 @@
 // MaxConnections bounds the connections that a server holds at once.
 const MaxConnections = 8192
 
-// Server answers the frames of other routers.
+// HandlerFunc answers one call. It runs on the connection's goroutine, must not
+// block, and returns the message to answer with. An error refuses the call and
+// closes the connection.
+type HandlerFunc func(call frame.Frame) (any, error)
+
+// Handle adapts a function over typed messages to a HandlerFunc.
+func Handle[Question, Answer any](f func(Question) Answer) HandlerFunc {
+	return func(call frame.Frame) (any, error) {
+		var question Question
+		if err := call.Decode(&question); err != nil {
+			return nil, err
+		}
+		return f(question), nil
+	}
+}
+
+// Server answers the calls of other routers.
 type Server struct {
-	key     []byte
-	handler Handler
-	log     *slog.Logger
+	key      []byte
+	handlers map[frame.Type]HandlerFunc
+	log      *slog.Logger
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -29,8 +45,18 @@
 }
 
 // NewServer returns a server that admits holders of key.
-func NewServer(key []byte, handler Handler, log *slog.Logger) *Server {
-	return &Server{key: key, handler: handler, log: log, conns: make(map[net.Conn]struct{})}
+func NewServer(key []byte, log *slog.Logger) *Server {
+	return &Server{
+		key:      key,
+		handlers: make(map[frame.Type]HandlerFunc),
+		log:      log,
+		conns:    make(map[net.Conn]struct{}),
+	}
+}
+
+// Register sets the handler of a type of call. It must not be called after Serve.
+func (s *Server) Register(callType frame.Type, handler HandlerFunc) {
+	s.handlers[callType] = handler
 }
 
 // Serve accepts connections until listener is closed.
@@ -83,39 +109,34 @@
 
 func (s *Server) serveConn(netConn net.Conn) {
 	defer s.remove(netConn)
-	conn := frame.NewConn(netConn)
+	conn := frame.NewConn(&countedConn{Conn: netConn})
+	address := netConn.RemoteAddr().String()
 	if err := shakeHands(conn, s.key, sideServer, sideClient); err != nil {
-		s.log.Warn("Peer refused.", "address", netConn.RemoteAddr().String(), "error", err)
+		s.log.Warn("Peer refused.", "address", address, "error", err)
 		return
 	}
 	for {
-		f, err := conn.Read(IdleTimeout)
+		call, err := conn.Read(IdleTimeout)
 		if err != nil {
 			return
 		}
-		if err := s.answer(conn, f); err != nil {
-			s.log.Warn("Frame refused.", "address", netConn.RemoteAddr().String(), "error", err)
+		if err := s.answer(conn, call); err != nil {
+			s.log.Warn("Call refused.", "address", address, "type", call.Type, "error", err)
 			return
 		}
 	}
 }
 
-func (s *Server) answer(conn *frame.Conn, f frame.Frame) error {
-	switch f.Type {
-	case typeHeartbeat:
-		var heartbeat Heartbeat
-		if err := f.Decode(&heartbeat); err != nil {
-			return err
-		}
-		_, err := conn.Write(typeHeartbeatAnswer, s.handler.HandleHeartbeat(heartbeat))
+func (s *Server) answer(conn *frame.Conn, call frame.Frame) error {
+	handler, ok := s.handlers[call.Type]
+	if !ok {
+		_, err := conn.Write(call.Type|answerBit|failureBit, call.Call, struct{}{})
 		return err
-	case typeChangesRequest:
-		var request ChangesRequest
-		if err := f.Decode(&request); err != nil {
-			return err
-		}
-		_, err := conn.Write(typeChangesAnswer, s.handler.HandleChanges(request))
+	}
+	message, err := handler(call)
+	if err != nil {
 		return err
 	}
-	return errors.Newf("peer: unknown frame type %d", f.Type)
+	_, err = conn.Write(call.Type|answerBit, call.Call, message)
+	return err
 }
--- /dev/null
+++ b/fleet/e2e/harness_test.go
@@ -0,0 +1,370 @@
+// Package e2e tests real processes over TCP on loopback: stand-ins of the
+// platform and of endpoints, and routers that tests stop, pause and kill.
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	operatorToken = "e2e-operator-token"
+	fleetKey      = "e2e-fleet-key-00000"
+	accountToken  = "e2e-account-token"
+	// accountDigest is the SHA-256 of accountToken.
+	accountDigest = "b1210857f06e87ae7cf039ec6c9a17d1491397fe88ae856a09548f59f3114371"
+	// patience bounds every wait; a test that reaches it fails.
+	patience = 30 * time.Second
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+// runTests builds the binaries once for all tests.
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "gentianhead-e2e")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "gentianhead/fleet/cmd/...", "gentianhead/standin/cmd/...")
+	if output, err := build.CombinedOutput(); err != nil {
+		panic(string(output))
+	}
+	return m.Run()
+}
+
+// process is a program that the test started.
+type process struct {
+	cmd  *exec.Cmd
+	logs *syncBuffer
+	done chan struct{}
+}
+
+type syncBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(filepath.Join(binaries, name), args...), logs: &syncBuffer{}, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = p.logs, p.logs
+	p.cmd.Env = append(os.Environ(), "GENTIANHEAD_OPERATOR_TOKEN="+operatorToken, "GENTIANHEAD_FLEET_KEY="+fleetKey)
+	assert.NilError(t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGKILL)
+		<-p.done
+		if t.Failed() {
+			t.Logf("%s %v:\n%s", name, args, p.logs.String())
+		}
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) {
+	_ = p.cmd.Process.Signal(s)
+}
+
+// exitCode waits for the process to end.
+func (p *process) exitCode(t *testing.T) int {
+	t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		t.Fatal("the process does not end")
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// standin is a running stand-in.
+type standin struct {
+	*process
+	address string
+}
+
+func startStandin(t *testing.T, kind string, args ...string) *standin {
+	t.Helper()
+	address := freeAddress(t)
+	s := &standin{process: start(t, "standin", append([]string{kind, "-listen", address}, args...)...), address: address}
+	eventually(t, "stand-in listens", func() bool {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			conn.Close()
+		}
+		return err == nil
+	})
+	return s
+}
+
+func (s *standin) url() string {
+	return "http://" + s.address
+}
+
+// setFaults replaces the faults of the stand-in, given as in its Faults type.
+func (s *standin) setFaults(t *testing.T, faults map[string]any) {
+	t.Helper()
+	body, _ := json.Marshal(faults)
+	request, _ := http.NewRequest(http.MethodPut, s.url()+"/faults", bytes.NewReader(body))
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
+
+// engineRun is one piece of work that a stand-in engine did.
+type engineRun struct {
+	RequestID string
+	Key       string
+	Path      string
+	Body      string
+	Fencing   uint64
+}
+
+func (s *standin) runs(t *testing.T) []engineRun {
+	t.Helper()
+	var answer struct{ Runs []engineRun }
+	getJSON(t, s.url()+"/runs", &answer)
+	return answer.Runs
+}
+
+func getJSON(t *testing.T, url string, answer any) {
+	t.Helper()
+	response, err := http.Get(url)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(answer))
+}
+
+// router is a running gentianhead.
+type router struct {
+	*process
+	instance                  string
+	settings                  string
+	callers, operators, peers string
+}
+
+// routerOptions change the settings of a router; the zero value is a router in
+// zone-1 with a short entry life.
+type routerOptions struct {
+	zone  string
+	extra string
+}
+
+func startRouter(t *testing.T, instance, platformURL string, options routerOptions) *router {
+	t.Helper()
+	if options.zone == "" {
+		options.zone = "zone-1"
+	}
+	r := &router{instance: instance, callers: freeAddress(t), operators: freeAddress(t), peers: freeAddress(t)}
+	r.settings = filepath.Join(t.TempDir(), instance+".yaml")
+	text := fmt.Sprintf("instance: %s\nzone: %s\nlisten: {callers: %q, operators: %q, peers: %q}\nplatform: {url: %q}\n"+
+		"secrets:\n  operatorToken: {env: GENTIANHEAD_OPERATOR_TOKEN}\n  fleetKey: {env: GENTIANHEAD_FLEET_KEY}\n"+
+		"shutdown: {entryLife: 1s, grace: 20s}\n%s",
+		instance, options.zone, r.callers, r.operators, r.peers, platformURL, options.extra)
+	assert.NilError(t, os.WriteFile(r.settings, []byte(text), 0o600))
+	r.restart(t)
+	return r
+}
+
+// restart starts the router's process anew with the same settings.
+func (r *router) restart(t *testing.T) {
+	t.Helper()
+	r.process = start(t, "gentianhead", "--settings", r.settings, "serve")
+}
+
+func (r *router) awaitReady(t *testing.T) {
+	t.Helper()
+	eventually(t, r.instance+" is ready", func() bool {
+		response, err := http.Get("http://" + r.callers + "/readyz")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// ctl runs gentianheadctl against the router's operators' address.
+func (r *router) ctl(t *testing.T, stdin string, args ...string) (string, error) {
+	t.Helper()
+	args = append([]string{"--router", "http://" + r.operators, "--callers", "http://" + r.callers, "--token", operatorToken}, args...)
+	cmd := exec.Command(filepath.Join(binaries, "gentianheadctl"), args...)
+	cmd.Stdin = bytes.NewBufferString(stdin)
+	output, err := cmd.CombinedOutput()
+	return string(output), err
+}
+
+// apply declares resources and waits until they are in force everywhere.
+func (r *router) apply(t *testing.T, resources string) {
+	t.Helper()
+	output, err := r.ctl(t, resources, "apply", "--wait", "--timeout", patience.String())
+	assert.NilError(t, err, output)
+}
+
+// fleet is a platform, routers and endpoints, with a model "m" on engines and a
+// service "s" whose path /once may run at most once.
+type fleet struct {
+	platform *standin
+	routers  []*router
+	engines  []*standin
+	service  *standin
+}
+
+func startFleet(t *testing.T, routers, engines int, engineArgs ...string) *fleet {
+	t.Helper()
+	f := &fleet{platform: startStandin(t, "platform")}
+	for i := range routers {
+		name := fmt.Sprintf("router-%d", i+1)
+		f.routers = append(f.routers, startRouter(t, name, f.platform.url(), routerOptions{zone: fmt.Sprintf("zone-%d", i%3+1)}))
+	}
+	resources := "kind: model\nname: m\nmodel: {}\n" +
+		"---\nkind: service\nname: s\nservice: {nonIdempotent: [/once]}\n" +
+		"---\nkind: client-account\nname: a\nclientAccount: {tokenSha256: " + accountDigest + "}\n"
+	for i := range engines {
+		name := fmt.Sprintf("engine-%d", i+1)
+		engine := startStandin(t, "engine", append([]string{"-name", name}, engineArgs...)...)
+		f.engines = append(f.engines, engine)
+		resources += fmt.Sprintf("---\nkind: endpoint\nname: %s\nendpoint: {url: %q, zone: zone-1, models: [m]}\n", name, engine.url())
+	}
+	f.service = startStandin(t, "engine", "-name", "service-1", "-checks-fencing")
+	resources += fmt.Sprintf("---\nkind: endpoint\nname: service-1\nendpoint: {url: %q, zone: zone-1, services: [s], fencing: checked}\n", f.service.url())
+	for _, r := range f.routers {
+		r.awaitReady(t)
+	}
+	f.awaitMembers(t)
+	f.routers[0].apply(t, resources)
+	return f
+}
+
+// awaitMembers waits until each router sees all of them.
+func (f *fleet) awaitMembers(t *testing.T) {
+	t.Helper()
+	for _, r := range f.routers {
+		eventually(t, r.instance+" sees the fleet", func() bool {
+			return len(r.revisions(t)) == len(f.routers)
+		})
+	}
+}
+
+// revisions returns the revision in force on each router that r sees.
+func (r *router) revisions(t *testing.T) map[string]uint64 {
+	t.Helper()
+	request, _ := http.NewRequest(http.MethodGet, "http://"+r.operators+"/v1/status", nil)
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var status struct {
+		Routers []struct {
+			Instance string
+			Revision uint64
+		}
+	}
+	_ = json.NewDecoder(response.Body).Decode(&status)
+	revisions := make(map[string]uint64)
+	for _, s := range status.Routers {
+		revisions[s.Instance] = s.Revision
+	}
+	return revisions
+}
+
+// answer is what a caller received.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	// err is set when the answer did not arrive whole.
+	err error
+}
+
+// outcome returns the outcome that the problem names, or "completed".
+func (a answer) outcome() string {
+	var problem struct{ Outcome string }
+	_ = json.Unmarshal(a.body, &problem)
+	if problem.Outcome == "" && a.status < http.StatusBadRequest {
+		return "completed"
+	}
+	return problem.Outcome
+}
+
+// ask sends a caller's request to a router. Headers come as pairs.
+func (r *router) ask(ctx context.Context, method, path, body string, headers ...string) answer {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.callers+path, bytes.NewBufferString(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+accountToken)
+	for pair := range slices.Chunk(headers, 2) {
+		request.Header.Set(pair[0], pair[1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: data, err: err}
+}
+
+func chatText(stream bool) string {
+	return fmt.Sprintf(`{"model":"m","stream":%t,"messages":[{"role":"user","content":"hello"}]}`, stream)
+}
+
+// eventually polls until condition holds, and fails the test after patience.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		if condition() {
+			return
+		}
+		<-time.After(20 * time.Millisecond)
+	}
+	t.Fatalf("gave up waiting: %s", what)
+}
--- a/fleet/process/control/control.go
+++ b/fleet/process/control/control.go
@@ -26,6 +26,8 @@
 	HeartbeatInterval = time.Second
 	// ListInterval is the time between two reads of the instance list.
 	ListInterval = 5 * time.Second
+	// callTimeout bounds one call that the control loop makes.
+	callTimeout = 3 * time.Second
 	// eventQueue is how many events may wait for the control goroutine.
 	eventQueue = 1024
 )
@@ -165,20 +167,6 @@
 	}
 }
 
-// carryOut does what the configuration core asks for.
-func (l *Loop) carryOut(ctx context.Context) {
-	ready := l.config.Ready()
-	if ready.Snapshot != nil {
-		l.options.Log.Info("Configuration in force.", "revision", ready.Snapshot.Revision())
-		l.config.Advance()
-		l.publish()
-	}
-	if ready.Fetch != nil && !l.isFetching {
-		l.isFetching = true
-		go l.fetch(ctx, *ready.Fetch)
-	}
-}
-
 func (l *Loop) publish() {
 	snapshot := l.config.Snapshot()
 	l.state.Store(&State{
@@ -189,30 +177,8 @@
 	})
 }
 
-func newPicker(snapshot *resource.Snapshot) *placement.Picker {
-	byModel := make(map[string][]placement.Candidate)
-	byService := make(map[string][]placement.Candidate)
-	for _, object := range snapshot.List(resource.KindEndpoint) {
-		if object.Endpoint.Withdrawn {
-			continue
-		}
-		candidate := placement.Candidate{Name: object.Name, URL: object.Endpoint.URL}
-		for _, model := range object.Endpoint.Models {
-			byModel[model] = append(byModel[model], candidate)
-		}
-		for _, service := range object.Endpoint.Services {
-			byService[service] = append(byService[service], candidate)
-		}
-	}
-	return placement.NewPicker(byModel, byService)
-}
-
-// inForce returns the revision in force on each live router, as last heard.
-func (l *Loop) inForce() map[string]resource.Revision {
-	revisions := make(map[string]resource.Revision)
-	for _, router := range l.members.View().Routers {
-		revisions[router.Instance] = l.heads[router.Instance]
-	}
-	revisions[l.options.Self.Instance] = l.config.InForce()
-	return revisions
+// Register sets the handlers of the calls that this part answers.
+func (l *Loop) Register(server *peer.Server) {
+	server.Register(peer.TypeHeartbeat, peer.Handle(l.answerHeartbeat))
+	server.Register(peer.TypeChanges, peer.Handle(l.answerChanges))
 }
--- a/fleet/process/node/inject.go
+++ b/fleet/process/node/inject.go
@@ -64,7 +64,9 @@
 		}), nil
 	})
 	do.Provide(injector, func(i do.Injector) (*peer.Server, error) {
-		return peer.NewServer([]byte(keys.fleetKey), do.MustInvoke[*control.Loop](i), telemetry.Part(logger, "peer")), nil
+		server := peer.NewServer([]byte(keys.fleetKey), telemetry.Part(logger, "peer"))
+		do.MustInvoke[*control.Loop](i).Register(server)
+		return server, nil
 	})
 	do.Provide(injector, func(i do.Injector) (*gateway.Gateway, error) {
 		return gateway.New(gateway.Options{
--- a/fleet/request/gateway/service.go
+++ b/fleet/request/gateway/service.go
@@ -4,17 +4,12 @@
 	"context"
 	"net/http"
 	"strings"
-	"time"
 
 	"gentianhead/core/request/outcome"
 	"gentianhead/core/request/placement"
 	"gentianhead/core/version/resource"
-	"gentianhead/fleet/connection/engine"
 )
 
-// retryNoEndpoint is when to come back after no endpoint was live.
-const retryNoEndpoint = 2 * time.Second
-
 // service serves /v1/services/{service}/{path...}.
 func (g *Gateway) service(ctx context.Context, x *exchange) *outcome.Problem {
 	name := x.r.PathValue("service")
@@ -26,24 +21,11 @@
 	if isNonIdempotent(object.Service, path) {
 		return g.atMostOnce(x)
 	}
-	picked, err := x.state.Picker.Pick(placement.PickInfo{Chat: x.chat, Service: name, Account: x.account})
-	if err != nil {
-		return notRun(http.StatusServiceUnavailable, outcome.CodeNoEndpoint, "no live endpoint serves the service").after(retryNoEndpoint)
-	}
-	defer picked.Done()
-	response, err := g.send(ctx, x, picked, x.r.Method, path)
-	if err != nil {
-		return failure(err)
-	}
-	return passWhole(x, response)
-}
-
-// atMostOnce refuses what may run at most once until claims are in place.
-func (g *Gateway) atMostOnce(x *exchange) *outcome.Problem {
-	if x.r.Header.Get(engine.HeaderKey) == "" {
-		return notRun(http.StatusBadRequest, outcome.CodeKeyMissing, "this call needs an Idempotency-Key").Problem
-	}
-	return notRun(http.StatusServiceUnavailable, outcome.CodeStoreDown, "claims are not available").after(time.Minute)
+	info := placement.PickInfo{Chat: x.chat, Service: name, Account: x.account}
+	call := endpointCall{method: x.r.Method, path: path}
+	return g.dispatch(ctx, x, info, call, func(response *http.Response) *outcome.Problem {
+		return passWhole(x, response)
+	})
 }
 
 // isNonIdempotent reports whether calls to path run at most once.
--- /dev/null
+++ b/measure/routing/main.go
@@ -0,0 +1,4 @@
+// Command routing measures routing policies on seeded loads.
+package main
+
+func main() {}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,7 +6,7 @@
 log=$(mktemp)
 trap 'rm -f "$log"' EXIT
 status=0
-go test -race -timeout 10m ./core/... ./fleet/... ./standin/... 2>&1 | tee "$log" || status=$?
+go test -race -timeout 10m ./core/... ./fleet/... ./measure/... ./standin/... 2>&1 | tee "$log" || status=$?
 known=$(sed -n 's/^test: //p' KNOWN-RED.txt)
 failed=$(sed -n 's/^ *--- FAIL: \([^ /]*\).*/\1/p' "$log" | sort -u)
 verdict=0
