Decide the configuration in force from a confirmed head, and keep writes exactly once

Cause: the core put in force whatever a peer held, so a router that started empty while the store was down could come up below what it had before; a fetch that failed was asked for from the same source for ever; log and attempt rows grew without bound; a refusal could rest on a stale read.

Change: the core waits for a head revision that the store confirmed by a check-only transaction, fetches from peers first and from the store once peers fail, with timeouts and backoff in virtual time.

Ruled out: starting from the highest revision of the peers. The state-machine harness shows it, an empty start from any peer, and a poll without a monotonic check going back; blind retry doubles and a lost answer taken for a refusal is false.

--- /dev/null
+++ b/core/version/config/history.go
@@ -0,0 +1,47 @@
+package config
+
+import "gentianhead/core/version/resource"
+
+// RecentChanges is how many changes a router keeps to answer its peers with.
+const RecentChanges = 256
+
+// History is a configuration in force with the newest changes that led to it.
+// It is immutable; any goroutine may use it.
+type History struct {
+	snapshot *resource.Snapshot
+	recent   []resource.Object
+}
+
+func newHistory(snapshot *resource.Snapshot, recent []resource.Object) *History {
+	if n := len(recent); n > 0 && recent[n-1].Revision != snapshot.Revision() {
+		recent = nil
+	}
+	return &History{snapshot: snapshot, recent: recent}
+}
+
+// Snapshot returns the configuration in force.
+func (h *History) Snapshot() *resource.Snapshot {
+	return h.snapshot
+}
+
+// After returns the changes after a revision, or false when some are no longer
+// kept and the whole configuration has to be sent.
+func (h *History) After(revision resource.Revision) ([]resource.Object, bool) {
+	if revision >= h.snapshot.Revision() {
+		return nil, true
+	}
+	if len(h.recent) == 0 || h.recent[0].Revision > revision+1 {
+		return nil, false
+	}
+	return h.recent[revision+1-h.recent[0].Revision:], true
+}
+
+// appendRecent never writes to the array of recent, which readers may share.
+func appendRecent(recent, changes []resource.Object) []resource.Object {
+	if len(changes) == 0 {
+		return recent
+	}
+	joined := make([]resource.Object, 0, len(recent)+len(changes))
+	joined = append(append(joined, recent...), changes...)
+	return joined[max(0, len(joined)-RecentChanges):]
+}
--- a/fleet/process/control/control.go
+++ b/fleet/process/control/control.go
@@ -80,7 +80,7 @@
 	loop := &Loop{
 		options: options,
 		events:  make(chan any, eventQueue),
-		config:  config.New(),
+		config:  config.New(xxhash.Sum64String(options.Self.Instance)),
 		members: membership.New(options.Self),
 		heads:   make(map[string]resource.Revision),
 	}
--- a/fleet/version/desired/desired.go
+++ b/fleet/version/desired/desired.go
@@ -1,13 +1,22 @@
-// Package desired keeps the fleet's configuration in the table service: a head
-// row with the newest revision, a log row for each revision, a row for each
-// object and a row for each write attempt.
+// Package desired keeps the fleet's configuration in the table service. Its
+// rows are
+//   - the head, with the newest revision and a digest of all objects,
+//   - one row for each object,
+//   - one log row for each of the newest revisions,
+//   - one row for each write attempt whose log row is kept,
+//   - one row for each client account's token, which keeps tokens unique.
+//
+// Every write is one transaction that checks the head row, so that revisions
+// have no gaps and two writers never get the same one.
 package desired
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"gentianhead/core/version/resource"
@@ -17,25 +26,50 @@
 // Keys of the rows.
 const (
 	keyHead       = "config/head"
+	keyOldest     = "config/oldest"
 	prefixLog     = "config/log/"
 	prefixObject  = "config/object/"
 	prefixAttempt = "config/attempt/"
+	prefixToken   = "config/token/"
 )
 
-// MaxChangesRead is the most changes that one read returns.
-const MaxChangesRead = 1000
-
-// maxWriteTries bounds how often a write races others for the head row.
-const maxWriteTries = 16
+const (
+	// MaxChangesRead is the most changes that one read returns.
+	MaxChangesRead = 1000
+	// objectsPerScan is how many object rows one scan reads.
+	objectsPerScan = 1000
+	// maxStateTries bounds how often a whole read is begun anew when its digest
+	// does not match.
+	maxStateTries = 3
+)
 
 var (
 	// ErrConflict means that the object is not at the revision that the writer expected.
 	ErrConflict = errors.New("desired: object was changed by another writer")
+	// ErrNotFound means that there is no object to delete.
+	ErrNotFound = errors.New("desired: no such object")
+	// ErrAttemptReused means that the attempt id belongs to another write.
+	ErrAttemptReused = errors.New("desired: attempt id belongs to another write")
+	// ErrNotWritten means that the store could not be used and nothing was written.
+	ErrNotWritten = errors.New("desired: not written")
 	// ErrOutcomeUnknown means that the store stayed silent; the same attempt id
 	// may be sent again and takes effect at most once.
 	ErrOutcomeUnknown = errors.New("desired: outcome unknown; send the same attempt again")
+	// ErrStaleRead means that the rows read do not belong to one revision.
+	ErrStaleRead = errors.New("desired: rows of different revisions")
 )
 
+// CompactedError says that changes asked for are no longer kept.
+type CompactedError struct {
+	// Oldest is the oldest revision whose change is kept.
+	Oldest resource.Revision
+}
+
+// Error implements error.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("desired: changes before revision %d are no longer kept", e.Oldest)
+}
+
 // Store reads and writes the configuration. It is safe for concurrent use.
 type Store struct {
 	table platform.Table
@@ -46,142 +80,178 @@
 	return &Store{table: table}
 }
 
-// Write is one change that an operator asks for.
-type Write struct {
-	Object resource.Object
-	// Attempt identifies the write; sent again, it takes effect at most once.
-	Attempt string
-	// IfRevision, when not nil, is the revision that the object must have; 0
-	// means that it must not exist.
-	IfRevision *resource.Revision
+// headRow is the short token that bulk state is checked against.
+type headRow struct {
+	Revision resource.Revision `json:"revision"`
+	// Digest combines the digests of all objects that exist at Revision.
+	Digest uint64 `json:"digest"`
 }
 
-type headRow struct {
+type logRow struct {
+	Object  resource.Object `json:"object"`
+	Attempt string          `json:"attempt"`
+}
+
+type oldestRow struct {
 	Revision resource.Revision `json:"revision"`
 }
 
-// Head returns the newest accepted revision.
+// Head returns the newest accepted revision, or an older one if the read is stale.
 func (s *Store) Head(ctx context.Context) (resource.Revision, error) {
-	rows, err := s.table.Read(ctx, keyHead)
+	head, _, err := s.readHead(ctx)
+	return head.Revision, err
+}
+
+// ConfirmedHead returns a revision that was the newest accepted one at a moment
+// during the call: a transaction that only checks the head row vouches for it.
+func (s *Store) ConfirmedHead(ctx context.Context) (resource.Revision, error) {
+	head, row, err := s.readHead(ctx)
 	if err != nil {
 		return 0, err
 	}
-	return decodeHead(rows[0])
+	return head.Revision, s.confirm(ctx, row)
 }
 
-func decodeHead(row platform.Row) (resource.Revision, error) {
-	if row.Version == 0 {
-		return 0, nil
+func (s *Store) readHead(ctx context.Context) (headRow, platform.Row, error) {
+	rows, err := s.table.Read(ctx, keyHead)
+	if err != nil {
+		return headRow{}, platform.Row{}, err
+	}
+	head, err := decode[headRow](rows[0])
+	return head, rows[0], err
+}
+
+// confirm fails with ErrStaleRead unless the head row is still at this version.
+func (s *Store) confirm(ctx context.Context, head platform.Row) error {
+	check := platform.Check{Key: keyHead, Version: head.Version}
+	result, err := s.table.Commit(ctx, platform.Transaction{Checks: []platform.Check{check}})
+	if err == nil && result.Conflict != "" {
+		return ErrStaleRead
 	}
-	var head headRow
-	err := json.Unmarshal(row.Value, &head)
-	return head.Revision, errors.Wrap(err, "desired: head row")
+	return err
 }
 
-// Changes returns the changes after a revision, oldest first, at most MaxChangesRead.
+// Changes returns the changes after a revision, oldest first, at most
+// MaxChangesRead. It fails with a CompactedError when the next one is no longer kept.
 func (s *Store) Changes(ctx context.Context, after resource.Revision) ([]resource.Object, error) {
 	rows, err := s.table.Scan(ctx, prefixLog, logKey(after), MaxChangesRead)
 	if err != nil {
 		return nil, err
 	}
-	changes := make([]resource.Object, len(rows))
+	var changes []resource.Object
 	for i, row := range rows {
-		if err := json.Unmarshal(row.Value, &changes[i]); err != nil {
-			return nil, errors.Wrapf(err, "desired: row %s", row.Key)
+		logged, err := decode[logRow](row)
+		if err != nil {
+			return nil, err
+		}
+		if logged.Object.Revision != after+resource.Revision(i)+1 {
+			break
 		}
+		changes = append(changes, logged.Object)
+	}
+	if len(changes) == 0 {
+		return nil, s.checkKept(ctx, after+1)
 	}
 	return changes, nil
 }
 
-// Apply writes a change and returns the object at its new revision. A write
-// whose answer was lost is resolved by reading its attempt row back.
-func (s *Store) Apply(ctx context.Context, write Write) (resource.Object, error) {
-	if err := write.Object.Validate(); err != nil {
-		return resource.Object{}, err
+func (s *Store) checkKept(ctx context.Context, revision resource.Revision) error {
+	rows, err := s.table.Read(ctx, keyOldest)
+	if err != nil {
+		return err
 	}
-	mayHaveRun := false
-	for range maxWriteTries {
-		object, tx, done, err := s.prepare(ctx, write)
-		if done || err != nil {
-			return object, orUnknown(err, mayHaveRun)
-		}
-		result, err := s.table.Commit(ctx, tx)
-		switch {
-		case errors.Is(err, platform.ErrAnswerLost):
-			mayHaveRun = true
-		case err != nil:
-			return resource.Object{}, orUnknown(err, mayHaveRun)
-		case result.Conflict == "":
-			return object, nil
-		}
+	oldest, err := decode[oldestRow](rows[0])
+	if err == nil && revision < oldest.Revision {
+		return &CompactedError{Oldest: oldest.Revision}
 	}
-	return resource.Object{}, orUnknown(ErrConflict, mayHaveRun)
+	return err
 }
 
-// orUnknown keeps a write that may have taken effect from being reported as refused.
-func orUnknown(err error, mayHaveRun bool) error {
-	if err != nil && mayHaveRun {
-		return errors.Mark(err, ErrOutcomeUnknown)
+// State returns the whole configuration at one revision. It scans the object
+// rows, brings them forward with the changes made meanwhile, and checks the
+// result against the digest of the head row.
+func (s *Store) State(ctx context.Context) (resource.Revision, []resource.Object, error) {
+	for range maxStateTries {
+		head, objects, err := s.readState(ctx)
+		if err != nil {
+			return 0, nil, err
+		}
+		if digestOf(objects) == head.Digest {
+			return head.Revision, objects, nil
+		}
 	}
-	return err
+	return 0, nil, ErrStaleRead
 }
 
-// prepare reads the rows that the write depends on and builds its transaction.
-// It reports done with the object when the attempt took effect already.
-func (s *Store) prepare(ctx context.Context, write Write) (resource.Object, platform.Transaction, bool, error) {
-	none := platform.Transaction{}
-	rows, err := s.table.Read(ctx, keyHead, objectKey(write.Object.Key()), prefixAttempt+write.Attempt)
+func (s *Store) readState(ctx context.Context) (headRow, []resource.Object, error) {
+	before, _, err := s.readHead(ctx)
 	if err != nil {
-		return resource.Object{}, none, false, err
-	}
-	head, current, attempt := rows[0], rows[1], rows[2]
-	if attempt.Version != 0 {
-		object, err := decodeObject(attempt)
-		return object, none, true, err
+		return headRow{}, nil, err
 	}
-	existing, err := decodeObject(current)
+	objects, err := s.scanObjects(ctx)
 	if err != nil {
-		return resource.Object{}, none, false, err
+		return headRow{}, nil, err
 	}
-	if write.IfRevision != nil && *write.IfRevision != existing.Revision {
-		return existing, none, false, ErrConflict
+	after, _, err := s.readHead(ctx)
+	if err != nil || after.Revision <= before.Revision {
+		return before, objects, err
 	}
-	revision, err := decodeHead(head)
+	changes, err := s.Changes(ctx, before.Revision)
 	if err != nil {
-		return resource.Object{}, none, false, err
+		return headRow{}, nil, err
+	}
+	changes = slices.DeleteFunc(changes, func(o resource.Object) bool { return o.Revision > after.Revision })
+	snapshot, _ := resource.NewSnapshot(before.Revision, objects).Apply(changes)
+	return after, snapshot.List(""), nil
+}
+
+func (s *Store) scanObjects(ctx context.Context) ([]resource.Object, error) {
+	var objects []resource.Object
+	after := ""
+	for {
+		rows, err := s.table.Scan(ctx, prefixObject, after, objectsPerScan)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			object, err := decode[resource.Object](row)
+			if err != nil {
+				return nil, err
+			}
+			objects = append(objects, object)
+			after = row.Key
+		}
+		if len(rows) < objectsPerScan {
+			return objects, nil
+		}
 	}
-	object := write.Object
-	object.Revision = revision + 1
-	return object, transaction(object, write.Attempt, head, current), false, nil
 }
 
-func transaction(object resource.Object, attempt string, head, current platform.Row) platform.Transaction {
-	encoded := mustEncode(object)
-	return platform.Transaction{
-		Checks: []platform.Check{
-			{Key: keyHead, Version: head.Version},
-			{Key: current.Key, Version: current.Version},
-		},
-		Puts: []platform.Put{
-			{Key: keyHead, Value: mustEncode(headRow{Revision: object.Revision})},
-			{Key: current.Key, Value: encoded, Delete: object.Deleted},
-			{Key: logKey(object.Revision), Value: encoded},
-			{Key: prefixAttempt + attempt, Value: encoded},
-		},
+// digest is the part of one object in the digest of all.
+func digest(o resource.Object) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s/%s@%d", o.Kind, o.Name, o.Revision))
+}
+
+func digestOf(objects []resource.Object) uint64 {
+	sum := uint64(0)
+	for _, o := range objects {
+		sum ^= digest(o)
 	}
+	return sum
 }
 
-func decodeObject(row platform.Row) (resource.Object, error) {
+// decode returns the zero value for a row that does not exist.
+func decode[T any](row platform.Row) (T, error) {
+	var value T
 	if row.Version == 0 {
-		return resource.Object{}, nil
+		return value, nil
 	}
-	var object resource.Object
-	err := json.Unmarshal(row.Value, &object)
-	return object, errors.Wrapf(err, "desired: row %s", row.Key)
+	err := json.Unmarshal(row.Value, &value)
+	return value, errors.Wrapf(err, "desired: row %s", row.Key)
 }
 
-// mustEncode panics only on a type that JSON cannot hold, which would be a broken invariant.
-func mustEncode(value any) []byte {
+// encode panics only on a type that JSON cannot hold, which would be a broken invariant.
+func encode(value any) []byte {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
--- /dev/null
+++ b/fleet/version/desired/desired_test.go
@@ -0,0 +1,186 @@
+package desired
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/version/resource"
+	"gentianhead/fleet/connection/platform"
+)
+
+func model(name string, bound float64) resource.Object {
+	return resource.Object{Kind: resource.KindModel, Name: name, Model: &resource.Model{LoadBound: bound}}
+}
+
+func account(name, digit string) resource.Object {
+	token := ""
+	for range 64 {
+		token += digit
+	}
+	return resource.Object{Kind: resource.KindAccount, Name: name, Account: &resource.Account{TokenSHA256: token}}
+}
+
+func mustApply(t *testing.T, s *Store, attempt string, object resource.Object) resource.Object {
+	t.Helper()
+	accepted, err := s.Apply(t.Context(), Write{Object: object, Attempt: attempt})
+	assert.NilError(t, err)
+	return accepted
+}
+
+func TestAttemptSentAgainTakesEffectOnce(t *testing.T) {
+	s := NewStore(newFakeTable(1))
+	first := mustApply(t, s, "x", model("m", 2))
+	mustApply(t, s, "y", model("m", 3))
+	assert.Equal(t, mustApply(t, s, "x", model("m", 2)).Revision, first.Revision)
+	head, err := s.Head(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, head, resource.Revision(2))
+
+	_, err = s.Apply(t.Context(), Write{Object: model("m", 4), Attempt: "x"})
+	assert.ErrorIs(t, err, ErrAttemptReused)
+}
+
+func TestTokenBelongsToOneAccount(t *testing.T) {
+	s := NewStore(newFakeTable(1))
+	mustApply(t, s, "1", account("a", "1"))
+	_, err := s.Apply(t.Context(), Write{Object: account("b", "1"), Attempt: "2"})
+	var invalid *resource.ValidationError
+	assert.Assert(t, errors.As(err, &invalid), "%v", err)
+	mustApply(t, s, "3", account("a", "2"))
+	mustApply(t, s, "4", account("b", "1"))
+	mustApply(t, s, "5", resource.Object{Kind: resource.KindAccount, Name: "b", Deleted: true})
+	mustApply(t, s, "6", account("c", "1"))
+}
+
+func TestDeleteOfNothingIsRefused(t *testing.T) {
+	s := NewStore(newFakeTable(1))
+	gone := resource.Object{Kind: resource.KindModel, Name: "m", Deleted: true}
+	_, err := s.Apply(t.Context(), Write{Object: gone, Attempt: "1"})
+	assert.ErrorIs(t, err, ErrNotFound)
+}
+
+func TestStoreDownIsNotWrittenAndSilentIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newFakeTable(1)
+		s := NewStore(table)
+		table.faults = faults{down: 1}
+		_, err := s.Apply(t.Context(), Write{Object: model("m", 2), Attempt: "1"})
+		assert.Assert(t, errors.Is(err, ErrNotWritten), "%v", err)
+
+		table.faults = faults{lost: 1}
+		accepted, err := s.Apply(t.Context(), Write{Object: model("m", 2), Attempt: "1"})
+		assert.NilError(t, err, "the attempt row is read back")
+		assert.Equal(t, accepted.Revision, resource.Revision(1))
+
+		table.faults = faults{delayed: 1}
+		_, err = s.Apply(t.Context(), Write{Object: model("m", 3), Attempt: "2"})
+		assert.Assert(t, err == nil || errors.Is(err, ErrOutcomeUnknown), "%v", err)
+	})
+}
+
+func TestRefusalIsNotFoundedOnAStaleRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for seed := range uint64(50) {
+			table := newFakeTable(seed)
+			s := NewStore(table)
+			first := mustApply(t, s, "1", model("m", 2))
+			second := mustApply(t, s, "2", model("m", 3))
+			assert.Assert(t, second.Revision > first.Revision)
+			table.faults = faults{stale: 0.5}
+			_, err := s.Apply(t.Context(), Write{Object: model("m", 4), Attempt: "3", IfRevision: &second.Revision})
+			assert.NilError(t, err)
+		}
+	})
+}
+
+// fill writes changes to the log rows without going through Apply one by one.
+func fill(t *testing.T, s *Store, changes int) {
+	t.Helper()
+	for i := range changes {
+		mustApply(t, s, fmt.Sprintf("fill-%d", i), model(fmt.Sprintf("m%d", i%7), 2))
+	}
+}
+
+func TestCompactionBoundsTheRowsAndSaysWhatIsKept(t *testing.T) {
+	table := newFakeTable(1)
+	s := NewStore(table)
+	const changes = KeptChanges + 2*CompactEvery + 3
+	fill(t, s, changes)
+	before := len(table.rows)
+	errs := make(chan error, 3)
+	for range 3 {
+		go func() { errs <- s.Compact(t.Context()) }()
+	}
+	for range 3 {
+		assert.NilError(t, <-errs)
+	}
+	assert.NilError(t, s.Compact(t.Context()))
+	// The head, oldest, object, log and attempt rows.
+	assert.Equal(t, len(table.rows), 2+7+2*KeptChanges)
+	t.Logf("%d rows before, %d after", before, len(table.rows))
+
+	_, err := s.Changes(t.Context(), 10)
+	var compacted *CompactedError
+	assert.Assert(t, errors.As(err, &compacted), "%v", err)
+	assert.Equal(t, compacted.Oldest, resource.Revision(changes-KeptChanges+1))
+	kept, err := s.Changes(t.Context(), compacted.Oldest-1)
+	assert.NilError(t, err)
+	assert.Equal(t, kept[0].Revision, compacted.Oldest)
+	none, err := s.Changes(t.Context(), changes)
+	assert.NilError(t, err)
+	assert.Equal(t, len(none), 0)
+
+	revision, objects, err := s.State(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, revision, resource.Revision(changes))
+	assert.Equal(t, len(objects), 7)
+}
+
+func TestStateBelongsToOneRevisionWhileOthersWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newFakeTable(1)
+		s := NewStore(table)
+		fill(t, s, 20)
+		table.faults = faults{stale: 0.3, slow: 0.3}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for i := range 100 {
+				_, _ = s.Apply(context.Background(), Write{Object: model(fmt.Sprintf("m%d", i%9), 3), Attempt: fmt.Sprint(i)})
+			}
+		}()
+		read := 0
+		for range 100 {
+			revision, objects, err := s.State(t.Context())
+			if err != nil {
+				assert.Assert(t, errors.Is(err, ErrStaleRead) || errors.Is(err, platform.ErrAnswerLost), "%v", err)
+				continue
+			}
+			read++
+			assertIsLogAt(t, table, revision, objects)
+		}
+		<-done
+		t.Logf("%d of 100 reads were whole, the others said that they were not", read)
+		assert.Assert(t, read > 0)
+	})
+}
+
+// assertIsLogAt compares objects to what the log makes of them.
+func assertIsLogAt(t *testing.T, table *fakeTable, revision resource.Revision, objects []resource.Object) {
+	t.Helper()
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	var log []resource.Object
+	for r := resource.Revision(1); r <= revision; r++ {
+		logged, err := decode[logRow](table.rows[logKey(r)])
+		assert.NilError(t, err)
+		log = append(log, logged.Object)
+	}
+	want, _ := resource.NewSnapshot(0, nil).Apply(log)
+	assert.DeepEqual(t, resource.NewSnapshot(revision, objects).List(""), want.List(""))
+}
--- /dev/null
+++ b/fleet/version/desired/table_test.go
@@ -0,0 +1,265 @@
+package desired
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"gentianhead/fleet/connection/platform"
+)
+
+// faults are shares of calls, from 0 to 1.
+type faults struct {
+	// down calls have no effect and say so.
+	down float64
+	// lost commits take effect, and their answer is lost.
+	lost float64
+	// delayed commits lose their answer and take effect later, if their checks hold then.
+	delayed float64
+	// stale reads and scans show an earlier moment, the same for all rows of a call.
+	stale float64
+	// slow calls take up to slowness.
+	slow float64
+	// paused calls go out only after pauseLength, whatever the caller's deadline.
+	paused float64
+	// killed calls end their caller, some before and some after taking effect.
+	killed float64
+}
+
+// callerKilled is the panic that stands for the end of the calling process.
+type callerKilled struct{}
+
+// callStep is the step of a write that a call to the table belongs to.
+type callStep string
+
+const (
+	stepReadRows callStep = "read rows"
+	stepCommit   callStep = "commit"
+	stepReadBack callStep = "read back"
+	stepConfirm  callStep = "confirm refusal"
+	stepOther    callStep = "other"
+)
+
+const pauseLength = time.Minute
+
+const (
+	slowness = 3 * time.Second
+	// olderKept is how many earlier moments stale reads may show.
+	olderKept = 4
+	// mostRowsCopied bounds the tables whose earlier moments are kept.
+	mostRowsCopied = 2000
+)
+
+// fakeTable is a table service in memory, with faults. It is safe for concurrent use.
+type fakeTable struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	faults faults
+	// at, when set, replaces faults for the calls of single steps.
+	at map[callStep]faults
+	// struck counts the calls that met a fault.
+	struck    int
+	committed map[string]bool
+	rows      map[string]platform.Row
+	older     []map[string]platform.Row
+	version   uint64
+	delayed   []platform.Transaction
+	calls     int
+}
+
+func newFakeTable(seed uint64) *fakeTable {
+	return &fakeTable{random: rand.New(rand.NewPCG(seed, 2)), rows: make(map[string]platform.Row), committed: make(map[string]bool)}
+}
+
+// stepOfRead tells a first read from a read back by the attempt row that it names.
+func (f *fakeTable) stepOfRead(keys []string) callStep {
+	for _, key := range keys {
+		if strings.HasPrefix(key, prefixAttempt) {
+			if f.committed[key] {
+				return stepReadBack
+			}
+			return stepReadRows
+		}
+	}
+	return stepOther
+}
+
+func (f *fakeTable) stepOfCommit(tx platform.Transaction) callStep {
+	for _, put := range tx.Puts {
+		if strings.HasPrefix(put.Key, prefixAttempt) && !put.Delete {
+			f.committed[put.Key] = true
+			return stepCommit
+		}
+	}
+	if len(tx.Puts) == 0 {
+		return stepConfirm
+	}
+	return stepOther
+}
+
+func (f *fakeTable) faultsAt(step callStep) faults {
+	if f.at != nil {
+		return f.at[step]
+	}
+	return f.faults
+}
+
+// begin counts a call, lets it be slow and lets delayed commits take effect.
+func (f *fakeTable) begin(ctx context.Context, faults faults) error {
+	f.mu.Lock()
+	f.calls++
+	length := time.Duration(0)
+	if f.happens(faults.slow) {
+		length = time.Duration(f.random.Int64N(int64(slowness)))
+	}
+	isDown, isPaused := f.happens(faults.down), f.happens(faults.paused)
+	if len(f.delayed) > 0 && f.random.IntN(2) == 0 {
+		f.commit(f.delayed[0])
+		f.delayed = f.delayed[1:]
+	}
+	isKilled := f.random.IntN(2) == 0 && f.happens(faults.killed)
+	f.mu.Unlock()
+	if isKilled {
+		panic(callerKilled{})
+	}
+	if isPaused {
+		<-time.After(pauseLength)
+	}
+	if isDown {
+		return platform.ErrRefused
+	}
+	if length == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(length):
+		return nil
+	case <-ctx.Done():
+		return platform.ErrAnswerLost
+	}
+}
+
+func (f *fakeTable) happens(share float64) bool {
+	happens := f.random.Float64() < share
+	if happens {
+		f.struck++
+	}
+	return happens
+}
+
+func (f *fakeTable) commit(tx platform.Transaction) platform.CommitResult {
+	for _, check := range tx.Checks {
+		if f.rows[check.Key].Version != check.Version {
+			return platform.CommitResult{Conflict: check.Key}
+		}
+	}
+	if len(f.rows) <= mostRowsCopied {
+		f.older = append(f.older, maps.Clone(f.rows))
+	}
+	f.older = f.older[max(0, len(f.older)-olderKept):]
+	f.version++
+	for _, put := range tx.Puts {
+		if put.Delete {
+			delete(f.rows, put.Key)
+			continue
+		}
+		f.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: f.version}
+	}
+	return platform.CommitResult{Version: f.version}
+}
+
+// moment returns the rows that a read shows.
+func (f *fakeTable) moment(faults faults) map[string]platform.Row {
+	if len(f.older) > 0 && f.happens(faults.stale) {
+		return f.older[f.random.IntN(len(f.older))]
+	}
+	return f.rows
+}
+
+func (f *fakeTable) Commit(ctx context.Context, tx platform.Transaction) (platform.CommitResult, error) {
+	f.mu.Lock()
+	faults := f.faultsAt(f.stepOfCommit(tx))
+	f.mu.Unlock()
+	if err := f.begin(ctx, faults); err != nil {
+		return platform.CommitResult{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.happens(faults.delayed) {
+		f.delayed = append(f.delayed, tx)
+		return platform.CommitResult{}, platform.ErrAnswerLost
+	}
+	result := f.commit(tx)
+	if f.happens(faults.killed) {
+		panic(callerKilled{})
+	}
+	if f.happens(faults.lost) {
+		return platform.CommitResult{}, platform.ErrAnswerLost
+	}
+	return result, nil
+}
+
+func (f *fakeTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	f.mu.Lock()
+	faults := f.faultsAt(f.stepOfRead(keys))
+	f.mu.Unlock()
+	if err := f.begin(ctx, faults); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	shown := f.moment(faults)
+	rows := make([]platform.Row, len(keys))
+	for i, key := range keys {
+		rows[i] = shown[key]
+		rows[i].Key = key
+	}
+	return rows, nil
+}
+
+func (f *fakeTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	f.mu.Lock()
+	faults := f.faultsAt(stepOther)
+	f.mu.Unlock()
+	if err := f.begin(ctx, faults); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	shown := f.moment(faults)
+	var rows []platform.Row
+	for _, key := range slices.Sorted(maps.Keys(shown)) {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, shown[key])
+		}
+	}
+	return rows[:min(limit, len(rows))], nil
+}
+
+// forgetful hides attempt rows: what is left is a blind retry.
+type forgetful struct{ platform.Table }
+
+func (f forgetful) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	rows, err := f.Table.Read(ctx, keys...)
+	for i := range rows {
+		if strings.HasPrefix(rows[i].Key, prefixAttempt) {
+			rows[i] = platform.Row{Key: rows[i].Key}
+		}
+	}
+	return rows, err
+}
+
+// impatient takes a lost answer for a refusal.
+type impatient struct{ platform.Table }
+
+func (i impatient) Commit(ctx context.Context, tx platform.Transaction) (platform.CommitResult, error) {
+	result, err := i.Table.Commit(ctx, tx)
+	if err != nil {
+		return result, platform.ErrRefused
+	}
+	return result, nil
+}
