Serve watches that resume, statuses that name unreachable routers, and definite writes

The admin API answers watches from the router's recent changes, then from the store, and with 410 and the oldest revision kept once neither has them. Status names routers that fell silent as unreachable for 20 s and never counts them. gentianheadctl sends a write of unknown outcome again under the same attempt id and has exit codes for accepted-but-not-everywhere and for unknown.

The router reads a confirmed head until it is ready, asks peers first, and answers peers with the changes that they lack instead of the whole.

--- a/core/version/config/config.go
+++ b/core/version/config/config.go
@@ -61,8 +61,12 @@
 	// floor is the first head revision that the store confirmed.
 	floor resource.Revision
 
-	storeHead    resource.Revision
-	peers        map[string]peerHead
+	storeHead resource.Revision
+	peers     map[string]peerHead
+	// bestPeer is the highest revision in peers, and expiredAt the time at which
+	// old ones were last dropped.
+	bestPeer     resource.Revision
+	expiredAt    time.Duration
 	backoffs     map[sourceKey]backoff
 	peerFailures int
 	flight       *flight
@@ -110,6 +114,7 @@
 		c.stepStoreHead(e)
 	case PeerHead:
 		c.peers[e.Instance] = peerHead{revision: e.Revision, heardAt: c.elapsed}
+		c.bestPeer = max(c.bestPeer, e.Revision)
 	case Changes:
 		c.land(e.Fetch, c.applyChanges(e.Objects))
 	case State:
@@ -135,14 +140,25 @@
 		c.elapsed += step
 	}
 	c.lastTick = at
+	if c.elapsed-c.expiredAt >= PeerHeadLife/4 {
+		c.expirePeers()
+	}
+	if c.flight != nil && c.elapsed >= c.flight.deadline {
+		c.land(c.flight.fetch.ID, false)
+	}
+}
+
+// expirePeers forgets peers that were not heard of for long.
+func (c *Core) expirePeers() {
+	c.expiredAt = c.elapsed
+	c.bestPeer = 0
 	for instance, head := range c.peers {
 		if c.elapsed-head.heardAt > PeerHeadLife {
 			delete(c.peers, instance)
 			delete(c.backoffs, sourceKey{SourcePeer, instance})
+			continue
 		}
-	}
-	if c.flight != nil && c.elapsed >= c.flight.deadline {
-		c.land(c.flight.fetch.ID, false)
+		c.bestPeer = max(c.bestPeer, head.revision)
 	}
 }
 
--- a/core/version/config/event.go
+++ b/core/version/config/event.go
@@ -17,7 +17,8 @@
 	IsConfirmed bool
 }
 
-// PeerHead reports the revision that a peer has in force.
+// PeerHead reports the revision that a peer has in force. It may be lower than
+// before, when the peer started anew.
 type PeerHead struct {
 	Instance string
 	Revision resource.Revision
--- a/core/version/config/fetch.go
+++ b/core/version/config/fetch.go
@@ -69,11 +69,7 @@
 
 // target is the highest revision known to exist.
 func (c *Core) target() resource.Revision {
-	target := max(c.storeHead, c.floor)
-	for _, head := range c.peers {
-		target = max(target, head.revision)
-	}
-	return target
+	return max(c.storeHead, c.floor, c.bestPeer)
 }
 
 // choose prefers the peers with the highest revision, to spare the store, and
--- a/fleet/cmd/gentianheadctl/call.go
+++ b/fleet/cmd/gentianheadctl/call.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	if *c.output != "table" {
+	if *c.output != tableOutput {
 		return c.printEncoded(answer)
 	}
 	for _, address := range answer.Addresses {
--- a/fleet/cmd/gentianheadctl/client.go
+++ b/fleet/cmd/gentianheadctl/client.go
@@ -4,15 +4,73 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"gentianhead/fleet/request/admin"
+)
+
+const (
+	// maxAnswerBytes bounds an answer of the resource API.
+	maxAnswerBytes = 64 << 20
+	// resendInterval is the time between two sendings of a write whose outcome is unknown.
+	resendInterval = 500 * time.Millisecond
+	// resendFor is how long a write whose outcome is unknown is sent again.
+	resendFor = 30 * time.Second
 )
 
-// maxAnswerBytes bounds an answer of the resource API.
-const maxAnswerBytes = 64 << 20
+// errOutcomeUnknown means that a write may or may not have been accepted.
+var errOutcomeUnknown = errors.New("outcome unknown: the write may or may not have been accepted")
+
+// apiError is an answer of the resource API other than 200.
+type apiError struct {
+	status int
+	detail string
+}
+
+func (e *apiError) Error() string {
+	return fmt.Sprintf("%d %s: %s", e.status, http.StatusText(e.status), e.detail)
+}
+
+// write sends a write until its outcome is known. Every sending carries the
+// same attempt id, so that it takes effect at most once.
+func (c *commands) write(ctx context.Context, method, path string, body any) (admin.AcceptedBody, error) {
+	ctx, cancel := context.WithTimeout(ctx, resendFor)
+	defer cancel()
+	header := http.Header{"X-Attempt-Id": {uuid.NewString()}}
+	mayHaveRun := false
+	for {
+		var accepted admin.AcceptedBody
+		err := c.operate(ctx, method, path, header, body, &accepted)
+		var answered *apiError
+		isAnswered := errors.As(err, &answered)
+		switch {
+		case err == nil:
+			return accepted, nil
+		case isAnswered && answered.status < http.StatusInternalServerError,
+			isAnswered && answered.status == http.StatusServiceUnavailable && !mayHaveRun:
+			return accepted, err
+		}
+		mayHaveRun = true
+		fmt.Fprintf(c.stderr, "gentianheadctl: sending again: %v\n", err)
+		select {
+		case <-ctx.Done():
+			return accepted, errors.Mark(errors.Wrap(err, errOutcomeUnknown.Error()), errOutcomeUnknown)
+		case <-time.After(resendInterval):
+		}
+	}
+}
+
+// read sends one call that changes nothing.
+func (c *commands) read(ctx context.Context, path string, answer any) error {
+	return c.operate(ctx, http.MethodGet, path, http.Header{}, nil, answer)
+}
 
 // operate sends one call to the resource API and decodes its answer.
 func (c *commands) operate(ctx context.Context, method, path string, header http.Header, body, answer any) error {
@@ -28,9 +86,7 @@
 	if err != nil {
 		return err
 	}
-	if header != nil {
-		request.Header = header
-	}
+	request.Header = header
 	request.Header.Set("Authorization", "Bearer "+*c.token)
 	request.Header.Set("Content-Type", "application/json")
 	response, err := http.DefaultClient.Do(request)
@@ -43,18 +99,27 @@
 		return err
 	}
 	if response.StatusCode != http.StatusOK {
-		return errors.Newf("%s: %s", response.Status, detailOf(data))
+		return &apiError{status: response.StatusCode, detail: detailOf(data)}
 	}
 	return json.Unmarshal(data, answer)
 }
 
-// detailOf returns the detail of a problem, or the text as it is.
+// detailOf returns the detail of a problem with what it names, or the text as it is.
 func detailOf(data []byte) string {
 	var problem struct {
 		Detail string `json:"detail"`
+		Errors []struct {
+			Message  string `json:"message"`
+			Location string `json:"location"`
+			Value    any    `json:"value"`
+		} `json:"errors"`
+	}
+	if json.Unmarshal(data, &problem) != nil || problem.Detail == "" {
+		return strings.TrimSpace(string(data))
 	}
-	if json.Unmarshal(data, &problem) == nil && problem.Detail != "" {
-		return problem.Detail
+	detail := problem.Detail
+	for _, e := range problem.Errors {
+		detail += fmt.Sprintf("; %s: %s (%v)", e.Location, e.Message, e.Value)
 	}
-	return strings.TrimSpace(string(data))
+	return detail
 }
--- a/fleet/cmd/gentianheadctl/commands.go
+++ b/fleet/cmd/gentianheadctl/commands.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"time"
 
 	"github.com/peterbourgon/ff/v4"
 )
@@ -38,7 +37,7 @@
 		Name:      "gentianheadctl",
 		Usage:     "gentianheadctl [FLAGS] COMMAND ...",
 		ShortHelp: "declares resources, shows what is in force, and tries calls",
-		LongHelp:  "Flags may be given as environment variables, such as GENTIANHEADCTL_TOKEN.\nExit codes: 0 done, 1 failed, 2 wrong usage.",
+		LongHelp:  "Flags may be given as environment variables, such as GENTIANHEADCTL_TOKEN.\nExit codes: 0 done; 1 failed, the named resource was not changed; 2 wrong usage;\n3 accepted, but not in force on every router in time; 4 outcome of a write unknown.",
 		Flags:     c.flags,
 		Subcommands: []*ff.Command{
 			c.applyCommand(),
@@ -52,20 +51,16 @@
 	}
 }
 
-// defaultWait bounds apply --wait.
-const defaultWait = 16 * time.Second
-
 func (c *commands) applyCommand() *ff.Command {
 	flags := ff.NewFlagSet("apply").SetParent(c.flags)
 	file := flags.String('f', "file", "-", "YAML or JSON file of resources, one a document; - reads standard input")
-	wait := flags.BoolLong("wait", "return once the change is in force on every router")
-	timeout := flags.DurationLong("timeout", defaultWait, "how long to wait")
+	wait := addWaitFlags(flags)
 	return &ff.Command{
 		Name:      "apply",
 		Usage:     "gentianheadctl apply -f FILE [--wait]",
 		ShortHelp: "create or replace resources",
 		Flags:     flags,
-		Exec:      c.applyExec(file, wait, timeout),
+		Exec:      c.applyExec(file, wait),
 	}
 }
 
@@ -80,12 +75,14 @@
 }
 
 func (c *commands) deleteCommand() *ff.Command {
+	flags := ff.NewFlagSet("delete").SetParent(c.flags)
+	wait := addWaitFlags(flags)
 	return &ff.Command{
 		Name:      "delete",
-		Usage:     "gentianheadctl delete KIND NAME",
+		Usage:     "gentianheadctl delete KIND NAME [--wait]",
 		ShortHelp: "delete a resource",
-		Flags:     ff.NewFlagSet("delete").SetParent(c.flags),
-		Exec:      c.remove,
+		Flags:     flags,
+		Exec:      c.removeExec(wait),
 	}
 }
 
--- a/fleet/cmd/gentianheadctl/main.go
+++ b/fleet/cmd/gentianheadctl/main.go
@@ -16,9 +16,11 @@
 
 // Exit codes.
 const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	exitOK             = 0
+	exitFailed         = 1
+	exitUsage          = 2
+	exitNotInForce     = 3
+	exitOutcomeUnknown = 4
 )
 
 func main() {
@@ -38,13 +40,26 @@
 		fmt.Fprintf(stderr, "gentianheadctl: %v\n\n%s", err, ffhelp.Command(root))
 		return exitUsage
 	}
-	if err := root.Run(ctx); err != nil {
+	err = root.Run(ctx)
+	if err != nil {
 		fmt.Fprintf(stderr, "gentianheadctl: %v\n", err)
-		if errors.Is(err, ff.ErrNoExec) {
-			fmt.Fprint(stderr, ffhelp.Command(root))
-			return exitUsage
-		}
-		return exitFailed
 	}
-	return exitOK
+	if errors.Is(err, ff.ErrNoExec) {
+		fmt.Fprint(stderr, ffhelp.Command(root))
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, ff.ErrNoExec), errors.Is(err, errUsage):
+		return exitUsage
+	case errors.Is(err, errNotInForce):
+		return exitNotInForce
+	case errors.Is(err, errOutcomeUnknown):
+		return exitOutcomeUnknown
+	}
+	return exitFailed
 }
--- a/fleet/cmd/gentianheadctl/resources.go
+++ b/fleet/cmd/gentianheadctl/resources.go
@@ -3,44 +3,42 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
-	"github.com/google/uuid"
 
 	"gentianhead/core/version/resource"
 	"gentianhead/fleet/request/admin"
 )
 
-// waitInterval is the time between two looks at the status during apply --wait.
-const waitInterval = 200 * time.Millisecond
+// errUsage means that a command was given wrong arguments.
+var errUsage = errors.New("wrong usage")
 
-func (c *commands) applyExec(file *string, wait *bool, timeout *time.Duration) func(context.Context, []string) error {
+func (c *commands) applyExec(file *string, wait waitOptions) func(context.Context, []string) error {
 	return func(ctx context.Context, _ []string) error {
 		objects, err := c.readObjects(*file)
 		if err != nil {
 			return err
 		}
 		var last resource.Revision
-		for _, object := range objects {
-			accepted, err := c.put(ctx, object)
+		for i, object := range objects {
+			path := resourcePath(string(object.Kind), object.Name)
+			accepted, err := c.write(ctx, http.MethodPut, path, object)
 			if err != nil {
-				return errors.Wrapf(err, "%s %s", object.Kind, object.Name)
+				return errors.Wrapf(err, "%s %s (%d of %d accepted before it)", object.Kind, object.Name, i, len(objects))
 			}
 			last = accepted.Revision
-			fmt.Fprintf(c.stdout, "%s/%s accepted at revision %d\n", accepted.Kind, accepted.Name, accepted.Revision)
-		}
-		if !*wait {
-			return nil
+			if err := c.printAccepted(accepted); err != nil {
+				return err
+			}
 		}
-		return c.waitInForce(ctx, last, *timeout)
+		return c.waitInForce(ctx, last, wait)
 	}
 }
 
@@ -70,153 +68,144 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "%s", file)
 		}
-		if object.Revision != 0 {
-			return nil, errors.Newf("%s: revision is set by the system; leave it out", file)
+		checked := resource.Object{
+			Kind: object.Kind, Name: object.Name,
+			Endpoint: object.Endpoint, Account: object.Account, Model: object.Model, Service: object.Service,
+		}
+		if err := checked.Validate(); err != nil {
+			return nil, errors.Wrapf(err, "%s: document %d", file, len(objects)+1)
 		}
 		objects = append(objects, object)
 	}
 }
 
-func (c *commands) put(ctx context.Context, object admin.ObjectBody) (admin.ObjectBody, error) {
-	var accepted admin.ObjectBody
-	header := http.Header{"X-Attempt-Id": {uuid.NewString()}}
-	err := c.operate(ctx, http.MethodPut, resourcePath(string(object.Kind), object.Name), header, object, &accepted)
-	return accepted, err
-}
-
 func resourcePath(kind, name string) string {
-	return "/v1/resources/" + kind + "/" + name
-}
-
-type statusBody struct {
-	Routers []admin.RouterStatus `json:"routers"`
-}
-
-// waitInForce returns once every router has the revision, or names those that lack it.
-func (c *commands) waitInForce(ctx context.Context, revision resource.Revision, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var lacking []string
-	for {
-		var status statusBody
-		if err := c.operate(ctx, http.MethodGet, "/v1/status", nil, nil, &status); err == nil {
-			lacking = routersBelow(status.Routers, revision)
-			if len(lacking) == 0 {
-				fmt.Fprintf(c.stdout, "revision %d in force on %d routers\n", revision, len(status.Routers))
-				return nil
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return errors.Newf("accepted, but revision %d is not in force after %s on: %s", revision, timeout, strings.Join(lacking, ", "))
-		case <-time.After(waitInterval):
-		}
-	}
-}
-
-func routersBelow(routers []admin.RouterStatus, revision resource.Revision) []string {
-	var names []string
-	for _, router := range routers {
-		if router.Revision < revision {
-			names = append(names, router.Instance)
-		}
-	}
-	return names
-}
-
-type listBody struct {
-	Revision resource.Revision  `json:"revision"`
-	Items    []admin.ObjectBody `json:"items"`
+	return "/v1/resources/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
 
 func (c *commands) get(ctx context.Context, args []string) error {
-	if len(args) == 2 {
+	switch len(args) {
+	case 0:
+		return c.list(ctx, "/v1/resources")
+	case 1:
+		return c.list(ctx, "/v1/resources?kind="+url.QueryEscape(args[0]))
+	case 2:
 		var object admin.ObjectBody
-		if err := c.operate(ctx, http.MethodGet, resourcePath(args[0], args[1]), nil, nil, &object); err != nil {
+		if err := c.read(ctx, resourcePath(args[0], args[1]), &object); err != nil {
 			return err
 		}
-		return c.print(object, []admin.ObjectBody{object})
+		return c.print(object, resourceTable([]admin.ObjectBody{object}))
 	}
-	kind := ""
-	if len(args) == 1 {
-		kind = args[0]
-	}
-	var list listBody
-	if err := c.operate(ctx, http.MethodGet, "/v1/resources?kind="+kind, nil, nil, &list); err != nil {
-		return err
-	}
-	return c.print(list, list.Items)
+	return errors.Wrap(errUsage, "get takes KIND and NAME at most")
 }
 
-func (c *commands) print(whole any, rows []admin.ObjectBody) error {
-	if *c.output == "table" {
-		for _, row := range rows {
-			fmt.Fprintf(c.stdout, "%d\t%s\t%s\n", row.Revision, row.Kind, row.Name)
-		}
-		return nil
+func (c *commands) list(ctx context.Context, path string) error {
+	var list admin.ListBody
+	if err := c.read(ctx, path, &list); err != nil {
+		return err
 	}
-	return c.printEncoded(whole)
+	return c.print(list, resourceTable(list.Items))
 }
 
-func (c *commands) printEncoded(value any) error {
-	encoded, err := json.MarshalIndent(value, "", "  ")
-	if err == nil && *c.output == "yaml" {
-		encoded, err = yaml.JSONToYAML(encoded)
-	}
-	if err != nil {
-		return err
+func resourceTable(objects []admin.ObjectBody) table {
+	t := table{header: []string{"REVISION", "KIND", "NAME"}}
+	for _, object := range objects {
+		t.add(object.Revision, object.Kind, object.Name)
 	}
-	_, err = fmt.Fprintln(c.stdout, strings.TrimSpace(string(encoded)))
-	return err
+	return t
 }
 
-func (c *commands) remove(ctx context.Context, args []string) error {
-	if len(args) != 2 {
-		return errors.New("delete needs KIND and NAME")
-	}
-	var accepted admin.ObjectBody
-	header := http.Header{"X-Attempt-Id": {uuid.NewString()}}
-	if err := c.operate(ctx, http.MethodDelete, resourcePath(args[0], args[1]), header, nil, &accepted); err != nil {
-		return err
+func (c *commands) removeExec(wait waitOptions) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if len(args) != 2 {
+			return errors.Wrap(errUsage, "delete needs KIND and NAME")
+		}
+		accepted, err := c.write(ctx, http.MethodDelete, resourcePath(args[0], args[1]), nil)
+		if err != nil {
+			return err
+		}
+		if err := c.printAccepted(accepted); err != nil {
+			return err
+		}
+		return c.waitInForce(ctx, accepted.Revision, wait)
 	}
-	_, err := fmt.Fprintf(c.stdout, "%s/%s deleted at revision %d\n", args[0], args[1], accepted.Revision)
-	return err
 }
 
+const (
+	// watchSeconds is how long one call of a watch waits for a change.
+	watchSeconds = 20
+	// watchRetryInterval is the pause after a call of a watch that failed.
+	watchRetryInterval = time.Second
+)
+
+// watchExec prints changes until interrupted. It goes on where it was after the
+// router or the store was away, and ends when changes are no longer kept.
 func (c *commands) watchExec(after *uint64) func(context.Context, []string) error {
 	return func(ctx context.Context, _ []string) error {
-		last := *after
+		last := resource.Revision(*after)
 		for ctx.Err() == nil {
-			var answer struct {
-				Changes []admin.ObjectBody `json:"changes"`
-			}
-			path := fmt.Sprintf("/v1/changes?after=%d&wait=20", last)
-			if err := c.operate(ctx, http.MethodGet, path, nil, nil, &answer); err != nil {
+			var answer admin.ChangesBody
+			err := c.read(ctx, fmt.Sprintf("/v1/changes?after=%d&wait=%d", last, watchSeconds), &answer)
+			var answered *apiError
+			switch {
+			case errors.As(err, &answered) && answered.status < http.StatusInternalServerError:
 				return err
+			case err != nil:
+				c.pauseWatch(ctx, err)
+				continue
 			}
 			for _, change := range answer.Changes {
-				last = uint64(change.Revision)
-				verb := "applied"
-				if change.Deleted {
-					verb = "deleted"
+				last = change.Revision
+				if err := c.printChange(change); err != nil {
+					return err
 				}
-				fmt.Fprintf(c.stdout, "%d\t%s\t%s\t%s\n", change.Revision, verb, change.Kind, change.Name)
 			}
 		}
 		return nil
 	}
 }
 
+func (c *commands) pauseWatch(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	fmt.Fprintf(c.stderr, "gentianheadctl: watching again: %v\n", err)
+	select {
+	case <-ctx.Done():
+	case <-time.After(watchRetryInterval):
+	}
+}
+
+func (c *commands) printChange(change admin.ObjectBody) error {
+	if *c.output != tableOutput {
+		return c.printItem(change)
+	}
+	verb := "applied"
+	if change.Deleted {
+		verb = "deleted"
+	}
+	_, err := fmt.Fprintf(c.stdout, "%d\t%s\t%s\t%s\n", change.Revision, verb, change.Kind, change.Name)
+	return err
+}
+
 func (c *commands) status(ctx context.Context, _ []string) error {
-	var status statusBody
-	if err := c.operate(ctx, http.MethodGet, "/v1/status", nil, nil, &status); err != nil {
+	var status admin.StatusBody
+	if err := c.read(ctx, "/v1/status", &status); err != nil {
 		return err
 	}
-	if *c.output != "table" {
-		return c.printEncoded(status)
-	}
+	t := table{header: []string{"INSTANCE", "ZONE", "REVISION", "STATE"}}
 	for _, router := range status.Routers {
-		fmt.Fprintf(c.stdout, "%s\t%s\trevision %d\n", router.Instance, router.Zone, router.Revision)
+		t.add(router.Instance, router.Zone, router.Revision, stateOf(router))
+	}
+	return c.print(status, t)
+}
+
+func stateOf(router admin.RouterStatus) string {
+	switch {
+	case router.Unreachable:
+		return "unreachable"
+	case router.Leaving:
+		return "leaving"
 	}
-	return nil
+	return "live"
 }
--- a/fleet/process/control/control.go
+++ b/fleet/process/control/control.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gentianhead/core/process/membership"
 	"gentianhead/core/request/placement"
 	"gentianhead/core/version/config"
@@ -58,21 +60,24 @@
 	// dropped counts events that found the queue full.
 	dropped atomic.Int64
 
-	config     *config.Core
-	members    *membership.Core
-	isFetching bool
-	isReady    bool
-	heads      map[string]resource.Revision
+	config  *config.Core
+	members *membership.Core
+	isReady bool
+	heads   map[string]resource.Revision
+	roster  roster
+	// history is what peers and watchers are answered from.
+	history        atomic.Pointer[config.History]
+	inForceChanged broadcast
+	isWakePlanned  atomic.Bool
+	housekeptAt    time.Time
 }
 
 // events that only the loop knows.
 type (
-	fetchFailed struct{}
-	leaveAsked  struct{ done chan struct{} }
-	fleetAsked  struct {
-		answer chan map[string]resource.Revision
+	leaveAsked struct{ done chan struct{} }
+	fleetAsked struct {
+		answer chan []RouterInForce
 	}
-	storeWasRead struct{}
 )
 
 // New returns a loop; Run starts it.
@@ -85,6 +90,7 @@
 		heads:   make(map[string]resource.Revision),
 	}
 	loop.publish()
+	loop.history.Store(loop.config.History())
 	return loop
 }
 
@@ -147,11 +153,6 @@
 		l.stepMembers(e)
 	case config.Event:
 		l.config.Step(e)
-	case storeWasRead:
-		l.isReady = true
-		l.publish()
-	case fetchFailed:
-		l.isFetching = false
 	case leaveAsked:
 		l.members.SetLeaving()
 		l.publish()
