Stop without cutting off a request, and say so where one is cut

Cause: http.Server.Shutdown closed idle connections while requests could be under way on them; the wait counted from the signal although other routers still named this one; at the grace limit streams were cut without a word.

New setting shutdown.announce.

Shown: TestShutdownOfNetHTTPCutsARequestUnderWay fails the naive way, TestStopWaitsForARequestUnderWay holds.

--- a/core/request/outcome/outcome.go
+++ b/core/request/outcome/outcome.go
@@ -40,6 +40,8 @@
 	CodeAnswerMismatched  Code = "answer-mismatched"
 	CodeDeadline          Code = "deadline-exceeded"
 	CodeAbandoned         Code = "abandoned"
+	CodeStopping          Code = "stopping"
+	CodeNotFound          Code = "not-found"
 	CodeInternal          Code = "internal"
 	CodeMethodNotAllowed  Code = "method-not-allowed"
 	CodeAccountNotAllowed Code = "account-not-allowed"
--- a/fleet/cmd/gentianhead/main.go
+++ b/fleet/cmd/gentianhead/main.go
@@ -87,6 +87,7 @@
 }
 
 func serve(ctx context.Context, path string, stderr io.Writer) error {
+	stop, hurry := signalContexts(ctx)
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
@@ -95,11 +96,25 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	// A second signal ends the process at once, by the runtime's default.
-	context.AfterFunc(ctx, stop)
-	return n.Run(ctx)
+	return n.Run(stop, hurry)
+}
+
+// signalContexts returns a context that ends with the first SIGTERM or SIGINT
+// and one that ends with the second. A third ends the process by the runtime's
+// default.
+func signalContexts(ctx context.Context) (stop, hurry context.Context) {
+	stop, cancelStop := context.WithCancel(ctx)
+	hurry, cancelHurry := context.WithCancel(ctx)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancelStop()
+		<-signals
+		cancelHurry()
+		signal.Stop(signals)
+	}()
+	return stop, hurry
 }
 
 func check(path string, stdout io.Writer) error {
--- a/fleet/e2e/harness_test.go
+++ b/fleet/e2e/harness_test.go
@@ -195,6 +195,8 @@
 type routerOptions struct {
 	zone  string
 	extra string
+	// shutdown replaces the shutdown settings.
+	shutdown string
 }
 
 func startRouter(t *testing.T, instance, platformURL string, options routerOptions) *router {
@@ -202,12 +204,15 @@
 	if options.zone == "" {
 		options.zone = "zone-1"
 	}
+	if options.shutdown == "" {
+		options.shutdown = "{announce: 2s, entryLife: 1s, grace: 20s}"
+	}
 	r := &router{instance: instance, callers: freeAddress(t), operators: freeAddress(t), peers: freeAddress(t)}
 	r.settings = filepath.Join(t.TempDir(), instance+".yaml")
 	text := fmt.Sprintf("instance: %s\nzone: %s\nlisten: {callers: %q, operators: %q, peers: %q}\nplatform: {url: %q}\n"+
 		"secrets:\n  operatorToken: {env: GENTIANHEAD_OPERATOR_TOKEN}\n  fleetKey: {env: GENTIANHEAD_FLEET_KEY}\n"+
-		"shutdown: {entryLife: 1s, grace: 20s}\n%s",
-		instance, options.zone, r.callers, r.operators, r.peers, platformURL, options.extra)
+		"shutdown: %s\n%s",
+		instance, options.zone, r.callers, r.operators, r.peers, platformURL, options.shutdown, options.extra)
 	assert.NilError(t, os.WriteFile(r.settings, []byte(text), 0o600))
 	r.restart(t)
 	return r
@@ -338,7 +343,12 @@
 
 // ask sends a caller's request to a router. Headers come as pairs.
 func (r *router) ask(ctx context.Context, method, path, body string, headers ...string) answer {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.callers+path, bytes.NewBufferString(body))
+	return askAt(ctx, http.DefaultClient, r.callers, method, path, body, headers...)
+}
+
+// askAt is ask with a client of its own.
+func askAt(ctx context.Context, client *http.Client, address, method, path, body string, headers ...string) answer {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewBufferString(body))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -346,7 +356,7 @@
 	for pair := range slices.Chunk(headers, 2) {
 		request.Header.Set(pair[0], pair[1])
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return answer{err: err}
 	}
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -30,8 +30,9 @@
 	pool      *peer.Pool
 	peers     *peer.Server
 	engine    *engine.Client
-	callers   *http.Server
-	operators *http.Server
+	gateway   *gateway.Gateway
+	callers   *server
+	operators *server
 	listeners listeners
 }
 
@@ -47,22 +48,15 @@
 	}
 	loop := do.MustInvoke[*control.Loop](injector)
 	return &Node{
-		settings: s,
-		log:      telemetry.Part(logger, "node"),
-		control:  loop,
-		pool:     do.MustInvoke[*peer.Pool](injector),
-		peers:    do.MustInvoke[*peer.Server](injector),
-		engine:   do.MustInvoke[*engine.Client](injector),
-		callers: &http.Server{
-			Handler:           do.MustInvoke[*gateway.Gateway](injector).Handler(),
-			ReadHeaderTimeout: gateway.ReadHeaderTimeout,
-			MaxHeaderBytes:    gateway.MaxHeaderBytes,
-		},
-		operators: &http.Server{
-			Handler:           operatorsHandler(do.MustInvoke[admin.Options](injector)),
-			ReadHeaderTimeout: gateway.ReadHeaderTimeout,
-			MaxHeaderBytes:    gateway.MaxHeaderBytes,
-		},
+		settings:  s,
+		log:       telemetry.Part(logger, "node"),
+		control:   loop,
+		pool:      do.MustInvoke[*peer.Pool](injector),
+		peers:     do.MustInvoke[*peer.Server](injector),
+		engine:    do.MustInvoke[*engine.Client](injector),
+		gateway:   do.MustInvoke[*gateway.Gateway](injector),
+		callers:   newServer(do.MustInvoke[*gateway.Gateway](injector).Handler()),
+		operators: newServer(operatorsHandler(do.MustInvoke[admin.Options](injector))),
 	}, nil
 }
 
@@ -75,10 +69,13 @@
 	return mux
 }
 
-// Run serves until ctx ends, then shuts down gracefully: it leaves the entry
-// answers, waits until none that names it can still be kept, and waits for the
-// requests in flight.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until ctx ends and then shuts down gracefully; see shutdown. When
+// hurry ends, it waits no longer for what is in flight.
+func (n *Node) Run(ctx, hurry context.Context) error {
+	if ctx.Err() != nil {
+		n.log.Info("Stopped before the start.")
+		return nil
+	}
 	if err := n.listen(); err != nil {
 		return err
 	}
@@ -99,7 +96,7 @@
 	case err := <-failed:
 		return errors.Wrap(err, "node")
 	}
-	err = n.shutdown()
+	err = n.shutdown(hurry)
 	stopLoop()
 	flushCtx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
 	defer cancel()
@@ -126,23 +123,3 @@
 	}
 	return nil
 }
-
-func (n *Node) shutdown() error {
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown.EntryLife+n.settings.Shutdown.Grace)
-	defer cancel()
-	n.log.Info("Leaving.", "entryLife", n.settings.Shutdown.EntryLife)
-	n.control.Leave(ctx)
-	select {
-	case <-time.After(n.settings.Shutdown.EntryLife):
-	case <-ctx.Done():
-	}
-	n.log.Info("Waiting for requests in flight.")
-	err := n.callers.Shutdown(ctx)
-	err = errors.CombineErrors(err, n.operators.Shutdown(ctx))
-	_ = n.listeners.peers.Close()
-	n.peers.Close()
-	n.pool.Close()
-	n.engine.Close()
-	n.log.Info("Stopped.")
-	return err
-}
--- /dev/null
+++ b/fleet/process/node/server.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"gentianhead/fleet/request/gateway"
+)
+
+// idleTimeout closes connections of callers and operators that stay idle.
+const idleTimeout = 2 * time.Minute
+
+// server is an HTTP server that knows how long its connections have been idle
+// and can cancel the requests in flight.
+type server struct {
+	*http.Server
+	cancel context.CancelCauseFunc
+
+	mu sync.Mutex
+	// idleSince holds the connections that wait for a request.
+	idleSince map[net.Conn]time.Time
+	// busy holds the connections that carry a request or have just opened.
+	busy map[net.Conn]struct{}
+}
+
+func newServer(handler http.Handler) *server {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	s := &server{
+		cancel:    cancel,
+		idleSince: make(map[net.Conn]time.Time),
+		busy:      make(map[net.Conn]struct{}),
+	}
+	s.Server = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: gateway.ReadHeaderTimeout,
+		MaxHeaderBytes:    gateway.MaxHeaderBytes,
+		IdleTimeout:       idleTimeout,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnState:         s.track,
+	}
+	return s
+}
+
+// track is called by net/http from the connection's goroutine.
+func (s *server) track(conn net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.idleSince, conn)
+	delete(s.busy, conn)
+	switch state {
+	case http.StateNew, http.StateActive:
+		s.busy[conn] = struct{}{}
+	case http.StateIdle:
+		s.idleSince[conn] = time.Now()
+	}
+}
+
+// inFlight returns how many connections carry a request or have just opened.
+func (s *server) inFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.busy)
+}
+
+// isQuiet reports whether nothing is in flight and each idle connection has
+// been idle for quiet, so that no request can be under way on it any more.
+func (s *server) isQuiet(quiet time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, since := range s.idleSince {
+		if time.Since(since) < quiet {
+			return false
+		}
+	}
+	return len(s.busy) == 0
+}
+
+// awaitQuiet waits until the server is quiet and reports whether it became so
+// before ctx ended.
+func (s *server) awaitQuiet(ctx context.Context, quiet time.Duration) bool {
+	ticker := time.NewTicker(quietPoll)
+	defer ticker.Stop()
+	for !s.isQuiet(quiet) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return s.isQuiet(quiet)
+		}
+	}
+	return true
+}
+
+// end closes the server within limit. Requests still in flight are cancelled
+// with the cause gateway.ErrStopping and may write a last answer.
+func (s *server) end(limit time.Duration) error {
+	s.cancel(gateway.ErrStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	err := s.Shutdown(ctx)
+	if err != nil {
+		_ = s.Close()
+	}
+	return err
+}
--- /dev/null
+++ b/fleet/process/node/server_test.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// travel is how long bytes are under way in these tests.
+const travel = 200 * time.Millisecond
+
+// slowConn delivers what it reads after travel.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	<-time.After(travel)
+	return n, err
+}
+
+// pipeListener hands out one connection.
+type pipeListener struct {
+	conns chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// requestDuringStop uses a kept connection once, sends a second request on it
+// and stops the server while that is under way. It returns the error of the
+// second request.
+func requestDuringStop(t *testing.T, stop func(*server)) error {
+	t.Helper()
+	near, far := net.Pipe()
+	listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+	listener.conns <- slowConn{far}
+	s := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = s.Serve(listener)
+	}()
+	defer func() {
+		_ = s.Close()
+		near.Close()
+		<-served
+		// The connection's goroutine ends once its last read has arrived.
+		<-time.After(2 * travel)
+	}()
+	reader := bufio.NewReader(near)
+	ask := func() error {
+		if _, err := io.WriteString(near, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			return err
+		}
+		_, err := http.ReadResponse(reader, nil)
+		return err
+	}
+	assert.NilError(t, ask())
+	result := make(chan error, 1)
+	go func() { result <- ask() }()
+	<-time.After(travel / 2)
+	stop(s)
+	return <-result
+}
+
+func TestShutdownOfNetHTTPCutsARequestUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		err := requestDuringStop(t, func(s *server) { _ = s.Shutdown(context.Background()) })
+		assert.Assert(t, err != nil, "the request should have been cut")
+	})
+}
+
+func TestStopWaitsForARequestUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		err := requestDuringStop(t, func(s *server) {
+			assert.Assert(t, s.awaitQuiet(t.Context(), quietTime))
+			_ = s.end(endTimeout)
+		})
+		assert.NilError(t, err)
+	})
+}
--- a/fleet/process/settings/check.go
+++ b/fleet/process/settings/check.go
@@ -62,6 +62,7 @@
 		{"traces.otlpEndpoint", s.Traces.OTLPEndpoint == "" || isURL(s.Traces.OTLPEndpoint), "http://HOST:PORT, https://HOST:PORT or empty"},
 		{"limits.bodyBytes", s.Limits.BodyBytes >= 1024 && s.Limits.BodyBytes <= 64<<20, "1024 to 67108864"},
 		{"limits.requestDeadline", s.Limits.RequestDeadline > 0, "a duration above 0, such as 10m"},
+		{"shutdown.announce", s.Shutdown.Announce > 0, "a duration above 0, such as 10s"},
 		{"shutdown.grace", s.Shutdown.Grace > 0, "a duration above 0, such as 10m"},
 		{"shutdown.entryLife", s.Shutdown.EntryLife > 0, "a duration above 0, such as 30s"},
 	}
--- a/fleet/process/settings/settings.go
+++ b/fleet/process/settings/settings.go
@@ -81,8 +81,12 @@
 
 // Shutdown sets how a planned stop goes.
 type Shutdown struct {
+	// Announce is how long the other routers may take to hear that this one
+	// leaves; zero means DefaultAnnounce.
+	Announce time.Duration `yaml:"announce"`
 	// Grace bounds the wait for requests in flight after entry answers that
-	// name this router have expired; zero means DefaultShutdownGrace.
+	// name this router have expired. What is still in flight then is ended with
+	// the problem "stopping". Zero means DefaultShutdownGrace.
 	Grace time.Duration `yaml:"grace"`
 	// EntryLife is how long callers may keep an entry answer; zero means DefaultEntryLife.
 	EntryLife time.Duration `yaml:"entryLife"`
@@ -92,6 +96,7 @@
 const (
 	DefaultBodyBytes       = 8 << 20
 	DefaultRequestDeadline = 10 * time.Minute
+	DefaultAnnounce        = 10 * time.Second
 	DefaultShutdownGrace   = 10 * time.Minute
 	DefaultEntryLife       = 30 * time.Second
 )
@@ -131,6 +136,9 @@
 	if s.Limits.RequestDeadline == 0 {
 		s.Limits.RequestDeadline = DefaultRequestDeadline
 	}
+	if s.Shutdown.Announce == 0 {
+		s.Shutdown.Announce = DefaultAnnounce
+	}
 	if s.Shutdown.Grace == 0 {
 		s.Shutdown.Grace = DefaultShutdownGrace
 	}
--- a/fleet/request/gateway/answer.go
+++ b/fleet/request/gateway/answer.go
@@ -63,7 +63,7 @@
 	if errors.Is(err, io.EOF) {
 		return nil
 	}
-	problem := failure(err)
+	problem := orStopping(ctx, failure(err))
 	g.options.Log.Warn("Stream broke off.", "request", x.id, "code", problem.Code, "error", err)
 	x.writeEvent("event: error\ndata: ", encodeProblem(x.id, problem))
 	_ = flusher.Flush()
--- a/fleet/request/gateway/gateway.go
+++ b/fleet/request/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,8 +52,19 @@
 
 // Gateway serves callers. It is safe for concurrent use.
 type Gateway struct {
-	options Options
-	tracer  trace.Tracer
+	options   Options
+	tracer    trace.Tracer
+	isLeaving atomic.Bool
+}
+
+// ErrStopping is the cause with which the process cancels requests that are
+// still in flight when it ends.
+var ErrStopping = errors.New("gateway: the router stops")
+
+// Leave makes the gateway report that it is not ready, and makes it close each
+// connection after the next answer on it. It goes on serving.
+func (g *Gateway) Leave() {
+	g.isLeaving.Store(true)
 }
 
 // New returns a gateway.
@@ -68,7 +80,18 @@
 	mux.HandleFunc("GET /v1/entry", g.entry)
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", g.ready)
-	return mux
+	return g.closeWhenLeaving(mux)
+}
+
+// closeWhenLeaving tells callers with each answer to open no further requests
+// on the connection, so that few connections are left when the router stops.
+func (g *Gateway) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.isLeaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // exchange is one request with what is known of it.
@@ -106,6 +129,7 @@
 		if problem == nil {
 			problem = next(ctx, x)
 		}
+		problem = orStopping(ctx, problem)
 		if problem != nil {
 			span.SetAttributes(attribute.String("problem.code", string(problem.Code)))
 			g.options.Log.Info("Request refused.", "request", x.id, "code", problem.Code, "outcome", problem.Outcome)
@@ -164,13 +188,21 @@
 }
 
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
-	if !g.options.Control.State().IsReady {
+	if g.isLeaving.Load() || !g.options.Control.State().IsReady {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// orStopping returns problem, or the stop of the process where that is its cause.
+func orStopping(ctx context.Context, problem *outcome.Problem) *outcome.Problem {
+	if problem == nil || problem.Outcome != outcome.Unknown || !errors.Is(context.Cause(ctx), ErrStopping) {
+		return problem
+	}
+	return unknown(http.StatusServiceUnavailable, outcome.CodeStopping, "the router stopped before the answer was whole")
+}
+
 // failure turns an error of the engine client into what is certain.
 func failure(err error) *outcome.Problem {
 	switch {
