Run the tests of answers and stops side by side

Each listening port is handed out once and lies below the ports of outgoing connections, since the kernel may otherwise give a free address to two tests. fleet/e2e took 62 s before and 25 s after, in one run each.

--- a/fleet/e2e/answers_test.go
+++ b/fleet/e2e/answers_test.go
@@ -40,6 +40,7 @@
 }
 
 func TestAnswerIsWholeUnderEachFaultThatTheEngineCanResume(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 1, "-tokens", "6", "-token-delay", "1ms")
 	r := f.routers[0]
 	for _, fault := range []map[string]any{
@@ -66,6 +67,7 @@
 }
 
 func TestTruncatedStreamIsNeverPassedOffAsWhole(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 1, "-tokens", "6", "-token-delay", "1ms")
 	for _, fault := range []map[string]any{
 		{"truncateAfter": 1, "noResume": true},
@@ -92,6 +94,7 @@
 // TestCallersMayChooseTheSameRequestID runs many requests under one id while
 // the engine answers each with the id of the one before.
 func TestCallersMayChooseTheSameRequestID(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 1, "-tokens", "6", "-token-delay", "1ms")
 	f.engines[0].setFaults(t, map[string]any{"crossAnswers": true, "noResume": true})
 	const requests = 20
@@ -120,6 +123,7 @@
 }
 
 func TestEngineStopsWhenTheCallerLeaves(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 1, "-tokens", "100000", "-token-delay", "5ms")
 	for _, stream := range []bool{true, false} {
 		before := f.engines[0].cancelled(t)
@@ -139,6 +143,7 @@
 }
 
 func TestDeadlineIsHandedOnAndKept(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 1, "-tokens", "100000", "-token-delay", "5ms")
 	got := f.routers[0].ask(t.Context(), http.MethodPost, chatPath, chatText(false), "X-Deadline-Ms", "300")
 	assert.Equal(t, got.status, http.StatusGatewayTimeout)
@@ -155,6 +160,7 @@
 }
 
 func TestCallersReachNoOtherRequest(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 1, "-tokens", "100000", "-token-delay", "5ms")
 	ctx, leave := context.WithCancel(t.Context())
 	defer leave()
@@ -179,6 +185,7 @@
 // TestStreamsArriveEventByEvent makes sure that the router passes each event on
 // when it comes, not when the answer is whole.
 func TestStreamsArriveEventByEvent(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 1, "-tokens", "100000", "-token-delay", "5ms")
 	ctx, stop := context.WithTimeout(t.Context(), patience)
 	defer stop()
--- a/fleet/e2e/harness_test.go
+++ b/fleet/e2e/harness_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -112,13 +114,29 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// Ports that tests listen on lie below those that the system gives to outgoing
+// connections, and each is handed out once, so that parallel tests do not meet.
+const (
+	firstPort = 12000
+	portCount = 20000
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(portCount)) }
+
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			listener.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // standin is a running stand-in.
--- a/fleet/e2e/stop_test.go
+++ b/fleet/e2e/stop_test.go
@@ -56,6 +56,7 @@
 // TestStopUnderStreamingLoadCutsOffNothing stops a router while callers that
 // keep entry answers stream from it, and while connections are kept alive.
 func TestStopUnderStreamingLoadCutsOffNothing(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, 1, "-tokens", "6", "-token-delay", "20ms")
 	leaving := f.routers[0]
 	var stopping atomic.Bool
@@ -98,6 +99,7 @@
 }
 
 func TestLeavingRouterIsNamedNowhereAndStillServes(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, 1)
 	leaving, staying := f.routers[0], f.routers[1]
 	kept := &http.Client{Transport: &http.Transport{}}
@@ -141,6 +143,7 @@
 }
 
 func TestStreamBeyondTheGraceTimeEndsWithAProblem(t *testing.T) {
+	t.Parallel()
 	f := &fleet{platform: startStandin(t, "platform")}
 	f.routers = []*router{startRouter(t, "router-1", f.platform.url(), routerOptions{extra: "limits: {bodyBytes: 1048576}\n", shutdown: "{announce: 100ms, entryLife: 100ms, grace: 500ms}"})}
 	f.engines = []*standin{startStandin(t, "engine", "-name", "engine-1", "-tokens", "100000", "-token-delay", "5ms")}
@@ -158,6 +161,7 @@
 }
 
 func TestSecondSignalEndsAtOnceWithAProblem(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 1, "-tokens", "100000", "-token-delay", "5ms")
 	answers := slowStream(t, f, f.routers[0])
 	f.routers[0].signal(syscall.SIGTERM)
@@ -169,6 +173,7 @@
 }
 
 func TestStopDuringStart(t *testing.T) {
+	t.Parallel()
 	platform := startStandin(t, "platform")
 	for _, delay := range []time.Duration{0, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 30 * time.Millisecond} {
 		r := startRouter(t, "router-1", platform.url(), routerOptions{})
@@ -182,6 +187,7 @@
 }
 
 func TestStopWhilePlatformAndPeersAreDown(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, 1, "-tokens", "200", "-token-delay", "20ms")
 	answers := slowStream(t, f, f.routers[0])
 	f.platform.signal(syscall.SIGKILL)
