Answer bad input with problems, and bound what it may hold

Cause: bodies were read without a bound over all requests; a refused request could hold its connection as long as its body trickled; idle connections and slow heads were not bounded in number; paths and methods that nothing serves got plain text; a panic cut the connection.

Change: memory for bodies is reserved as they arrive, a quarter at most for one client account; connections are bounded, and the longest idle or the oldest without a whole request makes room; read deadlines hold for refused requests too; 404, 405 and panics are problems. New settings limits.bodyMemoryBytes and limits.connections.

--- a/core/request/outcome/outcome.go
+++ b/core/request/outcome/outcome.go
@@ -42,6 +42,7 @@
 	CodeAbandoned         Code = "abandoned"
 	CodeStopping          Code = "stopping"
 	CodeNotFound          Code = "not-found"
+	CodeOverloaded        Code = "overloaded"
 	CodeInternal          Code = "internal"
 	CodeMethodNotAllowed  Code = "method-not-allowed"
 	CodeAccountNotAllowed Code = "account-not-allowed"
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -55,8 +55,8 @@
 		peers:     do.MustInvoke[*peer.Server](injector),
 		engine:    do.MustInvoke[*engine.Client](injector),
 		gateway:   do.MustInvoke[*gateway.Gateway](injector),
-		callers:   newServer(do.MustInvoke[*gateway.Gateway](injector).Handler()),
-		operators: newServer(operatorsHandler(do.MustInvoke[admin.Options](injector))),
+		callers:   newServer(do.MustInvoke[*gateway.Gateway](injector).Handler(), s.Limits.Connections),
+		operators: newServer(operatorsHandler(do.MustInvoke[admin.Options](injector)), s.Limits.Connections),
 	}, nil
 }
 
--- a/fleet/process/node/server_test.go
+++ b/fleet/process/node/server_test.go
@@ -57,7 +57,7 @@
 	near, far := net.Pipe()
 	listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
 	listener.conns <- slowConn{far}
-	s := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	s := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), 1)
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
--- a/fleet/process/settings/check.go
+++ b/fleet/process/settings/check.go
@@ -61,6 +61,8 @@
 		{"log.format", slices.Contains([]string{"text", "json"}, s.Log.Format), "text or json"},
 		{"traces.otlpEndpoint", s.Traces.OTLPEndpoint == "" || isURL(s.Traces.OTLPEndpoint), "http://HOST:PORT, https://HOST:PORT or empty"},
 		{"limits.bodyBytes", s.Limits.BodyBytes >= 1024 && s.Limits.BodyBytes <= 64<<20, "1024 to 67108864"},
+		{"limits.bodyMemoryBytes", s.Limits.BodyMemoryBytes >= BodyMemoryFactor*s.Limits.BodyBytes, fmt.Sprintf("%d (%d times limits.bodyBytes) or more", BodyMemoryFactor*s.Limits.BodyBytes, BodyMemoryFactor)},
+		{"limits.connections", s.Limits.Connections >= 16 && s.Limits.Connections <= 1<<20, "16 to 1048576"},
 		{"limits.requestDeadline", s.Limits.RequestDeadline > 0, "a duration above 0, such as 10m"},
 		{"shutdown.announce", s.Shutdown.Announce > 0, "a duration above 0, such as 10s"},
 		{"shutdown.grace", s.Shutdown.Grace > 0, "a duration above 0, such as 10m"},
--- a/fleet/process/settings/settings.go
+++ b/fleet/process/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"cmp"
 	"os"
 	"time"
 
@@ -75,6 +76,12 @@
 type Limits struct {
 	// BodyBytes is the largest request body; zero means DefaultBodyBytes.
 	BodyBytes int64 `yaml:"bodyBytes"`
+	// BodyMemoryBytes bounds the bodies held at once; one client account gets at
+	// most a quarter. Zero means DefaultBodyMemoryBytes.
+	BodyMemoryBytes int64 `yaml:"bodyMemoryBytes"`
+	// Connections bounds the open connections of callers, and those of
+	// operators; zero means DefaultConnections.
+	Connections int `yaml:"connections"`
 	// RequestDeadline bounds a request; zero means DefaultRequestDeadline.
 	RequestDeadline time.Duration `yaml:"requestDeadline"`
 }
@@ -95,12 +102,18 @@
 // Defaults of settings that are left out.
 const (
 	DefaultBodyBytes       = 8 << 20
+	DefaultBodyMemoryBytes = 256 << 20
+	DefaultConnections     = 16384
 	DefaultRequestDeadline = 10 * time.Minute
 	DefaultAnnounce        = 10 * time.Second
 	DefaultShutdownGrace   = 10 * time.Minute
 	DefaultEntryLife       = 30 * time.Second
 )
 
+// BodyMemoryFactor is how many of the largest bodies the memory for bodies has
+// to hold, so that one client account may send one of them.
+const BodyMemoryFactor = 4
+
 // Load reads, completes and checks the settings in the file at path.
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
@@ -123,26 +136,15 @@
 	return s, nil
 }
 
+// complete fills in the defaults.
 func (s *Settings) complete() {
-	if s.Log.Level == "" {
-		s.Log.Level = "info"
-	}
-	if s.Log.Format == "" {
-		s.Log.Format = "text"
-	}
-	if s.Limits.BodyBytes == 0 {
-		s.Limits.BodyBytes = DefaultBodyBytes
-	}
-	if s.Limits.RequestDeadline == 0 {
-		s.Limits.RequestDeadline = DefaultRequestDeadline
-	}
-	if s.Shutdown.Announce == 0 {
-		s.Shutdown.Announce = DefaultAnnounce
-	}
-	if s.Shutdown.Grace == 0 {
-		s.Shutdown.Grace = DefaultShutdownGrace
-	}
-	if s.Shutdown.EntryLife == 0 {
-		s.Shutdown.EntryLife = DefaultEntryLife
-	}
+	s.Log.Level = cmp.Or(s.Log.Level, "info")
+	s.Log.Format = cmp.Or(s.Log.Format, "text")
+	s.Limits.BodyBytes = cmp.Or(s.Limits.BodyBytes, DefaultBodyBytes)
+	s.Limits.BodyMemoryBytes = cmp.Or(s.Limits.BodyMemoryBytes, max(DefaultBodyMemoryBytes, BodyMemoryFactor*s.Limits.BodyBytes))
+	s.Limits.Connections = cmp.Or(s.Limits.Connections, DefaultConnections)
+	s.Limits.RequestDeadline = cmp.Or(s.Limits.RequestDeadline, DefaultRequestDeadline)
+	s.Shutdown.Announce = cmp.Or(s.Shutdown.Announce, DefaultAnnounce)
+	s.Shutdown.Grace = cmp.Or(s.Shutdown.Grace, DefaultShutdownGrace)
+	s.Shutdown.EntryLife = cmp.Or(s.Shutdown.EntryLife, DefaultEntryLife)
 }
--- a/fleet/request/gateway/gateway.go
+++ b/fleet/request/gateway/gateway.go
@@ -39,6 +39,8 @@
 	ReadHeaderTimeout = 5 * time.Second
 	// BodyReadTimeout bounds how slowly a body may arrive.
 	BodyReadTimeout = 30 * time.Second
+	// refusedReadTimeout bounds the arrival of a body after the request was refused.
+	refusedReadTimeout = 200 * time.Millisecond
 )
 
 // Options are what a Gateway needs. All fields are required.
@@ -54,6 +56,7 @@
 type Gateway struct {
 	options   Options
 	tracer    trace.Tracer
+	bodies    *bodyMemory
 	isLeaving atomic.Bool
 }
 
@@ -69,7 +72,11 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{options: options, tracer: otel.Tracer(telemetry.TracerName)}
+	return &Gateway{
+		options: options,
+		tracer:  otel.Tracer(telemetry.TracerName),
+		bodies:  newBodyMemory(options.Limits.BodyMemoryBytes),
+	}
 }
 
 // Handler returns the HTTP interface for callers.
@@ -80,7 +87,7 @@
 	mux.HandleFunc("GET /v1/entry", g.entry)
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", g.ready)
-	return g.closeWhenLeaving(mux)
+	return g.withRecovery(withReadDeadline(g.closeWhenLeaving(withProblems(mux))))
 }
 
 // closeWhenLeaving tells callers with each answer to open no further requests
@@ -102,6 +109,8 @@
 	account string
 	chat    string
 	body    []byte
+	// bodyHeld is how many bytes of body are accounted for.
+	bodyHeld int64
 	// event is the buffer that events are written from.
 	event []byte
 	// isCut says that the answer began and can't be ended whole.
@@ -125,9 +134,13 @@
 		ctx, span := g.tracer.Start(ctx, "gateway "+r.Method, trace.WithSpanKind(trace.SpanKindServer),
 			trace.WithAttributes(attribute.String("request.id", x.id)))
 		defer span.End()
+		defer func() { g.bodies.give(x.account, x.bodyHeld) }()
 		problem := g.prepare(x)
 		if problem == nil {
 			problem = next(ctx, x)
+		} else {
+			// What is left of the body is not waited for.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedReadTimeout))
 		}
 		problem = orStopping(ctx, problem)
 		if problem != nil {
@@ -181,6 +194,7 @@
 	digest := sha256.Sum256([]byte(token))
 	account, known := x.state.Config.AccountByToken(hex.EncodeToString(digest[:]))
 	if !ok || !known {
+		x.w.Header().Set("WWW-Authenticate", "Bearer")
 		return notRun(http.StatusUnauthorized, outcome.CodeUnauthenticated, "no client account has this bearer token").Problem
 	}
 	x.account = account
--- /dev/null
+++ b/fleet/request/gateway/guard_test.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/request/outcome"
+)
+
+func testGateway() *Gateway {
+	return &Gateway{options: Options{Log: slog.New(slog.DiscardHandler)}}
+}
+
+func decodeProblem(t *testing.T, recorder *httptest.ResponseRecorder) problemBody {
+	t.Helper()
+	assert.Equal(t, recorder.Header().Get("Content-Type"), "application/problem+json")
+	var body problemBody
+	assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), &body))
+	assert.Assert(t, body.RequestID != "")
+	return body
+}
+
+func TestPanicIsAnsweredAndTouchesNothingElse(t *testing.T) {
+	g := testGateway()
+	isBroken := true
+	handler := g.withRecovery(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if isBroken {
+			panic("broken")
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+	assert.Equal(t, recorder.Code, http.StatusInternalServerError)
+	body := decodeProblem(t, recorder)
+	assert.Equal(t, body.Code, outcome.CodeInternal)
+	assert.Equal(t, body.Outcome, outcome.Unknown)
+
+	isBroken = false
+	recorder = httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+	assert.Equal(t, recorder.Code, http.StatusNoContent)
+}
+
+func TestPanicAfterTheAnswerBeganCutsTheConnection(t *testing.T) {
+	handler := testGateway().withRecovery(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		panic("broken")
+	}))
+	defer func() { assert.Equal(t, recover(), http.ErrAbortHandler) }()
+	handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	t.Fatal("the handler returned")
+}
+
+func TestUnservedPathsAndMethodsAreProblems(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /a", func(http.ResponseWriter, *http.Request) {})
+	handler := withProblems(mux)
+
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/b", nil))
+	assert.Equal(t, recorder.Code, http.StatusNotFound)
+	assert.Equal(t, decodeProblem(t, recorder).Code, outcome.CodeNotFound)
+
+	recorder = httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/a", nil))
+	assert.Equal(t, recorder.Code, http.StatusMethodNotAllowed)
+	assert.Equal(t, recorder.Header().Get("Allow"), http.MethodPost)
+	assert.Equal(t, decodeProblem(t, recorder).Code, outcome.CodeMethodNotAllowed)
+}
+
+func TestOneAccountLeavesMemoryForTheOthers(t *testing.T) {
+	memory := newBodyMemory(400)
+	for range 10 {
+		memory.take("greedy", 10)
+	}
+	assert.Assert(t, !memory.take("greedy", 1), "one account took more than its share")
+	assert.Assert(t, memory.take("other", 100))
+	memory.give("greedy", 100)
+	assert.Assert(t, memory.take("greedy", 100))
+	memory.give("greedy", 100)
+	memory.give("other", 100)
+	assert.Equal(t, memory.used, int64(0))
+	assert.Equal(t, len(memory.byAccount), 0)
+}
+
+func TestAnnouncedBodyHoldsNoMemoryBeforeItArrives(t *testing.T) {
+	g := testGateway()
+	g.options.Limits.BodyBytes = 1 << 20
+	g.bodies = newBodyMemory(4 << 20)
+	request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("short"))
+	request.ContentLength = 1 << 20
+	x := &exchange{w: httptest.NewRecorder(), r: request, account: "a"}
+	assert.Assert(t, g.readBody(x) == nil)
+	assert.Equal(t, g.bodies.used, int64(len("short")))
+	assert.Equal(t, string(x.body), "short")
+}
--- a/fleet/request/gateway/problem.go
+++ b/fleet/request/gateway/problem.go
@@ -2,14 +2,11 @@
 
 import (
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"gentianhead/core/request/outcome"
 )
 
@@ -62,21 +59,3 @@
 	w.WriteHeader(problem.Status)
 	_, _ = w.Write(encodeProblem(id, problem))
 }
-
-// readBody reads the body within the limits of size and time.
-func (g *Gateway) readBody(x *exchange) *outcome.Problem {
-	controller := http.NewResponseController(x.w)
-	_ = controller.SetReadDeadline(time.Now().Add(BodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, g.options.Limits.BodyBytes))
-	_ = controller.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		detail := "the body is above " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"
-		return notRun(http.StatusRequestEntityTooLarge, outcome.CodeBodyTooLarge, detail).Problem
-	}
-	if err != nil {
-		return notRun(http.StatusBadRequest, outcome.CodeBadRequest, "the body did not arrive whole").Problem
-	}
-	x.body = body
-	return nil
-}
