Refuse settings with file, line, key and what is allowed

Cause: unknown keys and wrong types gave the YAML library's text; a number where a duration belongs was taken as nanoseconds; a missing key had no line.

--- a/fleet/cmd/gentianhead/main.go
+++ b/fleet/cmd/gentianhead/main.go
@@ -2,11 +2,13 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +28,21 @@
 	exitUsage  = 2
 )
 
+const longHelp = `gentianhead takes chats and service calls from callers and sends them to
+endpoints that operators declare with gentianheadctl.
+
+First steps:
+
+  gentianhead --settings router.yaml check     says which line is wrong, if any
+  gentianhead --settings router.yaml serve     runs until SIGTERM or SIGINT
+
+Every flag may be given as an environment variable: GENTIANHEAD_SETTINGS,
+GENTIANHEAD_LOG_LEVEL, GENTIANHEAD_LOG_FORMAT. Flags go before the environment,
+and both go before the settings file. docs/settings.example.yaml has every key.
+
+Exit codes: 0 done; 1 failed: settings refused, a port in use, or requests cut
+off by a stop; 2 wrong command line.`
+
 func main() {
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
@@ -54,41 +71,71 @@
 
 func rootCommand(stdout, stderr io.Writer) *ff.Command {
 	flags := ff.NewFlagSet("gentianhead")
-	path := flags.StringLong("settings", "gentianhead.yaml", "settings file")
+	options := &options{
+		path:      flags.StringLong("settings", "gentianhead.yaml", "settings file"),
+		logLevel:  flags.StringEnumLong("log-level", "in place of log.level: "+strings.Join(settings.LogLevels(), ", "), append([]string{""}, settings.LogLevels()...)...),
+		logFormat: flags.StringEnumLong("log-format", "in place of log.format: "+strings.Join(settings.LogFormats(), ", "), append([]string{""}, settings.LogFormats()...)...),
+	}
+	showVersion := flags.BoolLong("version", "print the version")
 	return &ff.Command{
 		Name:      "gentianhead",
 		Usage:     "gentianhead [--settings FILE] serve|check|version",
 		ShortHelp: "routes chats and service calls to endpoints",
+		LongHelp:  longHelp,
+		Exec: func(context.Context, []string) error {
+			if *showVersion {
+				return printVersion(stdout)
+			}
+			return ff.ErrNoExec
+		},
 		Flags:     flags,
 		Subcommands: []*ff.Command{
 			{
 				Name:      "serve",
 				Usage:     "gentianhead --settings FILE serve",
 				ShortHelp: "run the router until SIGTERM or SIGINT",
-				Exec:      func(ctx context.Context, _ []string) error { return serve(ctx, *path, stderr) },
+				Exec:      func(ctx context.Context, _ []string) error { return serve(ctx, options, stderr) },
 			},
 			{
 				Name:      "check",
 				Usage:     "gentianhead --settings FILE check",
 				ShortHelp: "check the settings file and open no port",
-				Exec:      func(context.Context, []string) error { return check(*path, stdout) },
+				Exec:      func(context.Context, []string) error { return check(options, stdout) },
 			},
 			{
 				Name:      "version",
 				Usage:     "gentianhead version",
 				ShortHelp: "print the version",
-				Exec: func(context.Context, []string) error {
-					_, err := fmt.Fprintln(stdout, "gentianhead", version.Version)
-					return err
-				},
+				Exec:      func(context.Context, []string) error { return printVersion(stdout) },
 			},
 		},
 	}
 }
 
-func serve(ctx context.Context, path string, stderr io.Writer) error {
+func printVersion(stdout io.Writer) error {
+	_, err := fmt.Fprintln(stdout, "gentianhead", version.Version)
+	return err
+}
+
+// options are the values of the flags.
+type options struct {
+	path, logLevel, logFormat *string
+}
+
+// load reads the settings file; flags go before what it says.
+func (o *options) load() (*settings.Settings, error) {
+	s, err := settings.Load(*o.path)
+	if err != nil {
+		return nil, err
+	}
+	s.Log.Level = cmp.Or(*o.logLevel, s.Log.Level)
+	s.Log.Format = cmp.Or(*o.logFormat, s.Log.Format)
+	return s, nil
+}
+
+func serve(ctx context.Context, o *options, stderr io.Writer) error {
 	stop, hurry := signalContexts(ctx)
-	s, err := settings.Load(path)
+	s, err := o.load()
 	if err != nil {
 		return err
 	}
@@ -117,10 +164,10 @@
 	return stop, hurry
 }
 
-func check(path string, stdout io.Writer) error {
-	if _, err := settings.Load(path); err != nil {
+func check(o *options, stdout io.Writer) error {
+	if _, err := o.load(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintln(stdout, path+": ok")
+	_, err := fmt.Fprintln(stdout, *o.path+": ok")
 	return err
 }
--- a/fleet/process/settings/check.go
+++ b/fleet/process/settings/check.go
@@ -5,78 +5,108 @@
 	"net/netip"
 	"net/url"
 	"slices"
-
-	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/parser"
+	"time"
 )
 
-// RangeError says which key holds a value that is not allowed.
-type RangeError struct {
+// Error says which key of a settings file was refused, and what is allowed.
+type Error struct {
 	File string
-	// Line is the line of the key, or zero when the key is missing.
-	Line    int
+	// Line is the line of the key or, when the key is missing, of its parent.
+	Line int
+	// Key is empty when the error concerns no single key.
 	Key     string
+	Problem string
 	Allowed string
 }
 
 // Error implements error.
-func (e *RangeError) Error() string {
-	if e.Line == 0 {
-		return fmt.Sprintf("%s: key %s is missing: allowed: %s", e.File, e.Key, e.Allowed)
+func (e *Error) Error() string {
+	place := fmt.Sprintf("%s:%d", e.File, e.Line)
+	if e.Key != "" {
+		place += ": key " + e.Key
 	}
-	return fmt.Sprintf("%s:%d: key %s: allowed: %s", e.File, e.Line, e.Key, e.Allowed)
+	return fmt.Sprintf("%s: %s; allowed: %s", place, e.Problem, e.Allowed)
 }
 
+// Bounds of settings.
+const (
+	minBodyBytes   = 1 << 10
+	maxBodyBytes   = 64 << 20
+	minConnections = 16
+	maxConnections = 1 << 20
+	minDuration    = 10 * time.Millisecond
+	maxDuration    = 24 * time.Hour
+	maxNameBytes   = 100
+)
+
 // rule is one condition on the settings.
 type rule struct {
 	key     string
 	isMet   bool
+	problem string
 	allowed string
 }
 
 // check returns the first rule that is broken.
-func (s *Settings) check(path string, data []byte) error {
+func (s *Settings) check(d *document) error {
 	for _, r := range s.rules() {
-		if !r.isMet {
-			return &RangeError{File: path, Line: lineOf(data, r.key), Key: r.key, Allowed: r.allowed}
+		if r.isMet {
+			continue
 		}
+		if !d.has(r.key) {
+			r.problem = "missing"
+		}
+		return &Error{File: d.path, Line: d.lineOf(r.key), Key: r.key, Problem: r.problem, Allowed: r.allowed}
 	}
 	return nil
 }
 
 func (s *Settings) rules() []rule {
-	const address = "IP:PORT with a port from 1 to 65535"
+	leastMemory := BodyMemoryFactor * s.Limits.BodyBytes
 	return []rule{
-		{"instance", s.Instance != "" && len(s.Instance) <= 100, "a name of 1 to 100 bytes"},
-		{"zone", s.Zone != "", "the name of an availability zone"},
-		{"listen.callers", isAddress(s.Listen.Callers), address},
-		{"listen.operators", isAddress(s.Listen.Operators), address},
-		{"listen.peers", isAddress(s.Listen.Peers), address},
-		{"listen.operators", s.Listen.Operators != s.Listen.Callers, "an address that no other key uses"},
-		{"listen.peers", s.Listen.Peers != s.Listen.Callers && s.Listen.Peers != s.Listen.Operators, "an address that no other key uses"},
-		{"platform.url", isURL(s.Platform.URL), "http://HOST:PORT or https://HOST:PORT"},
-		{"secrets.operatorToken", s.Secrets.OperatorToken.isNamed(), "exactly one of env and file"},
-		{"secrets.fleetKey", s.Secrets.FleetKey.isNamed(), "exactly one of env and file"},
-		{"log.level", slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level), "debug, info, warn or error"},
-		{"log.format", slices.Contains([]string{"text", "json"}, s.Log.Format), "text or json"},
-		{"traces.otlpEndpoint", s.Traces.OTLPEndpoint == "" || isURL(s.Traces.OTLPEndpoint), "http://HOST:PORT, https://HOST:PORT or empty"},
-		{"limits.bodyBytes", s.Limits.BodyBytes >= 1024 && s.Limits.BodyBytes <= 64<<20, "1024 to 67108864"},
-		{"limits.bodyMemoryBytes", s.Limits.BodyMemoryBytes >= BodyMemoryFactor*s.Limits.BodyBytes, fmt.Sprintf("%d (%d times limits.bodyBytes) or more", BodyMemoryFactor*s.Limits.BodyBytes, BodyMemoryFactor)},
-		{"limits.connections", s.Limits.Connections >= 16 && s.Limits.Connections <= 1<<20, "16 to 1048576"},
-		{"limits.requestDeadline", s.Limits.RequestDeadline > 0, "a duration above 0, such as 10m"},
-		{"shutdown.announce", s.Shutdown.Announce > 0, "a duration above 0, such as 10s"},
-		{"shutdown.grace", s.Shutdown.Grace > 0, "a duration above 0, such as 10m"},
-		{"shutdown.entryLife", s.Shutdown.EntryLife > 0, "a duration above 0, such as 30s"},
+		name("instance", s.Instance),
+		name("zone", s.Zone),
+		address("listen.callers", s.Listen.Callers),
+		address("listen.operators", s.Listen.Operators),
+		address("listen.peers", s.Listen.Peers),
+		{"listen.operators", s.Listen.Operators != s.Listen.Callers, "same address as listen.callers", "an address that no other key has"},
+		{"listen.peers", s.Listen.Peers != s.Listen.Callers, "same address as listen.callers", "an address that no other key has"},
+		{"listen.peers", s.Listen.Peers != s.Listen.Operators, "same address as listen.operators", "an address that no other key has"},
+		baseURL("platform.url", s.Platform.URL),
+		secret("secrets.operatorToken", s.Secrets.OperatorToken),
+		secret("secrets.fleetKey", s.Secrets.FleetKey),
+		oneOf("log.level", s.Log.Level, LogLevels()),
+		oneOf("log.format", s.Log.Format, LogFormats()),
+		{"traces.otlpEndpoint", s.Traces.OTLPEndpoint == "" || isURL(s.Traces.OTLPEndpoint), "not a URL", "http://HOST:PORT, https://HOST:PORT or empty"},
+		within("limits.bodyBytes", s.Limits.BodyBytes, minBodyBytes, maxBodyBytes),
+		{"limits.bodyMemoryBytes", s.Limits.BodyMemoryBytes >= leastMemory, "contradicts limits.bodyBytes", fmt.Sprintf("%d (%d times limits.bodyBytes) or more", leastMemory, BodyMemoryFactor)},
+		within("limits.connections", s.Limits.Connections, minConnections, maxConnections),
+		duration("limits.requestDeadline", s.Limits.RequestDeadline),
+		duration("shutdown.announce", s.Shutdown.Announce),
+		duration("shutdown.grace", s.Shutdown.Grace),
+		duration("shutdown.entryLife", s.Shutdown.EntryLife),
 	}
 }
 
-func (s Secret) isNamed() bool {
-	return (s.Env == "") != (s.File == "")
+// LogLevels returns the allowed values of log.level.
+func LogLevels() []string { return []string{"debug", "info", "warn", "error"} }
+
+// LogFormats returns the allowed values of log.format.
+func LogFormats() []string { return []string{"text", "json"} }
+
+func name(key, value string) rule {
+	isMet := value != "" && len(value) <= maxNameBytes
+	return rule{key, isMet, "empty or too long", fmt.Sprintf("a name of 1 to %d bytes", maxNameBytes)}
+}
+
+func address(key, value string) rule {
+	parsed, err := netip.ParseAddrPort(value)
+	isMet := err == nil && parsed.Port() != 0
+	return rule{key, isMet, "not an address", "IP:PORT with a port from 1 to 65535"}
 }
 
-func isAddress(text string) bool {
-	address, err := netip.ParseAddrPort(text)
-	return err == nil && address.Port() != 0
+func baseURL(key, value string) rule {
+	return rule{key, isURL(value), "not a URL", "http://HOST:PORT or https://HOST:PORT"}
 }
 
 func isURL(text string) bool {
@@ -84,19 +114,19 @@
 	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
 }
 
-// lineOf returns the line at which key stands, or zero.
-func lineOf(data []byte, key string) int {
-	file, err := parser.ParseBytes(data, 0)
-	if err != nil {
-		return 0
-	}
-	path, err := yaml.PathString("$." + key)
-	if err != nil {
-		return 0
-	}
-	node, err := path.FilterFile(file)
-	if err != nil || node.GetToken() == nil {
-		return 0
-	}
-	return node.GetToken().Position.Line
+func secret(key string, s Secret) rule {
+	return rule{key, (s.Env == "") != (s.File == ""), "both or neither of env and file", "exactly one of env and file"}
+}
+
+func oneOf(key, value string, allowed []string) rule {
+	return rule{key, slices.Contains(allowed, value), "unknown value", fmt.Sprintf("one of %v", allowed)}
+}
+
+func within[N int | int64](key string, value, low, high N) rule {
+	return rule{key, value >= low && value <= high, "out of range", fmt.Sprintf("%d to %d", low, high)}
+}
+
+func duration(key string, value time.Duration) rule {
+	isMet := value >= minDuration && value <= maxDuration
+	return rule{key, isMet, "out of range", fmt.Sprintf("%v to %v", minDuration, maxDuration)}
 }
--- a/fleet/process/settings/settings.go
+++ b/fleet/process/settings/settings.go
@@ -123,14 +123,19 @@
 	return Parse(path, data)
 }
 
-// Parse is Load for settings that are in memory; path is named in errors.
+// Parse is Load for settings that are in memory; path is named in errors. Its
+// errors are of type *Error.
 func Parse(path string, data []byte) (*Settings, error) {
+	d, err := parseDocument(path, data)
+	if err != nil {
+		return nil, err
+	}
 	s := &Settings{}
 	if err := yaml.UnmarshalWithOptions(data, s, yaml.Strict()); err != nil {
-		return nil, errors.Wrapf(err, "%s", path)
+		return nil, syntaxError(path, err)
 	}
 	s.complete()
-	if err := s.check(path, data); err != nil {
+	if err := s.check(d); err != nil {
 		return nil, err
 	}
 	return s, nil
