--- a/fleet/cmd/gentianhead/main.go
+++ b/fleet/cmd/gentianhead/main.go
@@ -88,7 +88,7 @@
 			}
 			return ff.ErrNoExec
 		},
-		Flags:     flags,
+		Flags: flags,
 		Subcommands: []*ff.Command{
 			{
 				Name:      "serve",
