--- /dev/null
+++ b/measure/configuration/slopes.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"gentianhead/core/version/config"
+	"gentianhead/core/version/resource"
+	"gentianhead/fleet/connection/frame"
+	"gentianhead/fleet/connection/peer"
+)
+
+const (
+	// The design size, in objects.
+	designAccounts  = 1000
+	designEndpoints = 1100
+	designModels    = 23
+	// changesMeasured is how many changes are applied one by one.
+	changesMeasured = 500
+	changesPerDay   = 2200
+	secondsPerDay   = 24 * 60 * 60
+)
+
+// configuration returns size times the design size over a hundred.
+func configuration(percent int) []resource.Object {
+	var objects []resource.Object
+	add := func(o resource.Object) {
+		o.Revision = resource.Revision(len(objects) + 1)
+		objects = append(objects, o)
+	}
+	for i := range designModels {
+		add(resource.Object{Kind: resource.KindModel, Name: modelName(i), Model: &resource.Model{LoadBound: 1.25, ReuseWeight: 0.5}})
+	}
+	for i := range designAccounts * percent / 100 {
+		add(resource.Object{Kind: resource.KindAccount, Name: fmt.Sprintf("account-%04d", i), Account: &resource.Account{
+			TokenSHA256: fmt.Sprintf("%064x", i), RequestsPerSecond: 10, Weight: 2,
+		}})
+	}
+	for i := range designEndpoints * percent / 100 {
+		add(resource.Object{Kind: resource.KindEndpoint, Name: fmt.Sprintf("endpoint-%04d", i), Endpoint: &resource.Endpoint{
+			URL: fmt.Sprintf("http://10.0.%d.%d:8000", i/250, i%250), Zone: fmt.Sprintf("zone-%d", i%15),
+			Models: []string{modelName(i), modelName(i + 1)},
+		}})
+	}
+	return objects
+}
+
+func modelName(i int) string {
+	return fmt.Sprintf("model-%02d", i%designModels)
+}
+
+// slope is what a configuration of one size costs a router.
+type slope struct {
+	objects, heapBytes, wholeBytes, changeBytes int
+	perChange, perWhole                         time.Duration
+}
+
+func frameBytes(answer peer.ChangesAnswer) int {
+	encoded, err := frame.Encode(peer.TypeChanges, 1, answer)
+	if err != nil {
+		panic(err)
+	}
+	return len(encoded)
+}
+
+func heapInUse() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
+
+func measureSlope(percent int) slope {
+	before := heapInUse()
+	objects := configuration(percent)
+	core := config.New(1)
+	core.Step(config.StoreHead{IsConfirmed: true})
+	start := time.Now()
+	core.Step(config.State{Revision: resource.Revision(len(objects)), Objects: objects})
+	core.Advance()
+	s := slope{objects: len(objects), perWhole: time.Since(start)}
+	s.wholeBytes = frameBytes(peer.ChangesAnswer{Changes: objects, IsWhole: true, Revision: core.InForce()})
+	changed := objects[len(objects)-1]
+	objects = nil
+	s.heapBytes = heapInUse() - before
+
+	start = time.Now()
+	for range changesMeasured {
+		changed.Revision++
+		core.Step(config.Changes{Objects: []resource.Object{changed}})
+		core.Advance()
+	}
+	s.perChange = time.Since(start) / changesMeasured
+	question := peer.ChangesRequest{After: changed.Revision}
+	encoded, err := frame.Encode(peer.TypeChanges, 1, question)
+	if err != nil {
+		panic(err)
+	}
+	s.changeBytes = len(encoded) + frameBytes(peer.ChangesAnswer{Changes: []resource.Object{changed}, Revision: changed.Revision})
+	runtime.KeepAlive(core)
+	return s
+}
+
+func printSlopes() {
+	fmt.Println("\nCost of the configuration for one router; the design size has 2,123 objects.")
+	fmt.Printf("%8s %10s %12s %12s %12s %12s %12s %14s\n",
+		"objects", "heap KB", "B an object", "whole KB", "B a change", "µs a change", "µs a whole", "B/s at 2200/d")
+	for _, percent := range []int{10, 50, 100, 200} {
+		s := measureSlope(percent)
+		fmt.Printf("%8d %10d %12d %12d %12d %12d %12d %14.2f\n", s.objects, s.heapBytes>>10, s.heapBytes/s.objects,
+			s.wholeBytes>>10, s.changeBytes, s.perChange.Microseconds(), s.perWhole.Microseconds(),
+			float64(s.changeBytes)*changesPerDay/secondsPerDay)
+	}
+}
