--- a/fleet/e2e/config_test.go
+++ b/fleet/e2e/config_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -244,3 +245,36 @@
 	assert.NilError(t, err, output)
 	assert.Assert(t, strings.Contains(output, `warning: endpoint/e: model "nowhere" is not declared`), output)
 }
+
+// storedRow is a row as the table service takes it.
+type storedRow struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+func TestWatchSaysWhenItCannotResume(t *testing.T) {
+	platform := startStandin(t, "platform")
+	rows := []storedRow{
+		{"config/head", []byte(`{"revision":10,"digest":0}`)},
+		{"config/oldest", []byte(`{"revision":8}`)},
+	}
+	for revision := 8; revision <= 10; revision++ {
+		value := fmt.Sprintf(`{"object":{"kind":"model","name":"gone-%d","revision":%d,"deleted":true},"attempt":"a"}`, revision, revision)
+		rows = append(rows, storedRow{fmt.Sprintf("config/log/%020d", revision), []byte(value)})
+	}
+	body, err := json.Marshal(map[string][]storedRow{"puts": rows})
+	assert.NilError(t, err)
+	response, err := http.Post(platform.url()+"/v1/table/commit", "application/json", bytes.NewReader(body))
+	assert.NilError(t, err)
+	response.Body.Close()
+	r := startRouter(t, "router-1", platform.url(), routerOptions{})
+	r.awaitReady(t)
+	assert.Equal(t, r.ownRevision(t), uint64(10))
+
+	assert.DeepEqual(t, r.changes(t, 8), []string{"gone-9", "gone-10"})
+	gone := r.operate(t, http.MethodGet, "/v1/changes?after=3", "")
+	assert.Equal(t, gone.status, http.StatusGone, string(gone.body))
+	output, err := r.ctl(t, "", "watch", "--after", "3")
+	assert.Equal(t, exitCodeOf(err), 1, output)
+	assert.Assert(t, strings.Contains(output, "oldest revision whose change is kept (8)"), output)
+}
--- a/fleet/process/control/configuration.go
+++ b/fleet/process/control/configuration.go
@@ -163,8 +163,10 @@
 }
 
 // InForce returns what is in force on each router of the fleet, as last heard.
-// It may be called from any goroutine; it fails when ctx ends first.
+// It may be called from any goroutine; it fails when the loop does not answer in time.
 func (l *Loop) InForce(ctx context.Context) ([]RouterInForce, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	answer := make(chan []RouterInForce, 1)
 	l.Post(fleetAsked{answer: answer})
 	select {
--- a/fleet/request/admin/read.go
+++ b/fleet/request/admin/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -75,6 +76,8 @@
 	if err != nil {
 		return nil, unavailable("changes not read: the table service is down")
 	}
+	inForce := a.options.Control.State().Config.Revision()
+	changes = slices.DeleteFunc(changes, func(o resource.Object) bool { return o.Revision > inForce })
 	return &changesOutput{ChangesBody{toBodies(changes)}}, nil
 }
 
--- a/fleet/version/desired/table_test.go
+++ b/fleet/version/desired/table_test.go
@@ -203,41 +203,43 @@
 	return result, nil
 }
 
-func (f *fakeTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// show hands the rows that a read of this step shows to use.
+func (f *fakeTable) show(ctx context.Context, step func() callStep, use func(rows map[string]platform.Row)) error {
 	f.mu.Lock()
-	faults := f.faultsAt(f.stepOfRead(keys))
+	faults := f.faultsAt(step())
 	f.mu.Unlock()
 	if err := f.begin(ctx, faults); err != nil {
-		return nil, err
+		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	shown := f.moment(faults)
+	use(f.moment(faults))
+	return nil
+}
+
+func (f *fakeTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
 	rows := make([]platform.Row, len(keys))
-	for i, key := range keys {
-		rows[i] = shown[key]
-		rows[i].Key = key
-	}
-	return rows, nil
+	step := func() callStep { return f.stepOfRead(keys) }
+	err := f.show(ctx, step, func(shown map[string]platform.Row) {
+		for i, key := range keys {
+			rows[i] = shown[key]
+			rows[i].Key = key
+		}
+	})
+	return rows, err
 }
 
 func (f *fakeTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	f.mu.Lock()
-	faults := f.faultsAt(stepOther)
-	f.mu.Unlock()
-	if err := f.begin(ctx, faults); err != nil {
-		return nil, err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	shown := f.moment(faults)
 	var rows []platform.Row
-	for _, key := range slices.Sorted(maps.Keys(shown)) {
-		if strings.HasPrefix(key, prefix) && key > after {
-			rows = append(rows, shown[key])
+	step := func() callStep { return stepOther }
+	err := f.show(ctx, step, func(shown map[string]platform.Row) {
+		for _, key := range slices.Sorted(maps.Keys(shown)) {
+			if strings.HasPrefix(key, prefix) && key > after {
+				rows = append(rows, shown[key])
+			}
 		}
-	}
-	return rows[:min(limit, len(rows))], nil
+	})
+	return rows[:min(limit, len(rows))], err
 }
 
 // forgetful hides attempt rows: what is left is a blind retry.
