--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 .PHONY: build check format lint test demo faults measure model bench
 
 build:
-	$(GO) build -o bin ./fleet/cmd/... ./standin/cmd/...
+	$(GO) build -o bin/ ./fleet/cmd/... ./standin/cmd/...
 
 # check gives the same verdict every time.
 check: format lint test
--- a/core/request/claim/attempt.go
+++ b/core/request/claim/attempt.go
@@ -12,6 +12,8 @@
 const (
 	// phaseClaim writes the claim row.
 	phaseClaim phase = iota
+	// phaseLookUp reads the row when there is no endpoint to claim for.
+	phaseLookUp
 	// phaseSend waits for the endpoint.
 	phaseSend
 	// phaseRecord writes the answer.
@@ -174,6 +176,11 @@
 
 func (a *Attempt) start(at time.Time) {
 	a.startedAt = at
+	if a.request.Endpoint == "" {
+		a.phase = phaseLookUp
+		a.do(Read{})
+		return
+	}
 	a.put(at, phaseClaim, Row{
 		State:       StateClaimed,
 		Attempt:     a.request.Attempt,
@@ -184,6 +191,7 @@
 		IsFenced:    a.request.IsFenced,
 		Fencing:     1,
 		CreatedMs:   at.UnixMilli(),
+		Key:         a.request.Key,
 	}, 0)
 }
 
@@ -199,6 +207,11 @@
 // read resolves a write whose fate is not known, and looks at who was faster.
 func (a *Attempt) read(at time.Time, e RowRead) {
 	switch {
+	case a.phase == phaseLookUp && e.Row == nil:
+		a.reply(a.refusal(outcome.CodeNoEndpoint, "no live endpoint serves this"))
+		a.phase = phaseDone
+	case a.phase == phaseLookUp:
+		a.meet(at, e)
 	case e.Row != nil && isSameWrite(*e.Row, a.write.row):
 		a.written(at, e.Version)
 	case a.phase == phaseOrphan && e.Row == nil:
@@ -261,7 +274,7 @@
 // What the sender or the endpoint knows is true without it.
 func (a *Attempt) unwritten(at time.Time) {
 	switch a.phase {
-	case phaseClaim:
+	case phaseClaim, phaseLookUp:
 		a.reply(a.refusal(outcome.CodeStoreDown, "the table service is down"))
 		if !a.isUncertain {
 			a.phase = phaseDone
@@ -307,7 +320,7 @@
 // passDeadline answers the caller with what is certain; the work goes on.
 func (a *Attempt) passDeadline() {
 	switch a.phase {
-	case phaseClaim:
+	case phaseClaim, phaseLookUp:
 		a.reply(a.refusal(outcome.CodeDeadline, "the deadline passed before the request was claimed"))
 	case phaseRecord, phaseRelease, phaseSettle:
 		a.reply(verdictOf(a.write.row))
--- a/core/request/claim/claim.go
+++ b/core/request/claim/claim.go
@@ -59,6 +59,8 @@
 	CreatedMs int64 `json:"createdMs"`
 	// Answer is set in StateCompleted.
 	Answer *Answer `json:"answer,omitempty"`
+	// Key is the caller's Idempotency-Key, for operators to read.
+	Key string `json:"key,omitempty"`
 	// SettledBy names the operator that settled the claim, if one did.
 	SettledBy string `json:"settledBy,omitempty"`
 }
@@ -86,11 +88,15 @@
 type Request struct {
 	// Attempt is unique to this ask.
 	Attempt string
+	// Key is the caller's Idempotency-Key.
+	Key string
 	// Holder is the router's instance and incarnation.
 	Holder     string
 	BodySHA256 string
 	// IsRepeat says that the caller has asked with this key before, or may have.
-	IsRepeat    bool
+	IsRepeat bool
+	// Endpoint is where the request is sent; empty when no endpoint is live, so
+	// that only an earlier ask can be answered.
 	Endpoint    string
 	EndpointURL string
 	IsFenced    bool
--- a/core/request/outcome/outcome.go
+++ b/core/request/outcome/outcome.go
@@ -28,6 +28,7 @@
 	CodeUnknownService    Code = "unknown-service"
 	CodeKeyMissing        Code = "idempotency-key-missing"
 	CodeKeyReused         Code = "idempotency-key-reused"
+	CodeKeyExpired        Code = "idempotency-key-expired"
 	CodeInProgress        Code = "in-progress"
 	CodeAccountLimit      Code = "account-limit"
 	CodeLoadBound         Code = "load-bound"
--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -23,6 +23,7 @@
 		[ "$errors" = 0 ] || result=fails
 		line=ok
 		[ "$expect" = "expect=$result" ] || line=WRONG
+		[ -n "$states" ] && [ -n "$errors" ] || line="WRONG (the checker did not run)"
 		[ "$result" = fails ] || [ "$complete" = yes ] || line="WRONG (search not complete)"
 		[ "$line" = ok ] || verdict=1
 		printf '%-14s %-28s %-6s states %-12s %s\n' "$(basename "$spec" .pml)" "$name" "$result" "$states" "$line"
