Run at-most-once calls through claims in the table service

Change: fleet/request/claims drives the attempts of core/request/claim, groups writes into transactions with at most one write of a row in each, and sends over a connection of its own. Stand-ins take fence orders and delay commits.

--- a/core/request/claim/recover.go
+++ b/core/request/claim/recover.go
@@ -81,12 +81,21 @@
 // refusal says that this ask sent nothing. It says nothing of earlier asks, so
 // a repeated one learns that its outcome is unknown.
 func (a *Attempt) refusal(code outcome.Code, detail string) Verdict {
-	if a.request.IsRepeat {
-		return unknown(code, detail, RetryStoreDown)
+	return refusal(a.request.IsRepeat, code, detail)
+}
+
+func refusal(isRepeat bool, code outcome.Code, detail string) Verdict {
+	if isRepeat {
+		return refuse(http.StatusServiceUnavailable, outcome.Unknown, code, detail, RetryStoreDown)
 	}
 	return refuse(http.StatusServiceUnavailable, outcome.NotRun, code, detail, RetryStoreDown)
 }
 
+// Overloaded is the verdict on an ask that a router has no room for.
+func Overloaded(isRepeat bool) Verdict {
+	return refusal(isRepeat, outcome.CodeLoadBound, "too many requests that may run at most once are in progress")
+}
+
 // InProgress is the verdict on an ask whose request is at work at another ask.
 func InProgress() Verdict {
 	return refuse(http.StatusConflict, outcome.Unknown, outcome.CodeInProgress, "the request is in progress", RetryInProgress)
--- a/core/request/outcome/outcome.go
+++ b/core/request/outcome/outcome.go
@@ -28,6 +28,7 @@
 	CodeUnknownService    Code = "unknown-service"
 	CodeKeyMissing        Code = "idempotency-key-missing"
 	CodeKeyReused         Code = "idempotency-key-reused"
+	CodeAnswerGone        Code = "answer-gone"
 	CodeKeyExpired        Code = "idempotency-key-expired"
 	CodeInProgress        Code = "in-progress"
 	CodeAccountLimit      Code = "account-limit"
@@ -53,7 +54,7 @@
 	// Status is the HTTP status.
 	Status int
 	Code   Code
-	// Outcome is never Completed.
+	// Outcome is Completed only with CodeAnswerGone.
 	Outcome Outcome
 	Detail  string
 	// RetryAfter is the time after which asking again helps; zero when it does not.
--- a/fleet/connection/platform/platform.go
+++ b/fleet/connection/platform/platform.go
@@ -167,6 +167,11 @@
 	return c.call(ctx, http.MethodPut, "/v1/objects/"+url.PathEscape(name), json.RawMessage(value), nil)
 }
 
+// GetObject reads an object into value.
+func (c *Client) GetObject(ctx context.Context, name string, value any) error {
+	return c.call(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(name), nil, value)
+}
+
 // call sends one request. A failure to connect and a 503 are ErrRefused; a
 // request that was sent and got no answer is ErrAnswerLost.
 func (c *Client) call(ctx context.Context, method, path string, body, answer any) error {
--- a/fleet/process/node/inject.go
+++ b/fleet/process/node/inject.go
@@ -14,6 +14,7 @@
 	"gentianhead/fleet/process/settings"
 	"gentianhead/fleet/process/telemetry"
 	"gentianhead/fleet/request/admin"
+	"gentianhead/fleet/request/claims"
 	"gentianhead/fleet/request/gateway"
 	"gentianhead/fleet/version/desired"
 )
@@ -40,6 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
+	own := self(s)
 	injector := do.New()
 	do.ProvideValue(injector, s)
 	do.Provide(injector, func(do.Injector) (*platform.Client, error) {
@@ -56,7 +58,7 @@
 	})
 	do.Provide(injector, func(i do.Injector) (*control.Loop, error) {
 		return control.New(control.Options{
-			Self:     self(s),
+			Self:     own,
 			Desired:  do.MustInvoke[*desired.Store](i),
 			Platform: do.MustInvoke[*platform.Client](i),
 			Peers:    do.MustInvoke[*peer.Pool](i),
@@ -68,10 +70,22 @@
 		do.MustInvoke[*control.Loop](i).Register(server)
 		return server, nil
 	})
+	do.Provide(injector, func(i do.Injector) (*claims.Manager, error) {
+		loop := do.MustInvoke[*control.Loop](i)
+		return claims.New(claims.Options{
+			Self:        own,
+			Store:       do.MustInvoke[*platform.Client](i),
+			Engine:      engine.NewSingleUseClient(),
+			View:        func() *membership.View { return loop.State().View },
+			SendTimeout: s.Limits.RequestDeadline,
+			Log:         telemetry.Part(logger, "claims"),
+		}), nil
+	})
 	do.Provide(injector, func(i do.Injector) (*gateway.Gateway, error) {
 		return gateway.New(gateway.Options{
 			Control:  do.MustInvoke[*control.Loop](i),
 			Engine:   do.MustInvoke[*engine.Client](i),
+			Claims:   do.MustInvoke[*claims.Manager](i),
 			Limits:   s.Limits,
 			Shutdown: s.Shutdown,
 			Log:      telemetry.Part(logger, "gateway"),
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -19,6 +19,7 @@
 	"gentianhead/fleet/process/settings"
 	"gentianhead/fleet/process/telemetry"
 	"gentianhead/fleet/request/admin"
+	"gentianhead/fleet/request/claims"
 	"gentianhead/fleet/request/gateway"
 )
 
@@ -30,6 +31,7 @@
 	pool      *peer.Pool
 	peers     *peer.Server
 	engine    *engine.Client
+	claims    *claims.Manager
 	gateway   *gateway.Gateway
 	callers   *server
 	operators *server
@@ -54,6 +56,7 @@
 		pool:      do.MustInvoke[*peer.Pool](injector),
 		peers:     do.MustInvoke[*peer.Server](injector),
 		engine:    do.MustInvoke[*engine.Client](injector),
+		claims:    do.MustInvoke[*claims.Manager](injector),
 		gateway:   do.MustInvoke[*gateway.Gateway](injector),
 		callers:   newServer(do.MustInvoke[*gateway.Gateway](injector).Handler()),
 		operators: newServer(operatorsHandler(do.MustInvoke[admin.Options](injector))),
--- a/fleet/process/node/shutdown.go
+++ b/fleet/process/node/shutdown.go
@@ -13,6 +13,8 @@
 	quietTime = time.Second
 	// quietPoll is the time between two looks at the connections.
 	quietPoll = 20 * time.Millisecond
+	// recordTimeout bounds the wait for records after the last answer.
+	recordTimeout = 30 * time.Second
 	// endTimeout bounds the last answers of requests that are cut off.
 	endTimeout = 5 * time.Second
 )
@@ -38,6 +40,7 @@
 	err := n.awaitRequests(hurry)
 	_ = n.callers.end(endTimeout)
 	_ = n.operators.end(endTimeout)
+	n.recordClaims(hurry)
 	_ = n.listeners.peers.Close()
 	n.peers.Close()
 	n.pool.Close()
@@ -46,6 +49,14 @@
 	return err
 }
 
+// recordClaims waits until what became of requests that may run at most once is
+// recorded, also of those whose callers left.
+func (n *Node) recordClaims(hurry context.Context) {
+	ctx, cancel := context.WithTimeout(hurry, recordTimeout)
+	defer cancel()
+	n.claims.Close(ctx)
+}
+
 // serveOn serves until no entry answer that names this router is kept.
 func (n *Node) serveOn(hurry context.Context, life time.Duration) {
 	ctx, cancel := context.WithTimeout(hurry, life)
--- /dev/null
+++ b/fleet/request/claims/row.go
@@ -0,0 +1,52 @@
+package claims
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"gentianhead/core/request/claim"
+)
+
+// RowPrefix starts the key of every claim row.
+const RowPrefix = "claims/"
+
+// MaxRowAnswerBytes is the largest answer that is recorded in the row itself.
+const MaxRowAnswerBytes = 16 << 10
+
+// RowKey returns the key of a request's claim row. The caller's key is hashed,
+// so that its length and its characters do not matter.
+func RowKey(id claim.ID) string {
+	digest := sha256.Sum256([]byte(id.Key))
+	return RowPrefix + id.Account + "/" + hex.EncodeToString(digest[:])
+}
+
+// DecodeRow reads the value of a claim row.
+func DecodeRow(value []byte) (claim.Row, error) {
+	var row claim.Row
+	err := json.Unmarshal(value, &row)
+	return row, errors.Wrap(err, "claim row")
+}
+
+// encodeRow returns the value of a row. A large answer goes to the object store
+// first, under a name of its attempt, so that no other attempt overwrites it.
+func (r *run) encodeRow(ctx context.Context, row claim.Row) ([]byte, error) {
+	if row.Answer == nil || len(row.Answer.Body) <= MaxRowAnswerBytes {
+		return json.Marshal(row)
+	}
+	answer := *row.Answer
+	answer.Object = "claim-answer-" + row.Attempt
+	encoded, err := json.Marshal(answer.Body)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.manager.options.Store.PutObject(ctx, answer.Object, encoded); err != nil {
+		return nil, err
+	}
+	answer.Body = nil
+	row.Answer = &answer
+	return json.Marshal(row)
+}
--- /dev/null
+++ b/fleet/request/claims/run.go
@@ -0,0 +1,165 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"gentianhead/core/request/claim"
+	"gentianhead/fleet/connection/platform"
+)
+
+// run drives the attempt of one ask, on its own goroutine.
+type run struct {
+	manager *Manager
+	ask     Ask
+	// ctx carries the trace of the ask and does not end with its caller.
+	ctx context.Context
+	// caller ends with the caller's deadline or its connection.
+	caller  context.Context
+	rowKey  string
+	attempt *claim.Attempt
+	verdict chan<- claim.Verdict
+}
+
+func (m *Manager) newRun(ctx context.Context, ask Ask, verdict chan<- claim.Verdict) *run {
+	return &run{
+		manager: m,
+		ask:     ask,
+		ctx:     context.WithoutCancel(ctx),
+		caller:  ctx,
+		rowKey:  RowKey(ask.ID),
+		verdict: verdict,
+		attempt: claim.New(claim.Request{
+			Attempt:     uuid.NewString(),
+			Key:         ask.ID.Key,
+			Holder:      m.holder,
+			BodySHA256:  BodyDigest(ask),
+			IsRepeat:    ask.IsRepeat,
+			Endpoint:    ask.Endpoint,
+			EndpointURL: ask.EndpointURL,
+			IsFenced:    ask.IsFenced,
+		}),
+	}
+}
+
+// loop steps the attempt until it is done. callerGone is closed when the
+// caller's time is over or it disconnected.
+func (r *run) loop(callerGone <-chan struct{}) {
+	defer r.ask.Done()
+	action := r.step(claim.Started{})
+	for action != nil {
+		events := make(chan claim.Event, 1)
+		go func(action claim.Action) { events <- r.perform(action) }(action)
+		var event claim.Event
+		select {
+		case event = <-events:
+		case <-callerGone:
+			callerGone = nil
+			r.passDeadline()
+			event = <-events
+		}
+		action = r.step(event)
+	}
+}
+
+// passDeadline tells the attempt that the caller waits no longer. A caller that
+// disconnected had no deadline: its request goes on.
+func (r *run) passDeadline() {
+	if errors.Is(r.caller.Err(), context.DeadlineExceeded) {
+		r.step(claim.DeadlinePassed{})
+	}
+}
+
+// step hands the attempt an event and returns the action to perform, if any.
+func (r *run) step(event claim.Event) claim.Action {
+	r.attempt.Step(time.Now(), event)
+	var next claim.Action
+	for _, action := range r.attempt.Ready() {
+		if reply, ok := action.(claim.Reply); ok {
+			r.verdict <- reply.Verdict
+			continue
+		}
+		next = action
+	}
+	return next
+}
+
+// perform carries out an action and returns its event.
+func (r *run) perform(action claim.Action) claim.Event {
+	switch a := action.(type) {
+	case claim.Commit:
+		return r.commit(a)
+	case claim.Read:
+		return r.read()
+	case claim.Send:
+		return r.send(a)
+	case claim.Fence:
+		return r.fence(a)
+	case claim.Wait:
+		time.Sleep(a.For)
+	}
+	return claim.Woken{}
+}
+
+func (r *run) startSpan(name string) (context.Context, trace.Span) {
+	return r.manager.tracer.Start(r.ctx, name, trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("request.id", r.ask.RequestID)))
+}
+
+func (r *run) commit(c claim.Commit) claim.Event {
+	ctx, span := r.startSpan("claim write " + string(c.Row.State))
+	defer span.End()
+	value, err := r.encodeRow(ctx, c.Row)
+	if err != nil {
+		span.RecordError(err)
+		return claim.WriteRefused{}
+	}
+	return r.manager.writer.Do(Write{Key: r.rowKey, Value: value, Version: c.Version})
+}
+
+func (r *run) read() claim.Event {
+	ctx, span := r.startSpan("claim read")
+	defer span.End()
+	rows, err := r.manager.options.Store.Read(ctx, r.rowKey)
+	if err != nil {
+		span.RecordError(err)
+		return claim.ReadFailed{}
+	}
+	event, err := r.decodeRead(rows[0])
+	if err != nil {
+		span.RecordError(err)
+		r.manager.options.Log.Error("Claim row can't be read.", "row", r.rowKey, "error", err)
+		return claim.ReadFailed{}
+	}
+	return event
+}
+
+func (r *run) decodeRead(stored platform.Row) (claim.RowRead, error) {
+	if stored.Version == 0 {
+		return claim.RowRead{}, nil
+	}
+	row, err := DecodeRow(stored.Value)
+	if err != nil {
+		return claim.RowRead{}, err
+	}
+	return claim.RowRead{Row: &row, Version: stored.Version, IsHolderLive: r.manager.isHolderLive(row)}, nil
+}
+
+// isHolderLive reports whether another router is believed to be at work on a
+// row. This router works on no other ask of the same key.
+func (m *Manager) isHolderLive(row claim.Row) bool {
+	if row.Holder == m.holder || time.Since(time.UnixMilli(row.CreatedMs)) > claim.HolderLife {
+		return false
+	}
+	for _, router := range m.options.View().Routers {
+		if holderName(router) == row.Holder {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/fleet/request/claims/table.go
@@ -0,0 +1,90 @@
+package claims
+
+import (
+	"context"
+	"expvar"
+
+	"github.com/cockroachdb/errors"
+
+	"gentianhead/core/request/claim"
+	"gentianhead/fleet/connection/platform"
+)
+
+// Counters of transactions, per process.
+var (
+	commitsMade = expvar.NewInt("claims.commits")
+	rowsWritten = expvar.NewInt("claims.rowsWritten")
+)
+
+// TableSink writes each batch in one transaction. A conflict takes the write
+// that it names out of the batch, and the rest is tried again, so that it fails
+// no other.
+func TableSink(table platform.Table) Sink {
+	return func(writes []Write) []claim.Event {
+		events := make([]claim.Event, len(writes))
+		for pending := countPending(events); pending > 0; pending = countPending(events) {
+			result, err := table.Commit(context.Background(), transaction(writes, events))
+			commitsMade.Add(1)
+			switch {
+			case err != nil:
+				settlePending(events, failedWrite(err))
+			case result.Conflict == "":
+				rowsWritten.Add(int64(pending))
+				settlePending(events, claim.Committed{Version: result.Version})
+			case !settleKey(writes, events, result.Conflict):
+				// The service named a row that was not asked about.
+				settlePending(events, claim.WriteLost{})
+			}
+		}
+		return events
+	}
+}
+
+func failedWrite(err error) claim.Event {
+	if errors.Is(err, platform.ErrRefused) {
+		return claim.WriteRefused{}
+	}
+	return claim.WriteLost{}
+}
+
+func countPending(events []claim.Event) int {
+	count := 0
+	for _, event := range events {
+		if event == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// transaction holds the writes that have no event yet.
+func transaction(writes []Write, events []claim.Event) platform.Transaction {
+	var tx platform.Transaction
+	for i, write := range writes {
+		if events[i] != nil {
+			continue
+		}
+		tx.Checks = append(tx.Checks, platform.Check{Key: write.Key, Version: write.Version})
+		tx.Puts = append(tx.Puts, platform.Put{Key: write.Key, Value: write.Value})
+	}
+	return tx
+}
+
+func settlePending(events []claim.Event, event claim.Event) {
+	for i := range events {
+		if events[i] == nil {
+			events[i] = event
+		}
+	}
+}
+
+// settleKey marks the write of key as conflicted and reports whether there was one.
+func settleKey(writes []Write, events []claim.Event, key string) bool {
+	for i, write := range writes {
+		if write.Key == key && events[i] == nil {
+			events[i] = claim.Conflicted{}
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/fleet/request/claims/writer.go
@@ -0,0 +1,155 @@
+package claims
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"gentianhead/core/request/claim"
+)
+
+// Limits of group commit.
+const (
+	// maxBatch is the most rows in one transaction.
+	maxBatch = 256
+	// maxQueue is how many writes may wait; one more is refused at once.
+	maxQueue = 2048
+	// minCommitInterval is the least time between the starts of two
+	// transactions, which bounds a router to 75 a second.
+	minCommitInterval = time.Second / 75
+)
+
+// writesRefused counts the writes that found the queue full.
+var writesRefused = expvar.NewInt("claims.writesRefused")
+
+// Write is a compare-and-set of one claim row.
+type Write struct {
+	Key   string `msgpack:"k"`
+	Value []byte `msgpack:"v"`
+	// Version is what the row must have; 0 means that it must not exist.
+	Version uint64 `msgpack:"n"`
+}
+
+type pendingWrite struct {
+	Write
+	result chan claim.Event
+}
+
+// Sink writes rows that differ in their keys and returns one event for each:
+// Committed, Conflicted, WriteRefused or WriteLost.
+type Sink func([]Write) []claim.Event
+
+// Writer groups compare-and-sets into batches, at most one of which is under
+// way. It is safe for concurrent use.
+type Writer struct {
+	sink    Sink
+	queue   chan pendingWrite
+	stop    chan struct{}
+	stopped sync.WaitGroup
+	// held are writes that wait for the next transaction because their row is
+	// in this one. Only the writer's goroutine uses it.
+	held []pendingWrite
+}
+
+// NewWriter returns a writer into sink; Close ends it.
+func NewWriter(sink Sink) *Writer {
+	w := &Writer{sink: sink, queue: make(chan pendingWrite, maxQueue), stop: make(chan struct{})}
+	w.stopped.Add(1)
+	go w.loop()
+	return w
+}
+
+// Close ends the writer. No Do may be under way or follow.
+func (w *Writer) Close() {
+	close(w.stop)
+	w.stopped.Wait()
+}
+
+// Do writes one row and returns Committed, Conflicted, WriteRefused or WriteLost.
+func (w *Writer) Do(write Write) claim.Event {
+	pending := pendingWrite{Write: write, result: make(chan claim.Event, 1)}
+	select {
+	case w.queue <- pending:
+		return <-pending.result
+	default:
+		writesRefused.Add(1)
+		return claim.WriteRefused{}
+	}
+}
+
+func (w *Writer) loop() {
+	defer w.stopped.Done()
+	var last time.Time
+	for {
+		batch, ok := w.collect()
+		if !ok {
+			return
+		}
+		if wait := minCommitInterval - time.Since(last); wait > 0 {
+			time.Sleep(wait)
+			batch = w.fill(batch)
+		}
+		last = time.Now()
+		w.commit(batch)
+	}
+}
+
+// collect waits for a write and takes those that wait with it.
+func (w *Writer) collect() ([]pendingWrite, bool) {
+	if len(w.held) > 0 {
+		batch := w.held
+		w.held = nil
+		return w.fill(w.fillFrom(nil, batch)), true
+	}
+	select {
+	case first := <-w.queue:
+		return w.fill([]pendingWrite{first}), true
+	case <-w.stop:
+		return nil, false
+	}
+}
+
+func (w *Writer) fill(batch []pendingWrite) []pendingWrite {
+	for len(batch) < maxBatch {
+		select {
+		case pending := <-w.queue:
+			batch = w.fillFrom(batch, []pendingWrite{pending})
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// fillFrom adds writes to batch, at most one for each row: two writes of a row
+// in one transaction would both pass its checks.
+func (w *Writer) fillFrom(batch, more []pendingWrite) []pendingWrite {
+	for _, pending := range more {
+		if containsKey(batch, pending.Key) {
+			w.held = append(w.held, pending)
+			continue
+		}
+		batch = append(batch, pending)
+	}
+	return batch
+}
+
+func containsKey(batch []pendingWrite, key string) bool {
+	for _, pending := range batch {
+		if pending.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// commit hands a batch to the sink and answers each of its writes.
+func (w *Writer) commit(batch []pendingWrite) {
+	writes := make([]Write, len(batch))
+	for i, pending := range batch {
+		writes[i] = pending.Write
+	}
+	for i, event := range w.sink(writes) {
+		batch[i].result <- event
+	}
+}
--- a/fleet/request/gateway/atmostonce.go
+++ b/fleet/request/gateway/atmostonce.go
@@ -1,17 +1,72 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
-	"time"
 
+	"gentianhead/core/request/claim"
 	"gentianhead/core/request/outcome"
+	"gentianhead/core/request/placement"
+	"gentianhead/core/version/resource"
 	"gentianhead/fleet/connection/engine"
+	"gentianhead/fleet/request/claims"
 )
 
-// atMostOnce refuses what may run at most once until claims are in place.
-func (g *Gateway) atMostOnce(x *exchange) *outcome.Problem {
-	if x.r.Header.Get(engine.HeaderKey) == "" {
+// HeaderRepeat is set to true by a caller that has asked with its
+// Idempotency-Key before. A refusal can then not be taken for a statement about
+// the earlier ask.
+const HeaderRepeat = "Idempotency-Repeat"
+
+// maxKeyBytes is the longest Idempotency-Key.
+const maxKeyBytes = 255
+
+// atMostOnce serves a call that may run at most once.
+func (g *Gateway) atMostOnce(ctx context.Context, x *exchange, info placement.PickInfo, call endpointCall) *outcome.Problem {
+	key := x.r.Header.Get(engine.HeaderKey)
+	if key == "" {
 		return notRun(http.StatusBadRequest, outcome.CodeKeyMissing, "this call needs an Idempotency-Key").Problem
 	}
-	return notRun(http.StatusServiceUnavailable, outcome.CodeStoreDown, "claims are not available").after(time.Minute)
+	if len(key) > maxKeyBytes {
+		return notRun(http.StatusBadRequest, outcome.CodeBadRequest, "the Idempotency-Key is above 255 bytes").Problem
+	}
+	ask := claims.Ask{
+		ID:          claim.ID{Account: x.account, Key: key},
+		RequestID:   x.id,
+		Method:      call.method,
+		Target:      call.path,
+		ContentType: x.r.Header.Get("Content-Type"),
+		Body:        x.body,
+		IsRepeat:    x.r.Header.Get(HeaderRepeat) == "true",
+		Done:        func() {},
+	}
+	if picked, err := x.state.Picker.Pick(info); err == nil {
+		ask.Endpoint, ask.EndpointURL, ask.Done = picked.Endpoint, picked.URL, picked.Done
+		ask.IsFenced = isFenced(x.state.Config, picked.Endpoint)
+	}
+	verdict := g.options.Claims.Do(ctx, ask)
+	if verdict.Problem != nil {
+		return verdict.Problem
+	}
+	return x.answerRecorded(verdict.Answer)
+}
+
+func isFenced(config *resource.Snapshot, endpoint string) bool {
+	object, known := config.Get(resource.KindEndpoint, endpoint)
+	return known && object.Endpoint.Fencing == resource.FencingChecked
+}
+
+// answerRecorded writes the answer of a request that completed.
+func (x *exchange) answerRecorded(answer *claim.Answer) *outcome.Problem {
+	if answer == nil {
+		return &outcome.Problem{
+			Status: http.StatusGone, Code: outcome.CodeAnswerGone, Outcome: outcome.Completed,
+			Detail: "the request completed; its answer is not kept",
+		}
+	}
+	header := http.Header{}
+	if answer.ContentType != "" {
+		header.Set("Content-Type", answer.ContentType)
+	}
+	x.answer(answer.Status, header, answer.Body)
+	return nil
 }
--- a/fleet/request/gateway/gateway.go
+++ b/fleet/request/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"gentianhead/fleet/process/control"
 	"gentianhead/fleet/process/settings"
 	"gentianhead/fleet/process/telemetry"
+	"gentianhead/fleet/request/claims"
 )
 
 // HeaderChat names the conversation that a request belongs to.
@@ -45,6 +46,7 @@
 type Options struct {
 	Control  *control.Loop
 	Engine   *engine.Client
+	Claims   *claims.Manager
 	Limits   settings.Limits
 	Shutdown settings.Shutdown
 	Log      *slog.Logger
--- a/fleet/request/gateway/service.go
+++ b/fleet/request/gateway/service.go
@@ -23,12 +23,12 @@
 	if problem := checkServicePath(servicePath); problem != nil {
 		return problem
 	}
-	if isNonIdempotent(object.Service, servicePath) {
-		return g.atMostOnce(x)
-	}
 	target := url.URL{Path: servicePath, RawQuery: x.r.URL.RawQuery}
 	info := placement.PickInfo{Chat: x.chat, Service: name, Account: x.account}
 	call := endpointCall{method: x.r.Method, path: target.String()}
+	if isNonIdempotent(object.Service, servicePath) {
+		return g.atMostOnce(ctx, x, info, call)
+	}
 	return g.dispatch(ctx, x, info, call, func(response *http.Response) *outcome.Problem {
 		return passWhole(x, response)
 	})
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -45,6 +45,8 @@
 	CrossAnswers bool `json:"crossAnswers"`
 	// HoldMillis delays the answer after the work was done.
 	HoldMillis int `json:"holdMillis"`
+	// RefuseConnections closes the connection of a plain call before its work.
+	RefuseConnections bool `json:"refuseConnections"`
 	// DropAnswers closes the connection after the work was done.
 	DropAnswers bool `json:"dropAnswers"`
 	// NoResume makes the engine forget an answer whose connection ended.
@@ -85,7 +87,7 @@
 	faults   Faults
 	runs     []Run
 	inFlight int
-	fencing  map[string]uint64
+	fencing  map[string]fencing
 	lastID   string
 	answers  answers
 }
@@ -95,7 +97,7 @@
 	if options.Tokens == 0 {
 		options.Tokens = 8
 	}
-	return &Server{options: options, fencing: make(map[string]uint64)}
+	return &Server{options: options, fencing: make(map[string]fencing)}
 }
 
 // Handler returns the HTTP interface.
@@ -104,6 +106,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", s.chat)
 	mux.HandleFunc("POST /v1/streams/{id}/resume", s.resume)
 	mux.HandleFunc("POST /v1/streams/{id}/cancel", s.cancel)
+	mux.HandleFunc("POST /v1/fence", s.fence)
 	mux.HandleFunc("GET /load", s.load)
 	mux.HandleFunc("GET /runs", s.listRuns)
 	mux.HandleFunc("PUT /faults", s.setFaults)
@@ -123,12 +126,9 @@
 	}
 	key := r.Header.Get(HeaderKey)
 	number, _ := strconv.ParseUint(r.Header.Get(HeaderFencing), 10, 64)
-	if s.options.ChecksFencing && key != "" {
-		if number < s.fencing[key] {
-			http.Error(w, "fencing number too low", http.StatusPreconditionFailed)
-			return "", s.faults, false
-		}
-		s.fencing[key] = number
+	if !s.takesNumber(r, number) {
+		http.Error(w, "fencing number too low", http.StatusPreconditionFailed)
+		return "", s.faults, false
 	}
 	id := r.Header.Get(HeaderRequestID)
 	answerID := id
@@ -205,6 +205,7 @@
 	if err != nil {
 		return
 	}
+	s.abortIfRefusing()
 	id, faults, ok := s.begin(w, r, body)
 	if !ok {
 		return
@@ -222,6 +223,15 @@
 	fmt.Fprintf(w, `{"server":%q,"path":%q,"requestId":%q,"received":%d}`+"\n", s.options.Name, r.URL.Path, id, len(body))
 }
 
+func (s *Server) abortIfRefusing() {
+	s.mu.Lock()
+	isRefusing := s.faults.RefuseConnections
+	s.mu.Unlock()
+	if isRefusing {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -27,6 +27,12 @@
 	LoseAnswers int `json:"loseAnswers"`
 	// DelayMillis delays every call by so many milliseconds.
 	DelayMillis int `json:"delayMillis"`
+	// HoldCommitMillis delays the answer of every commit after it took effect.
+	HoldCommitMillis int `json:"holdCommitMillis"`
+	// LateCommits is how many of the next commits drop the connection and take
+	// effect only LateMillis later.
+	LateCommits int `json:"lateCommits"`
+	LateMillis  int `json:"lateMillis"`
 	// FrozenList keeps the instance list as it is.
 	FrozenList bool `json:"frozenList"`
 }
@@ -101,9 +107,11 @@
 	if !decode(w, r, &tx) {
 		return
 	}
+	s.delayCommit(tx)
 	result := s.Table.Commit(tx)
 	s.mu.Lock()
 	s.counters.Commits++
+	hold := time.Duration(s.faults.HoldCommitMillis) * time.Millisecond
 	lose := s.faults.LoseAnswers > 0
 	if lose {
 		s.faults.LoseAnswers--
@@ -112,6 +120,7 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
+	time.Sleep(hold)
 	status := http.StatusOK
 	if result.Conflict != "" {
 		status = http.StatusConflict
@@ -119,6 +128,20 @@
 	encode(w, status, result)
 }
 
+// delayCommit drops the connection and commits later, if that fault is on.
+func (s *Server) delayCommit(tx Transaction) {
+	s.mu.Lock()
+	isLate, after := s.faults.LateCommits > 0, time.Duration(s.faults.LateMillis)*time.Millisecond
+	if isLate {
+		s.faults.LateCommits--
+	}
+	s.mu.Unlock()
+	if isLate {
+		time.AfterFunc(after, func() { s.Table.Commit(tx) })
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
 	var request struct{ Keys []string }
 	if !decode(w, r, &request) {
