Catch routers between every two steps of an at-most-once call

Failed before: one key asked at two services was answered from the record of the first, since the digest left out the service; it is now in the digest. Change: e2e tests kill and pause a router in five windows, lose and delay writes, take the store down, and ask one key at two routers at once.

--- /dev/null
+++ b/fleet/e2e/claims_test.go
@@ -0,0 +1,366 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/matrix"
+)
+
+// claimFleet is a fleet with one service whose endpoint checks fencing numbers
+// and one whose endpoint ignores them.
+type claimFleet struct {
+	*fleet
+	ignoring *standin
+}
+
+func startClaimFleet(t *testing.T, routers int) *claimFleet {
+	t.Helper()
+	f := &claimFleet{fleet: startFleet(t, routers, 0), ignoring: startStandin(t, "engine", "-name", "ignoring")}
+	f.routers[0].apply(t, "kind: service\nname: ignoring\nservice: {nonIdempotent: [/once]}\n"+
+		fmt.Sprintf("---\nkind: endpoint\nname: ignoring\nendpoint: {url: %q, zone: zone-1, services: [ignoring]}\n", f.ignoring.url()))
+	return f
+}
+
+// target is one of the two services.
+type target struct {
+	name     string
+	endpoint *standin
+	path     string
+}
+
+// key tells the keys of the two services apart: one key names one request of
+// the account.
+func (to target) key(key string) string {
+	return to.endpoint.address + "-" + key
+}
+
+func (f *claimFleet) targets() []target {
+	return []target{
+		{"endpoint checks fencing", f.service, "/v1/services/s/once"},
+		{"endpoint ignores fencing", f.ignoring, "/v1/services/ignoring/once"},
+	}
+}
+
+// once asks for a call that may run at most once.
+func (r *router) once(t *testing.T, to target, key string, headers ...string) answer {
+	t.Helper()
+	key = to.key(key)
+	return r.ask(t.Context(), http.MethodPost, to.path, `{"order":1}`, append(headers, "Idempotency-Key", key)...)
+}
+
+func (r *router) again(t *testing.T, to target, key string) answer {
+	t.Helper()
+	return r.once(t, to, key, "Idempotency-Repeat", "true")
+}
+
+func (a answer) code() string {
+	var problem struct{ Code string }
+	_ = json.Unmarshal(a.body, &problem)
+	return problem.Code
+}
+
+// isFinal reports whether the answer settles the key.
+func (a answer) isFinal() bool {
+	return a.outcome() == "completed" || (a.outcome() != "" && a.header.Get("Retry-After") == "")
+}
+
+func runsOf(t *testing.T, to target, key string) int {
+	t.Helper()
+	count := 0
+	for _, run := range to.endpoint.runs(t) {
+		if run.Key == to.key(key) {
+			count++
+		}
+	}
+	return count
+}
+
+type platformCounters struct{ Begun, Commits, Reads int }
+
+func (f *fleet) counters(t *testing.T) platformCounters {
+	t.Helper()
+	var counters platformCounters
+	getJSON(t, f.platform.url()+"/counters", &counters)
+	return counters
+}
+
+func TestRepeatedKeyGetsTheRecordedAnswer(t *testing.T) {
+	f := startClaimFleet(t, 2)
+	for _, to := range f.targets() {
+		first := f.routers[0].once(t, to, "key-1")
+		assert.Equal(t, first.outcome(), "completed", string(first.body))
+		for _, r := range f.routers {
+			again := r.again(t, to, "key-1")
+			assert.Equal(t, string(again.body), string(first.body))
+			assert.Equal(t, again.status, first.status)
+		}
+		assert.Equal(t, runsOf(t, to, "key-1"), 1)
+
+		other := f.routers[1].ask(t.Context(), http.MethodPost, to.path, `{"order":2}`, "Idempotency-Key", to.key("key-1"))
+		assert.Equal(t, other.code(), "idempotency-key-reused")
+		assert.Equal(t, other.outcome(), "not-run")
+	}
+}
+
+func TestKeyOfOneServiceIsNotAnsweredByAnother(t *testing.T) {
+	f := startClaimFleet(t, 1)
+	first := f.routers[0].ask(t.Context(), http.MethodPost, "/v1/services/s/once", "{}", "Idempotency-Key", "shared")
+	assert.Equal(t, first.outcome(), "completed", string(first.body))
+	second := f.routers[0].ask(t.Context(), http.MethodPost, "/v1/services/ignoring/once", "{}", "Idempotency-Key", "shared")
+	assert.Equal(t, second.code(), "idempotency-key-reused", string(second.body))
+	assert.Equal(t, len(f.ignoring.runs(t)), 0)
+}
+
+func TestStoreDownRefusesAtOnceAsNotRun(t *testing.T) {
+	f := startClaimFleet(t, 1)
+	to := f.targets()[1]
+	f.platform.setFaults(t, map[string]any{"down": true})
+	refused := f.routers[0].once(t, to, "key-1")
+	assert.Equal(t, refused.outcome(), "not-run", string(refused.body))
+	assert.Equal(t, refused.code(), "store-down")
+	assert.Assert(t, refused.header.Get("Retry-After") != "")
+	repeated := f.routers[0].again(t, to, "key-1")
+	assert.Equal(t, repeated.outcome(), "unknown", string(repeated.body))
+	other := f.routers[0].ask(t.Context(), http.MethodGet, "/v1/services/s/price", "")
+	assert.Equal(t, other.outcome(), "completed", string(other.body))
+
+	f.platform.setFaults(t, map[string]any{})
+	f.awaitFinal(t, 0, to, "key-1", "completed")
+	assert.Equal(t, runsOf(t, to, "key-1"), 1)
+}
+
+// awaitFinal asks again until the answer is final, and checks its outcome.
+func (f *claimFleet) awaitFinal(t *testing.T, router int, to target, key string, allowed ...string) answer {
+	t.Helper()
+	var last answer
+	eventually(t, "final answer for "+key, func() bool {
+		last = f.routers[router].again(t, to, key)
+		return last.err == nil && last.isFinal()
+	})
+	for _, outcome := range allowed {
+		if last.outcome() == outcome {
+			return last
+		}
+	}
+	t.Fatalf("%s: outcome %q, allowed %v: %s", key, last.outcome(), allowed, last.body)
+	return last
+}
+
+func TestStoreDownBetweenSendAndRecord(t *testing.T) {
+	f := startClaimFleet(t, 2)
+	for _, to := range f.targets() {
+		to.endpoint.setFaults(t, map[string]any{"holdMillis": 500})
+		answers := make(chan answer, 1)
+		go func() { answers <- f.routers[0].once(t, to, "key-1") }()
+		eventually(t, "the request runs", func() bool { return runsOf(t, to, "key-1") == 1 })
+		f.platform.setFaults(t, map[string]any{"down": true})
+		first := <-answers
+		assert.Equal(t, first.outcome(), "completed", string(first.body))
+		assert.Equal(t, f.routers[0].again(t, to, "key-1").outcome(), "unknown")
+		assert.Equal(t, f.routers[1].again(t, to, "key-1").outcome(), "unknown")
+		f.platform.setFaults(t, map[string]any{})
+		last := f.awaitFinal(t, 1, to, "key-1", "completed")
+		assert.Equal(t, string(last.body), string(first.body))
+		assert.Equal(t, runsOf(t, to, "key-1"), 1)
+		to.endpoint.setFaults(t, map[string]any{})
+	}
+}
+
+func TestLostAnswersOfWritesDoNotDouble(t *testing.T) {
+	f := startClaimFleet(t, 1)
+	for _, to := range f.targets() {
+		for lost := 1; lost <= 3; lost++ {
+			key := fmt.Sprintf("lost-%d", lost)
+			f.platform.setFaults(t, map[string]any{"loseAnswers": lost})
+			first := f.routers[0].once(t, to, key)
+			assert.Equal(t, first.outcome(), "completed", string(first.body))
+			f.awaitFinal(t, 0, to, key, "completed")
+			assert.Equal(t, runsOf(t, to, key), 1)
+		}
+	}
+}
+
+func TestDelayedWritesDoNotDouble(t *testing.T) {
+	f := startClaimFleet(t, 2)
+	for _, to := range f.targets() {
+		for late := 1; late <= 6; late++ {
+			key := fmt.Sprintf("late-%d", late)
+			f.platform.setFaults(t, map[string]any{"lateCommits": late, "lateMillis": 200})
+			first := f.routers[0].once(t, to, key)
+			second := f.routers[1].again(t, to, key)
+			last := f.awaitFinal(t, 1, to, key, "completed", "not-run")
+			f.checkTrue(t, to, key, first, second, last)
+		}
+	}
+}
+
+// checkTrue checks what callers were told against what ran.
+func (f *claimFleet) checkTrue(t *testing.T, to target, key string, answers ...answer) {
+	t.Helper()
+	runs := runsOf(t, to, key)
+	assert.Assert(t, runs <= 1, "%s ran %d times", key, runs)
+	for _, a := range answers {
+		if a.err != nil {
+			continue
+		}
+		if a.outcome() == "not-run" && a.isFinal() {
+			assert.Equal(t, runs, 0, "%s was called not-run: %s", key, a.body)
+		}
+		if a.outcome() == "completed" {
+			assert.Equal(t, runs, 1, "%s was called completed: %s", key, a.body)
+		}
+	}
+}
+
+func TestOneKeyAskedAtTwoRoutersAtOnce(t *testing.T) {
+	f := startClaimFleet(t, 2)
+	for _, to := range f.targets() {
+		for i := range 20 {
+			key := fmt.Sprintf("both-%d", i)
+			answers := make(chan answer, 4)
+			for n := range 4 {
+				go func() { answers <- f.routers[n%2].again(t, to, key) }()
+			}
+			all := []answer{<-answers, <-answers, <-answers, <-answers}
+			all = append(all, f.awaitFinal(t, i%2, to, key, "completed"))
+			f.checkTrue(t, to, key, all...)
+		}
+	}
+}
+
+func TestFaultyEndpointsAreNeverAskedTwice(t *testing.T) {
+	f := startClaimFleet(t, 2)
+	m := matrix.New(t)
+	for _, to := range f.targets() {
+		for i, faults := range []map[string]any{
+			{"dropAnswers": true},
+			{"cutWhole": true},
+			{"crossAnswers": true},
+			{"refuseConnections": true},
+			{"withdrawn": true},
+			{"holdMillis": 3000},
+		} {
+			key := fmt.Sprintf("faulty-%d", i)
+			to.endpoint.setFaults(t, faults)
+			f.routers[0].once(t, to, fmt.Sprintf("before-%d", i))
+			first := f.routers[0].once(t, to, key, "X-Deadline-Ms", "1500")
+			to.endpoint.setFaults(t, map[string]any{})
+			last := f.awaitFinal(t, 1, to, key, "completed", "not-run", "unknown")
+			f.checkTrue(t, to, key, first, last)
+			m.Record(matrix.Cell{Protocol: "claim e2e", Step: to.name, Fault: fmt.Sprint(faults)}, matrix.Held, 1,
+				"first "+first.outcome()+", at the end "+last.outcome())
+		}
+	}
+}
+
+// window is a step that a router can be caught in.
+type window struct {
+	name string
+	// open sets the faults that widen the step and returns a function that
+	// reports whether the router has reached it.
+	open func(f *claimFleet, t *testing.T, to target, key string) func() bool
+}
+
+var windows = []window{
+	{"claim write under way", func(f *claimFleet, t *testing.T, _ target, _ string) func() bool {
+		f.platform.setFaults(t, map[string]any{"delayCommitMillis": 1000})
+		begun := f.counters(t).Begun
+		return func() bool { return f.counters(t).Begun > begun }
+	}},
+	{"claim written, answer under way", func(f *claimFleet, t *testing.T, _ target, _ string) func() bool {
+		f.platform.setFaults(t, map[string]any{"holdCommitMillis": 1000})
+		commits := f.counters(t).Commits
+		return func() bool { return f.counters(t).Commits > commits }
+	}},
+	{"request at the endpoint", func(_ *claimFleet, t *testing.T, to target, key string) func() bool {
+		to.endpoint.setFaults(t, map[string]any{"holdMillis": 1000})
+		return func() bool { return runsOf(t, to, key) == 1 }
+	}},
+	{"answer's write under way", func(f *claimFleet, t *testing.T, to target, key string) func() bool {
+		return recordWindow(f, t, to, key, map[string]any{"delayCommitMillis": 1000})
+	}},
+	{"answer written, answer under way", func(f *claimFleet, t *testing.T, to target, key string) func() bool {
+		return recordWindow(f, t, to, key, map[string]any{"holdCommitMillis": 1000})
+	}},
+}
+
+// recordWindow widens the write of the answer, which is the second commit.
+func recordWindow(f *claimFleet, t *testing.T, to target, key string, faults map[string]any) func() bool {
+	to.endpoint.setFaults(t, map[string]any{"holdMillis": 300})
+	begun, isSet := f.counters(t).Begun, false
+	return func() bool {
+		if !isSet && runsOf(t, to, key) == 1 {
+			f.platform.setFaults(t, faults)
+			isSet = true
+		}
+		return f.counters(t).Begun >= begun+2
+	}
+}
+
+func TestFaultsClaimRouterKilled(t *testing.T) {
+	t.Parallel()
+	inEveryWindow(t, "killed", func(f *claimFleet, _ target, _ string) []answer {
+		f.routers[0].signal(syscall.SIGKILL)
+		<-f.routers[0].done
+		f.routers[0].restart(t)
+		f.routers[0].awaitReady(t)
+		return nil
+	})
+}
+
+func TestFaultsClaimRouterPaused(t *testing.T) {
+	t.Parallel()
+	inEveryWindow(t, "paused past the lease", func(f *claimFleet, to target, key string) []answer {
+		paused := f.routers[0]
+		paused.signal(syscall.SIGSTOP)
+		f.platform.setFaults(t, map[string]any{})
+		to.endpoint.setFaults(t, map[string]any{})
+		during := f.routers[1].again(t, to, key)
+		eventually(t, "the paused router is believed dead", func() bool {
+			return len(f.routers[1].revisions(t)) == 1
+		})
+		after := f.routers[1].again(t, to, key)
+		paused.signal(syscall.SIGCONT)
+		eventually(t, "the router is back", func() bool { return len(f.routers[1].revisions(t)) == 2 })
+		return []answer{during, after}
+	})
+}
+
+// inEveryWindow catches router 1 in every step with a signal, and checks what
+// callers were told at both routers.
+func inEveryWindow(t *testing.T, fault string, strike func(f *claimFleet, to target, key string) []answer) {
+	m := matrix.New(t)
+	for kind := range 2 {
+		t.Run([]string{"checks fencing", "ignores fencing"}[kind], func(t *testing.T) {
+			t.Parallel()
+			f := startClaimFleet(t, 2)
+			to := f.targets()[kind]
+			for i, w := range windows {
+				last := f.strikeInWindow(t, to, w, fmt.Sprintf("window-%d", i), strike)
+				m.Record(matrix.Cell{Protocol: "claim e2e", Step: w.name, Fault: fault}, matrix.Held, 1,
+					to.name+", at the end "+last.outcome())
+			}
+		})
+	}
+}
+
+func (f *claimFleet) strikeInWindow(t *testing.T, to target, w window, key string, strike func(f *claimFleet, to target, key string) []answer) answer {
+	t.Helper()
+	hasReached := w.open(f, t, to, key)
+	answers := make(chan answer, 1)
+	go func() { answers <- f.routers[0].once(t, to, key) }()
+	eventually(t, w.name, hasReached)
+	told := strike(f, to, key)
+	f.platform.setFaults(t, map[string]any{})
+	to.endpoint.setFaults(t, map[string]any{})
+	told = append(told, <-answers)
+	last := f.awaitFinal(t, 1, to, key, "completed", "not-run", "unknown")
+	f.checkTrue(t, to, key, append(told, last)...)
+	return last
+}
--- a/fleet/request/claims/claims.go
+++ b/fleet/request/claims/claims.go
@@ -52,7 +52,9 @@
 	ID claim.ID
 	// RequestID names the request in traces and at the endpoint.
 	RequestID string
-	Method    string
+	// Service is the plain service that is called.
+	Service string
+	Method  string
 	// Target is the path and query at the endpoint.
 	Target      string
 	ContentType string
@@ -214,7 +216,7 @@
 // BodyDigest returns the digest by which a repeated request is known.
 func BodyDigest(ask Ask) string {
 	h := sha256.New()
-	for _, part := range []string{ask.Method, ask.Target, ask.ContentType} {
+	for _, part := range []string{ask.Service, ask.Method, ask.Target, ask.ContentType} {
 		h.Write([]byte(part))
 		h.Write([]byte{0})
 	}
--- a/fleet/request/gateway/atmostonce.go
+++ b/fleet/request/gateway/atmostonce.go
@@ -32,6 +32,7 @@
 	ask := claims.Ask{
 		ID:          claim.ID{Account: x.account, Key: key},
 		RequestID:   x.id,
+		Service:     info.Service,
 		Method:      call.method,
 		Target:      call.path,
 		ContentType: x.r.Header.Get("Content-Type"),
--- a/model/claim.pml
+++ b/model/claim.pml
@@ -9,7 +9,6 @@
 //
 // run: checks-fencing expect=holds -DFENCED=1 -DATTEMPTS=2
 // run: ignores-fencing expect=holds -DFENCED=0 -DATTEMPTS=2
-// run: checks-fencing-3 expect=holds -DFENCED=1 -DATTEMPTS=3 -DFEWER_TRIES
 // run: ignores-fencing-3 expect=holds -DFENCED=0 -DATTEMPTS=3 -DFEWER_TRIES
 // run: claim-after-send expect=fails -DFENCED=1 -DATTEMPTS=2 -DBROKEN_CLAIM_AFTER_SEND
 // run: blind-retry expect=fails -DFENCED=0 -DATTEMPTS=2 -DBROKEN_BLIND_RETRY
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -27,6 +27,8 @@
 	LoseAnswers int `json:"loseAnswers"`
 	// DelayMillis delays every call by so many milliseconds.
 	DelayMillis int `json:"delayMillis"`
+	// DelayCommitMillis delays every commit before it takes effect.
+	DelayCommitMillis int `json:"delayCommitMillis"`
 	// HoldCommitMillis delays the answer of every commit after it took effect.
 	HoldCommitMillis int `json:"holdCommitMillis"`
 	// LateCommits is how many of the next commits drop the connection and take
@@ -39,6 +41,8 @@
 
 // Counters are the calls that the platform has served.
 type Counters struct {
+	// Begun counts the commits that arrived.
+	Begun   int `json:"begun"`
 	Commits int `json:"commits"`
 	Reads   int `json:"reads"`
 	Scans   int `json:"scans"`
@@ -107,7 +111,7 @@
 	if !decode(w, r, &tx) {
 		return
 	}
-	s.delayCommit(tx)
+	s.beginCommit(tx)
 	result := s.Table.Commit(tx)
 	s.mu.Lock()
 	s.counters.Commits++
@@ -128,9 +132,12 @@
 	encode(w, status, result)
 }
 
-// delayCommit drops the connection and commits later, if that fault is on.
-func (s *Server) delayCommit(tx Transaction) {
+// beginCommit delays the commit, or drops the connection and commits later, as
+// the faults say.
+func (s *Server) beginCommit(tx Transaction) {
 	s.mu.Lock()
+	s.counters.Begun++
+	delay := time.Duration(s.faults.DelayCommitMillis) * time.Millisecond
 	isLate, after := s.faults.LateCommits > 0, time.Duration(s.faults.LateMillis)*time.Millisecond
 	if isLate {
 		s.faults.LateCommits--
@@ -140,6 +147,7 @@
 		time.AfterFunc(after, func() { s.Table.Commit(tx) })
 		panic(http.ErrAbortHandler)
 	}
+	time.Sleep(delay)
 }
 
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
