--- /dev/null
+++ b/fleet/cmd/gentianheadctl/claims.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+
+	"gentianhead/core/request/claim"
+	"gentianhead/fleet/request/admin"
+)
+
+func (c *commands) claimsCommand() *ff.Command {
+	return &ff.Command{
+		Name:      "claims",
+		Usage:     "gentianheadctl claims ACCOUNT",
+		ShortHelp: "list at-most-once requests of an account whose outcome is open",
+		Flags:     ff.NewFlagSet("claims").SetParent(c.flags),
+		Exec:      c.claims,
+	}
+}
+
+type settleOptions struct {
+	operator      *string
+	senderStopped *bool
+}
+
+func (c *commands) settleCommand() *ff.Command {
+	flags := ff.NewFlagSet("settle").SetParent(c.flags)
+	options := settleOptions{
+		operator:      flags.StringLong("operator", "", "who settles, for the record"),
+		senderStopped: flags.BoolLong("sender-stopped", "required for not-run: the endpoint's books show no run, and the router that held the claim has stopped"),
+	}
+	return &ff.Command{
+		Name:      "settle",
+		Usage:     "gentianheadctl settle --operator NAME [--sender-stopped] ACCOUNT KEY completed|not-run",
+		ShortHelp: "record what became of an at-most-once request",
+		LongHelp:  "DANGER: settling as not-run lets the caller order again. Read docs/operators/claims.md first.",
+		Flags:     flags,
+		Exec:      c.settleExec(options),
+	}
+}
+
+func (c *commands) claims(ctx context.Context, args []string) error {
+	if len(args) != 1 {
+		return errors.New("claims needs ACCOUNT")
+	}
+	var answer struct {
+		Items []admin.ClaimBody `json:"items"`
+	}
+	if err := c.operate(ctx, http.MethodGet, "/v1/claims?account="+url.QueryEscape(args[0]), nil, nil, &answer); err != nil {
+		return err
+	}
+	if *c.output != "table" {
+		return c.printEncoded(answer)
+	}
+	for _, item := range answer.Items {
+		fmt.Fprintf(c.stdout, "%s\t%s\t%s\t%s\t%s\n", item.Key, item.State, item.CreatedAt.Format(time.RFC3339), item.Endpoint, item.Holder)
+	}
+	return nil
+}
+
+func (c *commands) settleExec(options settleOptions) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if len(args) != 3 {
+			return errors.New("settle needs ACCOUNT, KEY and completed or not-run")
+		}
+		body := admin.SettleBody{
+			Account: args[0], Key: args[1], State: claim.State(args[2]),
+			Operator: *options.operator, SenderStopped: *options.senderStopped,
+		}
+		var settled admin.ClaimBody
+		if err := c.operate(ctx, http.MethodPost, "/v1/claims/settle", nil, body, &settled); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(c.stdout, "%s %s is %s\n", settled.Account, settled.Key, settled.State)
+		return err
+	}
+}
--- a/fleet/cmd/gentianheadctl/commands.go
+++ b/fleet/cmd/gentianheadctl/commands.go
@@ -48,6 +48,8 @@
 			c.statusCommand(),
 			c.entryCommand(),
 			c.callCommand(),
+			c.claimsCommand(),
+			c.settleCommand(),
 		},
 	}
 }
--- a/fleet/e2e/claims_test.go
+++ b/fleet/e2e/claims_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -364,3 +365,26 @@
 	f.checkTrue(t, to, key, append(told, last)...)
 	return last
 }
+
+func TestOperatorSettlesAnUnknownClaim(t *testing.T) {
+	f := startClaimFleet(t, 1)
+	to, r := f.targets()[1], f.routers[0]
+	for _, settled := range []struct{ key, state, outcome string }{
+		{"ran", "completed", "completed"}, {"lost", "not-run", "not-run"},
+	} {
+		to.endpoint.setFaults(t, map[string]any{"refuseConnections": settled.state == "not-run", "dropAnswers": true})
+		assert.Equal(t, r.once(t, to, settled.key).outcome(), "unknown")
+		listed, err := r.ctl(t, "", "claims", "a")
+		assert.NilError(t, err, listed)
+		assert.Assert(t, strings.Contains(listed, to.key(settled.key)+"\tunknown"), listed)
+
+		refused, err := r.ctl(t, "", "settle", "--operator", "clerk", "a", to.key(settled.key), "not-run")
+		assert.Assert(t, err != nil, refused)
+		output, err := r.ctl(t, "", "settle", "--operator", "clerk", "--sender-stopped", "a", to.key(settled.key), settled.state)
+		assert.NilError(t, err, output)
+		again := r.again(t, to, settled.key)
+		assert.Equal(t, again.outcome(), settled.outcome, string(again.body))
+		output, err = r.ctl(t, "", "settle", "--operator", "clerk", "--sender-stopped", "a", to.key(settled.key), "not-run")
+		assert.Assert(t, err != nil, "settled twice: %s", output)
+	}
+}
--- a/fleet/process/node/inject.go
+++ b/fleet/process/node/inject.go
@@ -68,6 +68,7 @@
 	do.Provide(injector, func(i do.Injector) (*peer.Server, error) {
 		server := peer.NewServer([]byte(keys.fleetKey), telemetry.Part(logger, "peer"))
 		do.MustInvoke[*control.Loop](i).Register(server)
+		do.MustInvoke[*claims.Manager](i).Register(server)
 		return server, nil
 	})
 	do.Provide(injector, func(i do.Injector) (*claims.Manager, error) {
@@ -75,6 +76,7 @@
 		return claims.New(claims.Options{
 			Self:        own,
 			Store:       do.MustInvoke[*platform.Client](i),
+			Peers:       do.MustInvoke[*peer.Pool](i),
 			Engine:      engine.NewSingleUseClient(),
 			View:        func() *membership.View { return loop.State().View },
 			SendTimeout: s.Limits.RequestDeadline,
@@ -95,6 +97,7 @@
 		return admin.Options{
 			Control: do.MustInvoke[*control.Loop](i),
 			Desired: do.MustInvoke[*desired.Store](i),
+			Table:   do.MustInvoke[*platform.Client](i),
 			Token:   keys.operatorToken,
 			Log:     telemetry.Part(logger, "admin"),
 		}, nil
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -90,6 +90,7 @@
 	defer stopLoop()
 	running.Store(n.control)
 	go n.control.Run(loopCtx)
+	go n.claims.Sweep(loopCtx)
 	go n.peers.Serve(n.listeners.peers)
 	failed := make(chan error, 2)
 	go func() { failed <- n.callers.Serve(n.listeners.callers) }()
--- a/fleet/request/admin/admin.go
+++ b/fleet/request/admin/admin.go
@@ -26,6 +26,8 @@
 type Options struct {
 	Control *control.Loop
 	Desired *desired.Store
+	// Table holds the claims of at-most-once requests.
+	Table platform.Table
 	// Token is the operators' bearer token.
 	Token string
 	Log   *slog.Logger
@@ -65,6 +67,7 @@
 		OperationID: "get-status", Method: http.MethodGet, Path: "/v1/status",
 		Summary: "Show which revision is in force on which router",
 	}, a.status)
+	a.registerClaims(h)
 	return requireToken(options.Token, mux)
 }
 
--- a/fleet/request/claims/claims.go
+++ b/fleet/request/claims/claims.go
@@ -23,6 +23,7 @@
 	"gentianhead/core/request/claim"
 	"gentianhead/core/request/outcome"
 	"gentianhead/fleet/connection/engine"
+	"gentianhead/fleet/connection/peer"
 	"gentianhead/fleet/connection/platform"
 	"gentianhead/fleet/process/telemetry"
 )
@@ -38,6 +39,8 @@
 type Options struct {
 	Self  membership.Router
 	Store Store
+	// Peers reach the router that commits for the fleet.
+	Peers Caller
 	// Engine sends to endpoints; it never sends a request twice.
 	Engine *engine.Client
 	// View returns the routers that are believed live.
@@ -74,9 +77,11 @@
 type Manager struct {
 	options Options
 	holder  string
-	writer  *Writer
-	tracer  trace.Tracer
-	recent  *recentKeys
+	// writer takes the writes of this router, and direct those that it commits.
+	writer, direct *Writer
+	relay          *relay
+	tracer         trace.Tracer
+	recent         *recentKeys
 
 	mu       sync.Mutex
 	inFlight map[claim.ID]struct{}
@@ -92,7 +97,9 @@
 		recent:   newRecentKeys(),
 		inFlight: make(map[claim.ID]struct{}),
 	}
-	m.writer = NewWriter(TableSink(options.Store))
+	m.direct = NewWriter(TableSink(options.Store), time.Second/CommitBudget)
+	m.relay = &relay{self: options.Self, view: options.View, peers: options.Peers, direct: m.direct, rate: &rowRate{}}
+	m.writer = NewWriter(m.relay.sink, 0)
 	return m
 }
 
@@ -211,6 +218,12 @@
 		m.options.Log.Error("Stopped with claims that are not recorded.")
 	}
 	m.writer.Close()
+	m.direct.Close()
+}
+
+// Register sets the handler of the calls of other routers.
+func (m *Manager) Register(server *peer.Server) {
+	server.Register(TypeWrites, peer.Handle(m.relay.answer))
 }
 
 // BodyDigest returns the digest by which a repeated request is known.
--- /dev/null
+++ b/fleet/request/claims/send_test.go
@@ -0,0 +1,172 @@
+package claims
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/process/membership"
+	"gentianhead/core/request/claim"
+	"gentianhead/core/request/outcome"
+	"gentianhead/fleet/connection/engine"
+)
+
+// objectTable adds an object store in memory to a fakeTable.
+type objectTable struct {
+	*fakeTable
+	objects map[string][]byte
+}
+
+func (o *objectTable) PutObject(_ context.Context, name string, value []byte) error {
+	o.objects[name] = value
+	return nil
+}
+
+func (o *objectTable) GetObject(_ context.Context, name string, value any) error {
+	return json.Unmarshal(o.objects[name], value)
+}
+
+func newTestManager(t *testing.T, table *fakeTable) (*Manager, *objectTable) {
+	t.Helper()
+	store := &objectTable{fakeTable: table, objects: make(map[string][]byte)}
+	m := New(Options{
+		Self:        membership.Router{Instance: "router-1", Incarnation: 1},
+		Store:       store,
+		Engine:      engine.NewSingleUseClient(),
+		View:        func() *membership.View { return &membership.View{} },
+		SendTimeout: 30 * time.Second,
+		Log:         slog.New(slog.DiscardHandler),
+	})
+	t.Cleanup(func() { m.Close(context.Background()) })
+	return m, store
+}
+
+func newAsk(method, url, key string, body []byte) Ask {
+	return Ask{
+		ID: claim.ID{Account: "a", Key: key}, RequestID: "id", Service: "s", Method: method, Target: "/once", Body: body,
+		Endpoint: "endpoint", EndpointURL: url, Done: func() {},
+	}
+}
+
+// closingServer reads each request and closes the connection without an answer.
+// With keepFirst it answers the first request on each connection.
+func closingServer(t *testing.T, keepFirst bool) (string, *atomic.Int32) {
+	t.Helper()
+	var requests atomic.Int32
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if count := requests.Add(1); keepFirst && count == 1 {
+			w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+			return
+		}
+		panic(http.ErrAbortHandler)
+	})
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.URL, &requests
+}
+
+// net/http sends a request with an Idempotency-Key again by itself when a kept
+// connection breaks and the body can be rewound or is empty.
+func TestPlainClientSendsAgain(t *testing.T) {
+	url, requests := closingServer(t, true)
+	client := &http.Client{Transport: &http.Transport{}}
+	for range 2 {
+		request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte("order")))
+		assert.NilError(t, err)
+		request.Header.Set(engine.HeaderKey, "key")
+		if response, err := client.Do(request); err == nil {
+			_ = response.Body.Close()
+		}
+	}
+	assert.Assert(t, requests.Load() > 2, "%d requests for 2 calls", requests.Load())
+}
+
+func TestRequestIsSentOnce(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodPut} {
+		for _, body := range [][]byte{nil, []byte("order")} {
+			for _, keepFirst := range []bool{false, true} {
+				url, requests := closingServer(t, keepFirst)
+				m, _ := newTestManager(t, newFakeTable())
+				first := m.Do(t.Context(), newAsk(method, url, "key-1", body))
+				second := m.Do(t.Context(), newAsk(method, url, "key-2", body))
+				assert.Equal(t, first.Outcome == outcome.Completed, keepFirst)
+				assert.Equal(t, second.Outcome, outcome.Unknown)
+				assert.Equal(t, requests.Load(), int32(2), "%s with %d bytes", method, len(body))
+			}
+		}
+	}
+}
+
+func TestUnreachableEndpointIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	m, _ := newTestManager(t, newFakeTable())
+	verdict := m.Do(t.Context(), newAsk(http.MethodPost, "http://"+listener.Addr().String(), "key", nil))
+	assert.Equal(t, verdict.Outcome, outcome.NotRun)
+	assert.Assert(t, verdict.IsFinal)
+}
+
+func TestLargeAnswerIsRecordedInTheObjectStore(t *testing.T) {
+	large := bytes.Repeat([]byte("x"), MaxRowAnswerBytes+1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+		_, _ = w.Write(large)
+	}))
+	defer server.Close()
+	m, store := newTestManager(t, newFakeTable())
+	for range 2 {
+		verdict := m.Do(t.Context(), newAsk(http.MethodPost, server.URL, "key", nil))
+		assert.Equal(t, verdict.Outcome, outcome.Completed)
+		assert.DeepEqual(t, verdict.Answer.Body, large)
+	}
+	assert.Equal(t, len(store.objects), 1)
+	rows, err := store.Read(t.Context(), RowKey(claim.ID{Account: "a", Key: "key"}))
+	assert.NilError(t, err)
+	assert.Assert(t, len(rows[0].Value) < MaxRowAnswerBytes)
+}
+
+func TestRequestGoesOnWithoutItsCaller(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-release
+		w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+	}))
+	defer server.Close()
+	m, _ := newTestManager(t, newFakeTable())
+	ctx, cancel := context.WithCancel(t.Context())
+	answered := make(chan claim.Verdict)
+	go func() { answered <- m.Do(ctx, newAsk(http.MethodPost, server.URL, "key", nil)) }()
+	<-arrived
+	cancel()
+	assert.Equal(t, (<-answered).Outcome, outcome.Unknown)
+	close(release)
+	m.wg.Wait()
+	again := m.Do(t.Context(), newAsk(http.MethodPost, server.URL, "key", nil))
+	assert.Equal(t, again.Outcome, outcome.Completed)
+}
+
+func TestKeyOutsideTheRetentionIsRefused(t *testing.T) {
+	m, _ := newTestManager(t, newFakeTable())
+	// A UUID of version 7 made in 2001.
+	old := m.Do(t.Context(), newAsk(http.MethodPost, "http://127.0.0.1:1", "00e95f1e-3c00-7000-8000-000000000000", nil))
+	assert.Equal(t, old.Outcome, outcome.Unknown)
+	assert.Equal(t, old.Problem.Code, outcome.CodeKeyExpired)
+	// One made in the year 10889.
+	ahead := m.Do(t.Context(), newAsk(http.MethodPost, "http://127.0.0.1:1", "ffffffff-ffff-7000-8000-000000000000", nil))
+	assert.Equal(t, ahead.Problem.Code, outcome.CodeBadRequest)
+}
--- /dev/null
+++ b/fleet/request/claims/sweep_test.go
@@ -0,0 +1,79 @@
+package claims
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/request/claim"
+	"gentianhead/core/request/outcome"
+)
+
+// keyMadeAt returns a UUID of version 7.
+func keyMadeAt(at time.Time, number int) string {
+	millis := at.UnixMilli()
+	return fmt.Sprintf("%08x-%04x-7000-8000-%012x", millis>>16, millis&0xffff, number)
+}
+
+func storeRow(t *testing.T, table *fakeTable, key string, state claim.State, created time.Time) {
+	t.Helper()
+	row := claim.Row{State: state, Key: key, CreatedMs: created.UnixMilli(), BodySHA256: BodyDigest(newAsk("POST", "", key, nil))}
+	if state == claim.StateCompleted {
+		row.Answer = &claim.Answer{Status: 200, Body: []byte("answer")}
+	}
+	value, err := json.Marshal(row)
+	assert.NilError(t, err)
+	TableSink(table)([]Write{{Key: RowKey(claim.ID{Account: "a", Key: key}), Value: value}})
+}
+
+func (f *fakeTable) has(key string) bool {
+	return f.Table.Read([]string{RowKey(claim.ID{Account: "a", Key: key})})[0].Version != 0
+}
+
+func TestSweepNeverLetsAKeyRunAgain(t *testing.T) {
+	table := newFakeTable()
+	m, _ := newTestManager(t, table)
+	now := time.Now()
+	old := now.Add(-claim.DeleteAfter - time.Hour)
+	oldUUID, newUUID, openUUID := keyMadeAt(old, 1), keyMadeAt(now.Add(-time.Hour), 2), keyMadeAt(old, 3)
+	storeRow(t, table, oldUUID, claim.StateCompleted, old)
+	storeRow(t, table, newUUID, claim.StateCompleted, now.Add(-time.Hour))
+	storeRow(t, table, openUUID, claim.StateUnknown, old)
+	storeRow(t, table, "no-time", claim.StateCompleted, old)
+
+	for after := m.sweepPage(t.Context(), "", now); after != ""; after = m.sweepPage(t.Context(), after, now) {
+	}
+	assert.Assert(t, !table.has(oldUUID))
+	assert.Assert(t, table.has(newUUID))
+	assert.Assert(t, table.has(openUUID), "an open claim is kept until it is settled")
+	assert.Assert(t, table.has("no-time"), "a key without a time stays known")
+
+	// None of them runs again: nothing listens at the endpoint, so that a
+	// send would be told as not-run.
+	for key, want := range map[string]outcome.Outcome{
+		oldUUID: outcome.Unknown, newUUID: outcome.Completed, openUUID: outcome.Unknown, "no-time": outcome.Completed,
+	} {
+		verdict := m.Do(t.Context(), newAsk("POST", "http://127.0.0.1:1", key, nil))
+		assert.Equal(t, verdict.Outcome, want, key)
+	}
+}
+
+func TestSweepDeletesInBatches(t *testing.T) {
+	table := newFakeTable()
+	m, _ := newTestManager(t, table)
+	now := time.Now()
+	old := now.Add(-claim.DeleteAfter - time.Hour)
+	const rows = 1200
+	for i := range rows {
+		storeRow(t, table, keyMadeAt(old, i), claim.StateCompleted, old)
+	}
+	table.commits = 0
+	for after := m.sweepPage(t.Context(), "", now); after != ""; after = m.sweepPage(t.Context(), after, now) {
+	}
+	assert.Equal(t, len(table.Table.Scan(RowPrefix, "", 0)), 0)
+	t.Logf("%d rows deleted in %d commits", rows, table.commits)
+	assert.Assert(t, table.commits <= rows/maxSweepBatch+3, "%d commits", table.commits)
+}
--- a/fleet/request/claims/writer.go
+++ b/fleet/request/claims/writer.go
@@ -14,9 +14,6 @@
 	maxBatch = 256
 	// maxQueue is how many writes may wait; one more is refused at once.
 	maxQueue = 2048
-	// minCommitInterval is the least time between the starts of two
-	// transactions, which bounds a router to 75 a second.
-	minCommitInterval = time.Second / 75
 )
 
 // writesRefused counts the writes that found the queue full.
@@ -42,18 +39,21 @@
 // Writer groups compare-and-sets into batches, at most one of which is under
 // way. It is safe for concurrent use.
 type Writer struct {
-	sink    Sink
-	queue   chan pendingWrite
-	stop    chan struct{}
-	stopped sync.WaitGroup
+	sink Sink
+	// interval is the least time between the starts of two batches.
+	interval time.Duration
+	queue    chan pendingWrite
+	stop     chan struct{}
+	stopped  sync.WaitGroup
 	// held are writes that wait for the next transaction because their row is
 	// in this one. Only the writer's goroutine uses it.
 	held []pendingWrite
 }
 
-// NewWriter returns a writer into sink; Close ends it.
-func NewWriter(sink Sink) *Writer {
-	w := &Writer{sink: sink, queue: make(chan pendingWrite, maxQueue), stop: make(chan struct{})}
+// NewWriter returns a writer into sink that starts a batch at most once an
+// interval; Close ends it.
+func NewWriter(sink Sink, interval time.Duration) *Writer {
+	w := &Writer{sink: sink, interval: interval, queue: make(chan pendingWrite, maxQueue), stop: make(chan struct{})}
 	w.stopped.Add(1)
 	go w.loop()
 	return w
@@ -67,14 +67,31 @@
 
 // Do writes one row and returns Committed, Conflicted, WriteRefused or WriteLost.
 func (w *Writer) Do(write Write) claim.Event {
+	return <-w.enqueue(write)
+}
+
+// DoAll is Do for several rows at once.
+func (w *Writer) DoAll(writes []Write) []claim.Event {
+	results := make([]<-chan claim.Event, len(writes))
+	for i, write := range writes {
+		results[i] = w.enqueue(write)
+	}
+	events := make([]claim.Event, len(writes))
+	for i, result := range results {
+		events[i] = <-result
+	}
+	return events
+}
+
+func (w *Writer) enqueue(write Write) <-chan claim.Event {
 	pending := pendingWrite{Write: write, result: make(chan claim.Event, 1)}
 	select {
 	case w.queue <- pending:
-		return <-pending.result
 	default:
 		writesRefused.Add(1)
-		return claim.WriteRefused{}
+		pending.result <- claim.WriteRefused{}
 	}
+	return pending.result
 }
 
 func (w *Writer) loop() {
@@ -85,7 +102,7 @@
 		if !ok {
 			return
 		}
-		if wait := minCommitInterval - time.Since(last); wait > 0 {
+		if wait := w.interval - time.Since(last); wait > 0 {
 			time.Sleep(wait)
 			batch = w.fill(batch)
 		}
--- /dev/null
+++ b/fleet/request/claims/writer_test.go
@@ -0,0 +1,148 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/request/claim"
+	"gentianhead/fleet/connection/platform"
+	standin "gentianhead/standin/platform"
+)
+
+// fakeTable is a table in memory whose commits can fail.
+type fakeTable struct {
+	*standin.Table
+	commits int
+	fail    func(commit int) error
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{Table: standin.NewTable(), fail: func(int) error { return nil }}
+}
+
+func (f *fakeTable) Commit(_ context.Context, tx platform.Transaction) (platform.CommitResult, error) {
+	f.commits++
+	if err := f.fail(f.commits); err != nil {
+		return platform.CommitResult{}, err
+	}
+	request := standin.Transaction{}
+	for _, check := range tx.Checks {
+		request.Checks = append(request.Checks, standin.Check(check))
+	}
+	for _, put := range tx.Puts {
+		request.Puts = append(request.Puts, standin.Put(put))
+	}
+	return platform.CommitResult(f.Table.Commit(request)), nil
+}
+
+func (f *fakeTable) Read(_ context.Context, keys ...string) ([]platform.Row, error) {
+	return toRows(f.Table.Read(keys)), nil
+}
+
+func (f *fakeTable) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	return toRows(f.Table.Scan(prefix, after, limit)), nil
+}
+
+func toRows(rows []standin.Row) []platform.Row {
+	list := make([]platform.Row, len(rows))
+	for i, row := range rows {
+		list[i] = platform.Row(row)
+	}
+	return list
+}
+
+func rowWrite(key string, version uint64) Write {
+	return Write{Key: key, Value: []byte(key), Version: version}
+}
+
+func TestConflictFailsNoOtherWriteOfTheBatch(t *testing.T) {
+	table := newFakeTable()
+	TableSink(table)([]Write{rowWrite("taken-1", 0), rowWrite("taken-2", 0)})
+	events := TableSink(table)([]Write{rowWrite("a", 0), rowWrite("taken-1", 0), rowWrite("b", 0), rowWrite("taken-2", 0)})
+	assert.DeepEqual(t, events, []claim.Event{
+		claim.Committed{Version: 2}, claim.Conflicted{}, claim.Committed{Version: 2}, claim.Conflicted{},
+	})
+}
+
+func TestFailedCommitIsRefusedOrLostForTheWholeBatch(t *testing.T) {
+	for _, failure := range []struct {
+		err  error
+		want claim.Event
+	}{
+		{platform.ErrRefused, claim.WriteRefused{}},
+		{platform.ErrAnswerLost, claim.WriteLost{}},
+		{errors.New("anything else"), claim.WriteLost{}},
+	} {
+		table := newFakeTable()
+		table.fail = func(int) error { return failure.err }
+		events := TableSink(table)([]Write{rowWrite("a", 0), rowWrite("b", 0)})
+		assert.DeepEqual(t, events, []claim.Event{failure.want, failure.want})
+	}
+}
+
+// A table service that checks all conditions before it writes lets two writes
+// of one row in one transaction pass both, so that both writers would send.
+func TestTwoWritesOfOneRowInOneTransactionBothPass(t *testing.T) {
+	events := TableSink(newFakeTable())([]Write{rowWrite("a", 0), rowWrite("a", 0)})
+	assert.DeepEqual(t, events, []claim.Event{claim.Committed{Version: 1}, claim.Committed{Version: 1}})
+}
+
+func TestWriterPutsARowIntoABatchOnce(t *testing.T) {
+	table := newFakeTable()
+	w := NewWriter(TableSink(table), time.Second/CommitBudget)
+	defer w.Close()
+	const writers = 50
+	events := make(chan claim.Event, writers)
+	for range writers {
+		go func() { events <- w.Do(rowWrite("a", 0)) }()
+	}
+	committed := 0
+	for range writers {
+		if _, ok := (<-events).(claim.Committed); ok {
+			committed++
+		}
+	}
+	assert.Equal(t, committed, 1)
+}
+
+func TestWriterGroupsConcurrentWrites(t *testing.T) {
+	table := newFakeTable()
+	w := NewWriter(TableSink(table), time.Second/CommitBudget)
+	defer w.Close()
+	const writers = 200
+	events := make(chan claim.Event, writers)
+	for i := range writers {
+		go func() { events <- w.Do(rowWrite(fmt.Sprint(i), 0)) }()
+	}
+	for range writers {
+		_, ok := (<-events).(claim.Committed)
+		assert.Assert(t, ok)
+	}
+	t.Logf("%d writes in %d commits", writers, table.commits)
+	assert.Assert(t, table.commits < writers/4, "%d commits", table.commits)
+}
+
+func TestWriterRefusesWhenTheQueueIsFull(t *testing.T) {
+	release := make(chan struct{})
+	w := NewWriter(func(writes []Write) []claim.Event {
+		<-release
+		events := make([]claim.Event, len(writes))
+		settlePending(events, claim.WriteRefused{})
+		return events
+	}, 0)
+	defer w.Close()
+	defer close(release)
+	for range cap(w.queue) + 2*maxBatch {
+		go w.Do(rowWrite("a", 0))
+	}
+	for len(w.queue) < cap(w.queue) {
+		runtime.Gosched()
+	}
+	assert.DeepEqual(t, w.Do(rowWrite("b", 0)), claim.WriteRefused{})
+}
