--- a/fleet/request/claims/claims.go
+++ b/fleet/request/claims/claims.go
@@ -97,9 +97,9 @@
 		recent:   newRecentKeys(),
 		inFlight: make(map[claim.ID]struct{}),
 	}
-	m.direct = NewWriter(TableSink(options.Store), time.Second/CommitBudget)
+	m.direct = NewWriter(TableSink(options.Store), newCommitPacer())
 	m.relay = &relay{self: options.Self, view: options.View, peers: options.Peers, direct: m.direct, rate: &rowRate{}}
-	m.writer = NewWriter(m.relay.sink, 0)
+	m.writer = NewWriter(m.relay.sink, &pacer{})
 	return m
 }
 
--- a/fleet/request/claims/relay.go
+++ b/fleet/request/claims/relay.go
@@ -30,6 +30,11 @@
 	relayTimeout = 3 * time.Second
 	// shunTime is how long a router that failed to answer is passed over.
 	shunTime = 5 * time.Second
+	// commitRate is how many transactions a second one router starts, below
+	// CommitBudget by what other routers still commit themselves.
+	commitRate = 70
+	// commitBurst is how many transactions a router starts without a wait.
+	commitBurst = 8
 )
 
 // relayedRows counts the rows that another router wrote for this one.
--- a/fleet/request/claims/relay_test.go
+++ b/fleet/request/claims/relay_test.go
@@ -39,7 +39,7 @@
 	}
 	var list []*relay
 	for _, router := range view.Routers {
-		direct := NewWriter(TableSink(table), 0)
+		direct := NewWriter(TableSink(table), newCommitPacer())
 		t.Cleanup(direct.Close)
 		r := &relay{self: router, view: func() *membership.View { return view }, peers: f, direct: direct, rate: &rowRate{}}
 		f.relays[router.PeerAddress] = r
@@ -122,3 +122,15 @@
 	assert.Equal(t, r.perSecond(start.Add(10*time.Second)), 0.0)
 	assert.Equal(t, r.perSecond(start.Add(time.Hour)), 0.0)
 }
+
+func TestPacerSpacesEventsAfterABurst(t *testing.T) {
+	p := &pacer{interval: 10 * time.Millisecond, burst: 3}
+	start := time.Unix(1_000_000, 0)
+	var waits []time.Duration
+	for range 6 {
+		waits = append(waits, p.delay(start)/time.Millisecond)
+	}
+	assert.DeepEqual(t, waits, []time.Duration{0, 0, 0, 0, 10, 20})
+	assert.Equal(t, p.delay(start.Add(time.Hour)), time.Duration(0))
+	assert.Equal(t, (&pacer{}).delay(start), time.Duration(0))
+}
--- a/fleet/request/claims/writer.go
+++ b/fleet/request/claims/writer.go
@@ -39,21 +39,19 @@
 // Writer groups compare-and-sets into batches, at most one of which is under
 // way. It is safe for concurrent use.
 type Writer struct {
-	sink Sink
-	// interval is the least time between the starts of two batches.
-	interval time.Duration
-	queue    chan pendingWrite
-	stop     chan struct{}
-	stopped  sync.WaitGroup
+	sink    Sink
+	pacer   *pacer
+	queue   chan pendingWrite
+	stop    chan struct{}
+	stopped sync.WaitGroup
 	// held are writes that wait for the next transaction because their row is
 	// in this one. Only the writer's goroutine uses it.
 	held []pendingWrite
 }
 
-// NewWriter returns a writer into sink that starts a batch at most once an
-// interval; Close ends it.
-func NewWriter(sink Sink, interval time.Duration) *Writer {
-	w := &Writer{sink: sink, interval: interval, queue: make(chan pendingWrite, maxQueue), stop: make(chan struct{})}
+// NewWriter returns a writer into sink whose batches pacer spaces; Close ends it.
+func NewWriter(sink Sink, pacer *pacer) *Writer {
+	w := &Writer{sink: sink, pacer: pacer, queue: make(chan pendingWrite, maxQueue), stop: make(chan struct{})}
 	w.stopped.Add(1)
 	go w.loop()
 	return w
@@ -96,17 +94,15 @@
 
 func (w *Writer) loop() {
 	defer w.stopped.Done()
-	var last time.Time
 	for {
 		batch, ok := w.collect()
 		if !ok {
 			return
 		}
-		if wait := w.interval - time.Since(last); wait > 0 {
+		if wait := w.pacer.delay(time.Now()); wait > 0 {
 			time.Sleep(wait)
 			batch = w.fill(batch)
 		}
-		last = time.Now()
 		w.commit(batch)
 	}
 }
--- a/fleet/request/claims/writer_test.go
+++ b/fleet/request/claims/writer_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"runtime"
 	"testing"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
@@ -95,7 +94,7 @@
 
 func TestWriterPutsARowIntoABatchOnce(t *testing.T) {
 	table := newFakeTable()
-	w := NewWriter(TableSink(table), time.Second/CommitBudget)
+	w := NewWriter(TableSink(table), newCommitPacer())
 	defer w.Close()
 	const writers = 50
 	events := make(chan claim.Event, writers)
@@ -113,7 +112,7 @@
 
 func TestWriterGroupsConcurrentWrites(t *testing.T) {
 	table := newFakeTable()
-	w := NewWriter(TableSink(table), time.Second/CommitBudget)
+	w := NewWriter(TableSink(table), newCommitPacer())
 	defer w.Close()
 	const writers = 200
 	events := make(chan claim.Event, writers)
@@ -135,7 +134,7 @@
 		events := make([]claim.Event, len(writes))
 		settlePending(events, claim.WriteRefused{})
 		return events
-	}, 0)
+	}, newCommitPacer())
 	defer w.Close()
 	defer close(release)
 	for range cap(w.queue) + 2*maxBatch {
--- /dev/null
+++ b/measure/claims/load.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gentianhead/core/request/claim"
+	"gentianhead/core/request/outcome"
+	"gentianhead/fleet/connection/engine"
+	"gentianhead/fleet/request/claims"
+)
+
+// maxPlainRate bounds the ordinary requests beside the claims.
+const maxPlainRate = 100
+
+var body = []byte(`{"order":1}`)
+
+// load asks at random routers, with exponential times between two asks.
+type load struct {
+	fleet     *fleet
+	rate      int
+	rng       *rand.Rand
+	number    int
+	wg        sync.WaitGroup
+	completed atomic.Int64
+	wrong     atomic.Int64
+	plain     *samples
+	claims    *samples
+}
+
+func newLoad(f *fleet, rate int, rng *rand.Rand) *load {
+	return &load{fleet: f, rate: rate, rng: rng, plain: &samples{}, claims: &samples{}}
+}
+
+func (l *load) reset() {
+	l.wait()
+	l.completed.Store(0)
+	l.plain, l.claims = &samples{}, &samples{}
+}
+
+func (l *load) wait() {
+	l.wg.Wait()
+}
+
+// play asks for so long.
+func (l *load) play(d time.Duration) {
+	next := time.Now()
+	for end := next.Add(d); next.Before(end); {
+		next = next.Add(time.Duration(l.rng.ExpFloat64() / float64(l.rate) * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		l.number++
+		router := l.fleet.managers[l.rng.IntN(routers)]
+		number := l.number
+		l.wg.Go(func() { l.askOnce(router, number) })
+		if l.rng.IntN(l.rate) < maxPlainRate {
+			l.wg.Go(l.askPlain)
+		}
+	}
+}
+
+func (l *load) askOnce(router *claims.Manager, number int) {
+	start := time.Now()
+	verdict := router.Do(context.Background(), claims.Ask{
+		ID: claim.ID{Account: "a", Key: fmt.Sprintf("key-%d-%d", l.rate, number)}, RequestID: "id", Service: "s",
+		Method: http.MethodPost, Target: "/once", Body: body,
+		Endpoint: "endpoint", EndpointURL: l.fleet.endpoint.URL, Done: func() {},
+	})
+	if verdict.Outcome != outcome.Completed {
+		l.wrong.Add(1)
+		return
+	}
+	l.completed.Add(1)
+	l.claims.add(time.Since(start))
+}
+
+func (l *load) askPlain() {
+	start := time.Now()
+	response, err := l.fleet.plain.Do(context.Background(), engine.Request{
+		Method: http.MethodPost, URL: l.fleet.endpoint.URL + "/price", Body: body, ID: "id",
+	})
+	if err == nil {
+		_, err = engine.ReadWhole(response)
+	}
+	if err != nil {
+		l.wrong.Add(1)
+		return
+	}
+	l.plain.add(time.Since(start))
+}
+
+// samples are durations. It is safe for concurrent use.
+type samples struct {
+	mu   sync.Mutex
+	list []time.Duration
+}
+
+func (s *samples) add(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, d)
+}
+
+// quantiles are the median and the 99th percentile, rounded for print.
+type quantiles struct{ p50, p99 time.Duration }
+
+func (s *samples) quantiles() quantiles {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.list) == 0 {
+		return quantiles{}
+	}
+	slices.Sort(s.list)
+	at := func(q float64) time.Duration {
+		return s.list[int(q*float64(len(s.list)-1))].Round(10 * time.Microsecond)
+	}
+	return quantiles{p50: at(0.5), p99: at(0.99)}
+}
