--- a/core/request/claim/recover.go
+++ b/core/request/claim/recover.go
@@ -102,7 +102,7 @@
 }
 
 func keyReused() Verdict {
-	return refuse(http.StatusUnprocessableEntity, outcome.NotRun, outcome.CodeKeyReused,
+	return refuse(http.StatusConflict, outcome.NotRun, outcome.CodeKeyReused,
 		"the key was used for a request with another body", 0)
 }
 
--- a/fleet/e2e/claims_test.go
+++ b/fleet/e2e/claims_test.go
@@ -55,9 +55,9 @@
 	return r.ask(t.Context(), http.MethodPost, to.path, `{"order":1}`, append(headers, "Idempotency-Key", key)...)
 }
 
-func (r *router) again(t *testing.T, to target, key string) answer {
+func (r *router) again(t *testing.T, to target, key string, headers ...string) answer {
 	t.Helper()
-	return r.once(t, to, key, "Idempotency-Repeat", "true")
+	return r.once(t, to, key, append(headers, "Idempotency-Repeat", "true")...)
 }
 
 func (a answer) code() string {
@@ -128,6 +128,8 @@
 	assert.Assert(t, refused.header.Get("Retry-After") != "")
 	repeated := f.routers[0].again(t, to, "key-1")
 	assert.Equal(t, repeated.outcome(), "unknown", string(repeated.body))
+	unauthenticated := f.routers[0].again(t, to, "key-1", "Authorization", "Bearer wrong")
+	assert.Equal(t, unauthenticated.outcome(), "unknown", string(unauthenticated.body))
 	other := f.routers[0].ask(t.Context(), http.MethodGet, "/v1/services/s/price", "")
 	assert.Equal(t, other.outcome(), "completed", string(other.body))
 
--- a/fleet/request/claims/endpoint.go
+++ b/fleet/request/claims/endpoint.go
@@ -61,6 +61,8 @@
 		Body:   r.ask.Body,
 		ID:     r.ask.RequestID,
 	})
+	// The body is not needed again, while the record may take long.
+	r.ask.Body = nil
 	if err != nil {
 		span.RecordError(err)
 		return failed(err)
--- a/fleet/request/gateway/atmostonce.go
+++ b/fleet/request/gateway/atmostonce.go
@@ -45,6 +45,7 @@
 		ask.IsFenced = isFenced(x.state.Config, picked.Endpoint)
 	}
 	verdict := g.options.Claims.Do(ctx, ask)
+	x.isClaimKnown = true
 	if verdict.Problem != nil {
 		return verdict.Problem
 	}
@@ -71,3 +72,15 @@
 	x.answer(answer.Status, header, answer.Body)
 	return nil
 }
+
+// orEarlierAsk returns problem, or with the outcome unknown where a caller that
+// asks again would take a refusal of this ask for a statement about the earlier.
+func (x *exchange) orEarlierAsk(problem *outcome.Problem) *outcome.Problem {
+	isRepeat := x.r.Header.Get(HeaderRepeat) == "true" && x.r.Header.Get(engine.HeaderKey) != ""
+	if problem == nil || problem.Outcome != outcome.NotRun || !isRepeat || x.isClaimKnown {
+		return problem
+	}
+	changed := *problem
+	changed.Outcome = outcome.Unknown
+	return &changed
+}
--- a/fleet/request/gateway/gateway.go
+++ b/fleet/request/gateway/gateway.go
@@ -118,6 +118,8 @@
 	event []byte
 	// cut is why an answer that had begun can't be ended whole, or nil.
 	cut *outcome.Problem
+	// isClaimKnown says that the answer rests on the claim of the request's key.
+	isClaimKnown bool
 	// state stays the same for the whole request.
 	state *control.State
 }
@@ -148,7 +150,7 @@
 			// What is left of the body is not waited for.
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedReadTimeout))
 		}
-		problem = orStopping(ctx, problem)
+		problem = x.orEarlierAsk(orStopping(ctx, problem))
 		g.finish(x, span, cmp.Or(problem, x.cut), begun)
 		if problem != nil {
 			writeProblem(w, x.id, problem)
