--- a/fleet/cmd/gentianheadctl/claims.go
+++ b/fleet/cmd/gentianheadctl/claims.go
@@ -47,34 +47,32 @@
 
 func (c *commands) claims(ctx context.Context, args []string) error {
 	if len(args) != 1 {
-		return errors.New("claims needs ACCOUNT")
+		return errors.Wrap(errUsage, "claims needs ACCOUNT")
 	}
 	var answer struct {
 		Items []admin.ClaimBody `json:"items"`
 	}
-	if err := c.operate(ctx, http.MethodGet, "/v1/claims?account="+url.QueryEscape(args[0]), nil, nil, &answer); err != nil {
+	if err := c.read(ctx, "/v1/claims?account="+url.QueryEscape(args[0]), &answer); err != nil {
 		return err
 	}
-	if *c.output != "table" {
-		return c.printEncoded(answer)
-	}
+	t := table{header: []string{"KEY", "STATE", "CREATED", "ENDPOINT", "HOLDER"}}
 	for _, item := range answer.Items {
-		fmt.Fprintf(c.stdout, "%s\t%s\t%s\t%s\t%s\n", item.Key, item.State, item.CreatedAt.Format(time.RFC3339), item.Endpoint, item.Holder)
+		t.add(item.Key, item.State, item.CreatedAt.Format(time.RFC3339), item.Endpoint, item.Holder)
 	}
-	return nil
+	return c.print(answer, t)
 }
 
 func (c *commands) settleExec(options settleOptions) func(context.Context, []string) error {
 	return func(ctx context.Context, args []string) error {
 		if len(args) != 3 {
-			return errors.New("settle needs ACCOUNT, KEY and completed or not-run")
+			return errors.Wrap(errUsage, "settle needs ACCOUNT, KEY and completed or not-run")
 		}
 		body := admin.SettleBody{
 			Account: args[0], Key: args[1], State: claim.State(args[2]),
 			Operator: *options.operator, SenderStopped: *options.senderStopped,
 		}
 		var settled admin.ClaimBody
-		if err := c.operate(ctx, http.MethodPost, "/v1/claims/settle", nil, body, &settled); err != nil {
+		if err := c.operate(ctx, http.MethodPost, "/v1/claims/settle", http.Header{}, body, &settled); err != nil {
 			return err
 		}
 		_, err := fmt.Fprintf(c.stdout, "%s %s is %s\n", settled.Account, settled.Key, settled.State)
--- a/fleet/e2e/claims_test.go
+++ b/fleet/e2e/claims_test.go
@@ -378,7 +378,7 @@
 		assert.Equal(t, r.once(t, to, settled.key).outcome(), "unknown")
 		listed, err := r.ctl(t, "", "claims", "a")
 		assert.NilError(t, err, listed)
-		assert.Assert(t, strings.Contains(listed, to.key(settled.key)+"\tunknown"), listed)
+		assert.Assert(t, strings.Contains(listed, to.key(settled.key)+"  unknown"), listed)
 
 		refused, err := r.ctl(t, "", "settle", "--operator", "clerk", "a", to.key(settled.key), "not-run")
 		assert.Assert(t, err != nil, refused)
--- a/fleet/request/admin/admin.go
+++ b/fleet/request/admin/admin.go
@@ -11,6 +11,7 @@
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 
+	"gentianhead/fleet/connection/platform"
 	"gentianhead/fleet/process/control"
 	"gentianhead/fleet/version/desired"
 )
