--- a/fleet/cmd/gentianheadctl/commands.go
+++ b/fleet/cmd/gentianheadctl/commands.go
@@ -47,6 +47,8 @@
 			c.statusCommand(),
 			c.entryCommand(),
 			c.callCommand(),
+			c.claimsCommand(),
+			c.settleCommand(),
 		},
 	}
 }
