--- a/fleet/request/gateway/answer.go
+++ b/fleet/request/gateway/answer.go
@@ -65,6 +65,10 @@
 		return nil
 	}
 	problem := orStopping(ctx, failure(err))
+	if problem == callerGone {
+		x.cut = callerGone
+		return nil
+	}
 	g.options.Log.Warn("Stream broke off.", "request", x.id, "code", problem.Code, "error", err)
 	x.writeEvent("event: error\ndata: ", encodeProblem(x.id, problem))
 	_ = flusher.Flush()
--- a/standin/engine/work.go
+++ b/standin/engine/work.go
@@ -177,6 +177,11 @@
 	if a.byID == nil {
 		a.byID = make(map[string]*work)
 	}
+	if earlier, ok := a.byID[w.id]; ok {
+		a.count(earlier)
+		a.byID[w.id] = w
+		return
+	}
 	a.byID[w.id] = w
 	a.order = append(a.order, w.id)
 	if len(a.order) > keptAnswers {
