Bound the writes that the claims writer holds back

Cause: writes of one row are held for the next transaction, and filling a batch took them from the queue without end, since a held write does not fill the batch. The queue's bound did not hold, and TestWriterRefusesWhenTheQueueIsFull spun for ever when the writer drained faster than the test wrote.

Ruled out: the pacer and the sink; the goroutine dump shows only writers waiting and the filling loop.

Change: filling stops at maxBatch held writes.

--- a/fleet/request/claims/writer.go
+++ b/fleet/request/claims/writer.go
@@ -122,8 +122,10 @@
 	}
 }
 
+// fill takes writes from the queue until the batch is full. Held writes are
+// bounded too, so that writes of one row can't empty the queue without end.
 func (w *Writer) fill(batch []pendingWrite) []pendingWrite {
-	for len(batch) < maxBatch {
+	for len(batch) < maxBatch && len(w.held) < maxBatch {
 		select {
 		case pending := <-w.queue:
 			batch = w.fillFrom(batch, []pendingWrite{pending})
