--- a/fleet/e2e/claims_test.go
+++ b/fleet/e2e/claims_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -141,11 +142,7 @@
 // awaitFinal asks again until the answer is final, and checks its outcome.
 func (f *claimFleet) awaitFinal(t *testing.T, router int, to target, key string, allowed ...string) answer {
 	t.Helper()
-	var last answer
-	eventually(t, "final answer for "+key, func() bool {
-		last = f.routers[router].again(t, to, key)
-		return last.err == nil && last.isFinal()
-	})
+	last := f.askUntilFinal(t, f.routers[router], to, key)
 	for _, outcome := range allowed {
 		if last.outcome() == outcome {
 			return last
@@ -155,6 +152,16 @@
 	return last
 }
 
+func (f *claimFleet) askUntilFinal(t *testing.T, r *router, to target, key string) answer {
+	t.Helper()
+	var last answer
+	eventually(t, "final answer for "+key, func() bool {
+		last = r.again(t, to, key)
+		return last.err == nil && last.isFinal()
+	})
+	return last
+}
+
 func TestStoreDownBetweenSendAndRecord(t *testing.T) {
 	f := startClaimFleet(t, 2)
 	for _, to := range f.targets() {
@@ -390,3 +397,70 @@
 		assert.Assert(t, err != nil, "settled twice: %s", output)
 	}
 }
+
+// relayedRows returns how many rows other routers wrote for r.
+func (r *router) relayedRows(t *testing.T) int {
+	t.Helper()
+	var vars struct {
+		Relayed int `json:"claims.relayedRows"`
+	}
+	getJSON(t, "http://"+r.operators+"/debug/vars", &vars)
+	return vars.Relayed
+}
+
+// askMany asks for count new keys at each router and returns their answers.
+func askMany(t *testing.T, routers []*router, to target, prefix string, count int) map[string]answer {
+	t.Helper()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	answers := make(map[string]answer)
+	for _, r := range routers {
+		for worker := range 10 {
+			wg.Go(func() {
+				for i := range count / 10 {
+					key := fmt.Sprintf("%s-%s-%d-%d", prefix, r.instance, worker, i)
+					a := r.once(t, to, key)
+					mu.Lock()
+					answers[key] = a
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return answers
+}
+
+func TestBusyFleetCommitsThroughOneRouterUntilItDies(t *testing.T) {
+	f := startClaimFleet(t, 3)
+	to := f.targets()[0]
+	before := f.counters(t).Commits
+	busy := askMany(t, f.routers, to, "busy", 200)
+	t.Logf("%d requests in %d transactions", len(busy), f.counters(t).Commits-before)
+	var others []*router
+	var committer *router
+	for _, r := range f.routers {
+		if r.relayedRows(t) == 0 {
+			committer = r
+			continue
+		}
+		others = append(others, r)
+	}
+	assert.Equal(t, len(others), 2, "one router commits for the others")
+	committer.signal(syscall.SIGKILL)
+	for key, a := range askMany(t, others, to, "after", 50) {
+		busy[key] = a
+	}
+	for key, a := range busy {
+		if a.outcome() != "completed" {
+			last := f.askUntilFinal(t, others[0], to, key)
+			assert.Equal(t, last.outcome(), "completed", string(last.body))
+		}
+	}
+	runs := make(map[string]int)
+	for _, run := range to.endpoint.runs(t) {
+		runs[run.Key]++
+		assert.Equal(t, runs[run.Key], 1, run.Key)
+	}
+	assert.Equal(t, len(runs), len(busy))
+}
