Take a router for dead in tests when the view drops it

Cause: the status of the fleet now goes on naming routers that are silent, so TestFaultsClaimRouterPaused waited for ever. The test reads control.routers, the view that claims go by. Ruled out: membership, which is unchanged.

--- a/fleet/e2e/claims_test.go
+++ b/fleet/e2e/claims_test.go
@@ -315,7 +315,7 @@
 
 func TestFaultsClaimRouterKilled(t *testing.T) {
 	t.Parallel()
-	inEveryWindow(t, "killed", func(f *claimFleet, _ target, _ string) []answer {
+	inEveryWindow(t, "killed", func(t *testing.T, f *claimFleet, _ target, _ string) []answer {
 		f.routers[0].signal(syscall.SIGKILL)
 		<-f.routers[0].done
 		f.routers[0].restart(t)
@@ -326,25 +326,29 @@
 
 func TestFaultsClaimRouterPaused(t *testing.T) {
 	t.Parallel()
-	inEveryWindow(t, "paused past the lease", func(f *claimFleet, to target, key string) []answer {
+	inEveryWindow(t, "paused past the lease", func(t *testing.T, f *claimFleet, to target, key string) []answer {
 		paused := f.routers[0]
 		paused.signal(syscall.SIGSTOP)
 		f.platform.setFaults(t, map[string]any{})
 		to.endpoint.setFaults(t, map[string]any{})
 		during := f.routers[1].again(t, to, key)
 		eventually(t, "the paused router is believed dead", func() bool {
-			return len(f.routers[1].revisions(t)) == 1
+			return f.routers[1].vars(t).View == 1
 		})
 		after := f.routers[1].again(t, to, key)
 		paused.signal(syscall.SIGCONT)
-		eventually(t, "the router is back", func() bool { return len(f.routers[1].revisions(t)) == 2 })
+		eventually(t, "the router is back", func() bool { return f.routers[1].vars(t).View == 2 })
 		return []answer{during, after}
 	})
 }
 
+// strikeFunc hits router 1 while it works on a key, and returns what callers
+// were told meanwhile.
+type strikeFunc func(t *testing.T, f *claimFleet, to target, key string) []answer
+
 // inEveryWindow catches router 1 in every step with a signal, and checks what
 // callers were told at both routers.
-func inEveryWindow(t *testing.T, fault string, strike func(f *claimFleet, to target, key string) []answer) {
+func inEveryWindow(t *testing.T, fault string, strike strikeFunc) {
 	m := matrix.New(t)
 	for kind := range 2 {
 		t.Run([]string{"checks fencing", "ignores fencing"}[kind], func(t *testing.T) {
@@ -360,13 +364,13 @@
 	}
 }
 
-func (f *claimFleet) strikeInWindow(t *testing.T, to target, w window, key string, strike func(f *claimFleet, to target, key string) []answer) answer {
+func (f *claimFleet) strikeInWindow(t *testing.T, to target, w window, key string, strike strikeFunc) answer {
 	t.Helper()
 	hasReached := w.open(f, t, to, key)
 	answers := make(chan answer, 1)
 	go func() { answers <- f.routers[0].once(t, to, key) }()
 	eventually(t, w.name, hasReached)
-	told := strike(f, to, key)
+	told := strike(t, f, to, key)
 	f.platform.setFaults(t, map[string]any{})
 	to.endpoint.setFaults(t, map[string]any{})
 	told = append(told, <-answers)
@@ -398,14 +402,19 @@
 	}
 }
 
-// relayedRows returns how many rows other routers wrote for r.
-func (r *router) relayedRows(t *testing.T) int {
+// routerVars are the metrics that these tests read.
+type routerVars struct {
+	// View is how many routers are believed live.
+	View int `json:"control.routers"`
+	// Relayed is how many rows other routers wrote for this one.
+	Relayed int `json:"claims.relayedRows"`
+}
+
+func (r *router) vars(t *testing.T) routerVars {
 	t.Helper()
-	var vars struct {
-		Relayed int `json:"claims.relayedRows"`
-	}
+	var vars routerVars
 	getJSON(t, "http://"+r.operators+"/debug/vars", &vars)
-	return vars.Relayed
+	return vars
 }
 
 // askMany asks for count new keys at each router and returns their answers.
@@ -440,7 +449,7 @@
 	var others []*router
 	var committer *router
 	for _, r := range f.routers {
-		if r.relayedRows(t) == 0 {
+		if r.vars(t).Relayed == 0 {
 			committer = r
 			continue
 		}
