--- a/fleet/e2e/claims_test.go
+++ b/fleet/e2e/claims_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -141,11 +142,7 @@
 // awaitFinal asks again until the answer is final, and checks its outcome.
 func (f *claimFleet) awaitFinal(t *testing.T, router int, to target, key string, allowed ...string) answer {
 	t.Helper()
-	var last answer
-	eventually(t, "final answer for "+key, func() bool {
-		last = f.routers[router].again(t, to, key)
-		return last.err == nil && last.isFinal()
-	})
+	last := f.askUntilFinal(t, f.routers[router], to, key)
 	for _, outcome := range allowed {
 		if last.outcome() == outcome {
 			return last
@@ -155,6 +152,16 @@
 	return last
 }
 
+func (f *claimFleet) askUntilFinal(t *testing.T, r *router, to target, key string) answer {
+	t.Helper()
+	var last answer
+	eventually(t, "final answer for "+key, func() bool {
+		last = r.again(t, to, key)
+		return last.err == nil && last.isFinal()
+	})
+	return last
+}
+
 func TestStoreDownBetweenSendAndRecord(t *testing.T) {
 	f := startClaimFleet(t, 2)
 	for _, to := range f.targets() {
@@ -308,7 +315,7 @@
 
 func TestFaultsClaimRouterKilled(t *testing.T) {
 	t.Parallel()
-	inEveryWindow(t, "killed", func(f *claimFleet, _ target, _ string) []answer {
+	inEveryWindow(t, "killed", func(t *testing.T, f *claimFleet, _ target, _ string) []answer {
 		f.routers[0].signal(syscall.SIGKILL)
 		<-f.routers[0].done
 		f.routers[0].restart(t)
@@ -319,25 +326,29 @@
 
 func TestFaultsClaimRouterPaused(t *testing.T) {
 	t.Parallel()
-	inEveryWindow(t, "paused past the lease", func(f *claimFleet, to target, key string) []answer {
+	inEveryWindow(t, "paused past the lease", func(t *testing.T, f *claimFleet, to target, key string) []answer {
 		paused := f.routers[0]
 		paused.signal(syscall.SIGSTOP)
 		f.platform.setFaults(t, map[string]any{})
 		to.endpoint.setFaults(t, map[string]any{})
 		during := f.routers[1].again(t, to, key)
 		eventually(t, "the paused router is believed dead", func() bool {
-			return len(f.routers[1].revisions(t)) == 1
+			return f.routers[1].vars(t).View == 1
 		})
 		after := f.routers[1].again(t, to, key)
 		paused.signal(syscall.SIGCONT)
-		eventually(t, "the router is back", func() bool { return len(f.routers[1].revisions(t)) == 2 })
+		eventually(t, "the router is back", func() bool { return f.routers[1].vars(t).View == 2 })
 		return []answer{during, after}
 	})
 }
 
+// strikeFunc hits router 1 while it works on a key, and returns what callers
+// were told meanwhile.
+type strikeFunc func(t *testing.T, f *claimFleet, to target, key string) []answer
+
 // inEveryWindow catches router 1 in every step with a signal, and checks what
 // callers were told at both routers.
-func inEveryWindow(t *testing.T, fault string, strike func(f *claimFleet, to target, key string) []answer) {
+func inEveryWindow(t *testing.T, fault string, strike strikeFunc) {
 	m := matrix.New(t)
 	for kind := range 2 {
 		t.Run([]string{"checks fencing", "ignores fencing"}[kind], func(t *testing.T) {
@@ -353,13 +364,13 @@
 	}
 }
 
-func (f *claimFleet) strikeInWindow(t *testing.T, to target, w window, key string, strike func(f *claimFleet, to target, key string) []answer) answer {
+func (f *claimFleet) strikeInWindow(t *testing.T, to target, w window, key string, strike strikeFunc) answer {
 	t.Helper()
 	hasReached := w.open(f, t, to, key)
 	answers := make(chan answer, 1)
 	go func() { answers <- f.routers[0].once(t, to, key) }()
 	eventually(t, w.name, hasReached)
-	told := strike(f, to, key)
+	told := strike(t, f, to, key)
 	f.platform.setFaults(t, map[string]any{})
 	to.endpoint.setFaults(t, map[string]any{})
 	told = append(told, <-answers)
@@ -390,3 +401,75 @@
 		assert.Assert(t, err != nil, "settled twice: %s", output)
 	}
 }
+
+// routerVars are the metrics that these tests read.
+type routerVars struct {
+	// View is how many routers are believed live.
+	View int `json:"control.routers"`
+	// Relayed is how many rows other routers wrote for this one.
+	Relayed int `json:"claims.relayedRows"`
+}
+
+func (r *router) vars(t *testing.T) routerVars {
+	t.Helper()
+	var vars routerVars
+	getJSON(t, "http://"+r.operators+"/debug/vars", &vars)
+	return vars
+}
+
+// askMany asks for count new keys at each router and returns their answers.
+func askMany(t *testing.T, routers []*router, to target, prefix string, count int) map[string]answer {
+	t.Helper()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	answers := make(map[string]answer)
+	for _, r := range routers {
+		for worker := range 10 {
+			wg.Go(func() {
+				for i := range count / 10 {
+					key := fmt.Sprintf("%s-%s-%d-%d", prefix, r.instance, worker, i)
+					a := r.once(t, to, key)
+					mu.Lock()
+					answers[key] = a
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return answers
+}
+
+func TestBusyFleetCommitsThroughOneRouterUntilItDies(t *testing.T) {
+	f := startClaimFleet(t, 3)
+	to := f.targets()[0]
+	before := f.counters(t).Commits
+	busy := askMany(t, f.routers, to, "busy", 200)
+	t.Logf("%d requests in %d transactions", len(busy), f.counters(t).Commits-before)
+	var others []*router
+	var committer *router
+	for _, r := range f.routers {
+		if r.vars(t).Relayed == 0 {
+			committer = r
+			continue
+		}
+		others = append(others, r)
+	}
+	assert.Equal(t, len(others), 2, "one router commits for the others")
+	committer.signal(syscall.SIGKILL)
+	for key, a := range askMany(t, others, to, "after", 50) {
+		busy[key] = a
+	}
+	for key, a := range busy {
+		if a.outcome() != "completed" {
+			last := f.askUntilFinal(t, others[0], to, key)
+			assert.Equal(t, last.outcome(), "completed", string(last.body))
+		}
+	}
+	runs := make(map[string]int)
+	for _, run := range to.endpoint.runs(t) {
+		runs[run.Key]++
+		assert.Equal(t, runs[run.Key], 1, run.Key)
+	}
+	assert.Equal(t, len(runs), len(busy))
+}
