--- a/fleet/request/admin/admin.go
+++ b/fleet/request/admin/admin.go
@@ -11,6 +11,7 @@
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 
+	"gentianhead/fleet/connection/platform"
 	"gentianhead/fleet/process/control"
 	"gentianhead/fleet/version/desired"
 )
@@ -19,6 +20,8 @@
 type Options struct {
 	Control *control.Loop
 	Desired *desired.Store
+	// Table holds the claims of at-most-once requests.
+	Table platform.Table
 	// Token is the operators' bearer token.
 	Token string
 	Log   *slog.Logger
@@ -58,6 +61,7 @@
 		OperationID: "get-status", Method: http.MethodGet, Path: "/v1/status",
 		Summary: "Show which revision is in force on which router",
 	}, a.status)
+	a.registerClaims(h)
 	return requireToken(options.Token, mux)
 }
 
