--- a/fleet/e2e/harness_test.go
+++ b/fleet/e2e/harness_test.go
@@ -317,7 +317,8 @@
 	}
 }
 
-// revisions returns the revision in force on each router that r sees.
+// revisions returns the revision in force on each router that r sees. Routers
+// that the status calls unreachable are not seen.
 func (r *router) revisions(t *testing.T) map[string]uint64 {
 	t.Helper()
 	request, _ := http.NewRequest(http.MethodGet, "http://"+r.operators+"/v1/status", nil)
@@ -329,14 +330,17 @@
 	defer response.Body.Close()
 	var status struct {
 		Routers []struct {
-			Instance string
-			Revision uint64
+			Instance    string
+			Revision    uint64
+			Unreachable bool
 		}
 	}
 	_ = json.NewDecoder(response.Body).Decode(&status)
 	revisions := make(map[string]uint64)
 	for _, s := range status.Routers {
-		revisions[s.Instance] = s.Revision
+		if !s.Unreachable {
+			revisions[s.Instance] = s.Revision
+		}
 	}
 	return revisions
 }
