Exchange heartbeats with a constant number of peers

Each router sent a heartbeat to all others each second and read the head row each second, so both grew with the fleet. Now a router probes three random peers a second and passes on a bounded number of rumors, pushes a new revision or withdrawal to four peers at once, and takes its slot of a constant number of reads a second for the whole fleet.

A router that has lost both the store and half of its peers is isolated and refuses new work; one that was paused is isolated until it has refreshed. What an endpoint answers and what the platform's list shows withdraw it too. The engine client asks a gate before each request.

--- a/core/process/membership/membership.go
+++ b/core/process/membership/membership.go
@@ -1,13 +1,19 @@
-// Package membership decides which routers and endpoints a router believes to
-// be live, from the platform's lagging list, heartbeats of peers and what
-// endpoints answer. Two routers may disagree for seconds; nothing but cache
-// reuse and load skew may depend on their agreeing.
+// Package membership decides which routers a router believes to be live, from
+// the platform's lagging list and from heartbeats that each router exchanges
+// with a few random peers. Two routers may disagree for seconds; nothing but
+// cache reuse and load skew may depend on their agreeing.
 //
-// The core has no I/O and no clock: time comes in with each event.
+// Each router probes ProbesPerSecond peers a second, whatever the size of the
+// fleet. A heartbeat carries its sender's own state and at most MaxRumors rumors
+// about others, so that news reaches the fleet in a time that grows with the
+// logarithm of its size.
+//
+// The core has no I/O, clock, goroutine or global random source. Only the
+// router's control goroutine may use it: it passes events to Step, carries out
+// what Ready returns and calls Advance.
 package membership
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -15,18 +21,38 @@
 
 // Router is one instance of gentianhead that callers and peers can reach.
 type Router struct {
-	Instance string
-	Zone     string
+	Instance string `msgpack:"i"`
+	Zone     string `msgpack:"z,omitempty"`
 	// CallerAddress and PeerAddress are host:port.
-	CallerAddress string
-	PeerAddress   string
-	// Incarnation rises with each start of the instance's process.
-	Incarnation uint64
+	CallerAddress string `msgpack:"c,omitempty"`
+	PeerAddress   string `msgpack:"p,omitempty"`
+	// Incarnation rises with each start of the instance's process, and when it
+	// refutes a rumor of its death.
+	Incarnation uint64 `msgpack:"n"`
 	// Leaving routers finish what they have and are named in no entry answer.
-	Leaving bool
+	Leaving bool `msgpack:"l,omitempty"`
+}
+
+// State is what a router believes of another.
+type State uint8
+
+const (
+	// Alive routers answered, or nothing speaks against them.
+	Alive State = iota
+	// Suspect routers missed a probe and stay in the view until SuspicionTimeout.
+	Suspect
+	// Dead routers did not refute a suspicion in time.
+	Dead
+)
+
+// Rumor passes on what its sender believes of a router. The addresses are set
+// only for a router that is alive.
+type Rumor struct {
+	State  State  `msgpack:"s,omitempty"`
+	Router Router `msgpack:"r"`
 }
 
-// Event is something that the core learns.
+// Event is something that the core learns. The types in this file are all of them.
 type Event interface{ isEvent() }
 
 // ListRead is the platform's list of router instances as read at At.
@@ -39,17 +65,60 @@
 type Heartbeat struct {
 	At     time.Time
 	Router Router
+	Rumors []Rumor
+	// IsAnswer marks the answer to a probe of this router, which is a round trip.
+	IsAnswer bool
 }
 
-// Tick lets time pass.
-type Tick struct{ At time.Time }
+// ProbeFailed reports that a probe sent at SentAt found no answer.
+type ProbeFailed struct {
+	At       time.Time
+	SentAt   time.Time
+	Instance string
+}
 
-func (ListRead) isEvent()  {}
-func (Heartbeat) isEvent() {}
-func (Tick) isEvent()      {}
+// Urgent asks for news to be pushed to a few peers now and not at the next probe.
+type Urgent struct{ At time.Time }
+
+// Tick lets time pass. It should come every TickInterval.
+type Tick struct{ At time.Time }
 
-// HeartbeatTimeout is how long after its last sign of life a router is believed live.
-const HeartbeatTimeout = 5 * time.Second
+func (ListRead) isEvent()    {}
+func (Heartbeat) isEvent()   {}
+func (ProbeFailed) isEvent() {}
+func (Urgent) isEvent()      {}
+func (Tick) isEvent()        {}
+
+// Limits and intervals of the protocol.
+const (
+	// TickInterval is the time between two ticks.
+	TickInterval = 100 * time.Millisecond
+	// ProbesPerSecond is how many peers a router probes each second.
+	ProbesPerSecond = 3
+	// ProbeTimeout is how long a probe waits for its answer.
+	ProbeTimeout = time.Second
+	// PushFanOut is how many peers urgent news goes to at once.
+	PushFanOut = 4
+	// PushInterval is the least time between two pushes.
+	PushInterval = 250 * time.Millisecond
+	// MaxRumors bounds the rumors in one heartbeat.
+	MaxRumors = 4
+	// SuspicionTimeout is how long a suspected router has to refute.
+	SuspicionTimeout = 5 * time.Second
+	// ImpairedFactor lengthens SuspicionTimeout on a router most of whose own
+	// probes fail, and which is thus likely to be at fault itself.
+	ImpairedFactor = 3
+	// GapLimit is the time without a tick after which a router takes itself for
+	// paused and drops what it was waiting for.
+	GapLimit = 2 * time.Second
+	// ForgetAfter is how long a router that left is remembered.
+	ForgetAfter = 10 * time.Minute
+	// ListGrace is how long a router that is not alive may be missing from the
+	// list before it is forgotten.
+	ListGrace = time.Minute
+	// MaxMembers bounds the peers that a router remembers.
+	MaxMembers = 16384
+)
 
 // View is an immutable picture of the live routers, sorted by instance.
 type View struct {
@@ -67,75 +136,22 @@
 	return v.Routers[i], true
 }
 
-type member struct {
-	router   Router
-	lastSeen time.Time
-}
-
-// Core holds the membership of one router.
-type Core struct {
-	self    Router
-	members map[string]member
-	view    *View
-}
-
-// New returns a core that knows only self.
-func New(self Router) *Core {
-	c := &Core{self: self, members: make(map[string]member)}
-	c.rebuild()
-	return c
-}
-
-// Step takes one event in and reports whether the view changed.
-func (c *Core) Step(event Event) bool {
-	switch e := event.(type) {
-	case ListRead:
-		for _, router := range e.Routers {
-			if _, known := c.members[router.Instance]; !known {
-				c.members[router.Instance] = member{router: router, lastSeen: e.At}
-			}
-		}
-	case Heartbeat:
-		c.members[e.Router.Instance] = member{router: e.Router, lastSeen: e.At}
-	case Tick:
-		c.expire(e.At)
-	}
-	return c.rebuild()
-}
-
-func (c *Core) expire(now time.Time) {
-	maps.DeleteFunc(c.members, func(_ string, m member) bool {
-		return now.Sub(m.lastSeen) > HeartbeatTimeout
+// Rank returns the position of an instance in the view and the view's size.
+func (v *View) Rank(instance string) (rank, size int) {
+	rank, _ = slices.BinarySearchFunc(v.Routers, instance, func(r Router, name string) int {
+		return strings.Compare(r.Instance, name)
 	})
+	return rank, len(v.Routers)
 }
 
-func (c *Core) rebuild() bool {
-	routers := []Router{c.self}
-	for _, m := range c.members {
-		if m.router.Instance != c.self.Instance {
-			routers = append(routers, m.router)
-		}
-	}
-	slices.SortFunc(routers, func(a, b Router) int { return strings.Compare(a.Instance, b.Instance) })
-	if c.view != nil && slices.Equal(routers, c.view.Routers) {
-		return false
-	}
-	c.view = &View{Routers: routers}
-	return true
-}
-
-// SetLeaving marks this router as leaving.
-func (c *Core) SetLeaving() {
-	c.self.Leaving = true
-	c.rebuild()
-}
-
-// Self returns this router as peers should see it.
-func (c *Core) Self() Router {
-	return c.self
-}
-
-// View returns the current view.
-func (c *Core) View() *View {
-	return c.view
+// Ready is what the owner has to do now. The zero value asks for nothing.
+type Ready struct {
+	// Probe names a router to send a heartbeat to, which answers with its own.
+	// Probes go to random routers, dead ones included, so that the share that is
+	// answered tells how much of the fleet can be reached.
+	Probe []Router
+	// Push names live routers that should hear news at once by a heartbeat.
+	Push []Router
+	// View, when not nil, is to be published to traffic.
+	View *View
 }
--- /dev/null
+++ b/core/process/membership/probe.go
@@ -0,0 +1,115 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// outcomeWindow is how many of the last probes tell whether this router is impaired.
+const outcomeWindow = 8
+
+// probeOutcomes remembers how the last probes ended.
+type probeOutcomes struct {
+	failed [outcomeWindow]bool
+	next   int
+}
+
+func (o *probeOutcomes) record(failed bool) {
+	o.failed[o.next] = failed
+	o.next = (o.next + 1) % outcomeWindow
+}
+
+// isImpaired reports whether more than half of the last probes failed.
+func (o *probeOutcomes) isImpaired() bool {
+	failures := 0
+	for _, failed := range o.failed {
+		if failed {
+			failures++
+		}
+	}
+	return failures > outcomeWindow/2
+}
+
+// stepFailure suspects a router that did not answer. A probe from before a pause
+// says nothing, and an impaired router suspects without telling others.
+func (c *Core) stepFailure(e ProbeFailed) {
+	if e.SentAt.Before(c.resumedAt) {
+		return
+	}
+	c.outcomes.record(true)
+	m, known := c.members[e.Instance]
+	if !known || m.state != Alive || m.heardAt.After(e.SentAt) {
+		return
+	}
+	c.setState(m, Suspect, e.At)
+	if !c.outcomes.isImpaired() {
+		c.enqueue(m)
+	}
+}
+
+// plan chooses the peers to send a heartbeat to now.
+func (c *Core) plan(at time.Time) {
+	if len(c.members) == 0 {
+		c.isUrgent = false
+		return
+	}
+	if c.isUrgent && !at.Before(c.nextPush) {
+		c.isUrgent = false
+		c.nextPush = at.Add(PushInterval)
+		c.planPush()
+	}
+	if at.Before(c.nextProbe) {
+		return
+	}
+	c.nextProbe = c.nextProbe.Add(time.Second / ProbesPerSecond)
+	if c.nextProbe.Before(at) {
+		c.nextProbe = at.Add(time.Second / ProbesPerSecond)
+	}
+	if m, ok := c.nextInRing(); ok {
+		c.probes = append(c.probes, m.router)
+	}
+}
+
+// planPush picks random live peers. The number of draws is bounded, so a push
+// may go to fewer than PushFanOut.
+func (c *Core) planPush() {
+	for draws := 0; draws < 4*PushFanOut && len(c.pushes) < PushFanOut; draws++ {
+		m, known := c.members[c.ring[c.random.IntN(len(c.ring))]]
+		if known && m.state != Dead && !slices.Contains(c.pushes, m.router) {
+			c.pushes = append(c.pushes, m.router)
+		}
+	}
+}
+
+// nextInRing walks through all members in an order that is shuffled anew after
+// each round. Dead members are probed too: this is how the halves of a fleet
+// that was cut apart find each other again.
+func (c *Core) nextInRing() (*member, bool) {
+	for range len(c.ring) + 1 {
+		if c.ringNext >= len(c.ring) {
+			c.shuffleRing()
+		}
+		if len(c.ring) == 0 {
+			return nil, false
+		}
+		m, known := c.members[c.ring[c.ringNext]]
+		c.ringNext++
+		if known && !m.hasLeft() {
+			return m, true
+		}
+	}
+	return nil, false
+}
+
+// shuffleRing drops forgotten members and starts a new round.
+func (c *Core) shuffleRing() {
+	kept := c.ring[:0]
+	for _, name := range c.ring {
+		if _, known := c.members[name]; known {
+			kept = append(kept, name)
+		}
+	}
+	c.ring = kept
+	c.ringNext = 0
+	c.random.Shuffle(len(c.ring), func(i, j int) { c.ring[i], c.ring[j] = c.ring[j], c.ring[i] })
+}
--- a/fleet/connection/engine/engine.go
+++ b/fleet/connection/engine/engine.go
@@ -61,6 +61,7 @@
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	gate Gate
 }
 
 // NewClient returns a client that keeps connections to endpoints open.
@@ -81,6 +82,9 @@
 // read. The caller closes the body. An answer to another request is closed and
 // reported as ErrMismatched.
 func (c *Client) Do(ctx context.Context, request Request) (*http.Response, error) {
+	if err := c.admit(request.URL); err != nil {
+		return nil, err
+	}
 	var isSent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { isSent.Store(true) },
@@ -98,6 +102,7 @@
 	}
 	if err := checkHead(response, request.ID); err != nil {
 		_ = response.Body.Close()
+		c.noteRefusal(request.URL, err)
 		return nil, err
 	}
 	return response, nil
--- /dev/null
+++ b/fleet/connection/engine/gate.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"gentianhead/core/process/withdrawal"
+)
+
+// ErrIsolated means that this router has lost contact with the rest of the
+// system and must not send work. The request was not sent.
+var ErrIsolated = errors.New("engine: router is isolated")
+
+// Gate decides at the last moment whether an endpoint, named by its host:port,
+// may be sent new work. The control loop implements it; its methods are called
+// from traffic goroutines and must not block.
+type Gate interface {
+	// Admit returns ErrWithdrawn, ErrIsolated or nil.
+	Admit(address string) error
+	// Refused reports that the endpoint answered that it is withdrawn.
+	Refused(address string)
+}
+
+// UseGate makes the client ask gate before each request and once more when a
+// connection had to be opened for it. It must be called before the first request.
+func (c *Client) UseGate(gate Gate) {
+	c.gate = gate
+	transport := c.http.Transport.(*http.Transport)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if err := gate.Admit(address); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
+// admit asks the gate, if there is one.
+func (c *Client) admit(requestURL string) error {
+	if c.gate == nil {
+		return nil
+	}
+	return c.gate.Admit(withdrawal.AddressOf(requestURL))
+}
+
+// noteRefusal tells the gate of an endpoint that answered that it is withdrawn.
+func (c *Client) noteRefusal(requestURL string, err error) {
+	if c.gate != nil && errors.Is(err, ErrWithdrawn) {
+		c.gate.Refused(withdrawal.AddressOf(requestURL))
+	}
+}
--- a/fleet/connection/peer/message.go
+++ b/fleet/connection/peer/message.go
@@ -5,6 +5,7 @@
 
 import (
 	"gentianhead/core/process/membership"
+	"gentianhead/core/process/withdrawal"
 	"gentianhead/core/version/resource"
 	"gentianhead/fleet/connection/frame"
 )
@@ -28,11 +29,22 @@
 	failureBit frame.Type = 0x40
 )
 
-// Heartbeat is a sign of life of its sender.
+// Heartbeat is a sign of life of its sender with the news that it passes on. The
+// answer to a heartbeat is the heartbeat of the router that answers. Its size is
+// bounded by membership.MaxRumors and withdrawal.MaxMarks.
 type Heartbeat struct {
 	Router membership.Router `msgpack:"m"`
 	// Revision is in force on the sender.
-	Revision resource.Revision `msgpack:"r"`
+	Revision resource.Revision  `msgpack:"r"`
+	Rumors   []membership.Rumor `msgpack:"u,omitempty"`
+	// StoreAgeMillis is how many milliseconds before this heartbeat the store is
+	// known to have been read, plus one; zero means that it is not known.
+	StoreAgeMillis int64 `msgpack:"a,omitempty"`
+	// WithdrawnHash is the Hash of the sender's withdrawal.Set.
+	WithdrawnHash uint64 `msgpack:"h,omitempty"`
+	// Withdrawn are the sender's marks, if they are new or if the heartbeat that
+	// this one answers had another WithdrawnHash.
+	Withdrawn []withdrawal.Mark `msgpack:"w,omitempty"`
 }
 
 // ChangesRequest asks for the changes after a revision.
--- a/fleet/process/control/configuration.go
+++ b/fleet/process/control/configuration.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"gentianhead/core/process/isolation"
 	"gentianhead/core/version/config"
 	"gentianhead/core/version/resource"
 	"gentianhead/fleet/connection/peer"
@@ -27,12 +29,14 @@
 func (l *Loop) readHead(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	revision, err := l.options.Desired.Head(ctx)
 	if err != nil {
 		l.options.Log.Debug("Head not read.", "error", err)
 		return
 	}
 	l.Post(config.StoreHead{Revision: revision})
+	l.Post(isolation.StoreRead{SentAt: sentAt, Revision: revision})
 	if revision == l.State().Config.Revision() {
 		l.Post(storeWasRead{})
 	}
--- a/fleet/process/control/control.go
+++ b/fleet/process/control/control.go
@@ -9,7 +9,10 @@
 	"sync/atomic"
 	"time"
 
+	"gentianhead/core/process/isolation"
 	"gentianhead/core/process/membership"
+	"gentianhead/core/process/pacing"
+	"gentianhead/core/process/withdrawal"
 	"gentianhead/core/request/placement"
 	"gentianhead/core/version/config"
 	"gentianhead/core/version/resource"
@@ -18,14 +21,8 @@
 	"gentianhead/fleet/version/desired"
 )
 
-// Intervals of the control loop.
+// Limits of the control loop.
 const (
-	// PollInterval is the time between two reads of the head row.
-	PollInterval = time.Second
-	// HeartbeatInterval is the time between two rounds of heartbeats.
-	HeartbeatInterval = time.Second
-	// ListInterval is the time between two reads of the instance list.
-	ListInterval = 5 * time.Second
 	// callTimeout bounds one call that the control loop makes.
 	callTimeout = 3 * time.Second
 	// eventQueue is how many events may wait for the control goroutine.
@@ -39,6 +36,13 @@
 	Picker *placement.Picker
 	// IsReady says that a configuration is in force.
 	IsReady bool
+	// IsIsolated says that the router lost contact and must refuse new work.
+	// Loop.IsIsolated also sees that the control goroutine itself was paused.
+	IsIsolated bool
+	// Withdrawn are endpoints withdrawn beside those that Config says.
+	Withdrawn *withdrawal.Set
+	// admitted are the addresses of endpoints that may be sent work.
+	admitted map[string]bool
 }
 
 // Options are what a Loop needs. All fields are required.
@@ -59,10 +63,18 @@
 	dropped atomic.Int64
 
 	config     *config.Core
-	members    *membership.Core
 	isFetching bool
 	isReady    bool
 	heads      map[string]resource.Revision
+
+	members    *membership.Core
+	isolation  *isolation.Core
+	withdrawal *withdrawal.Core
+	reads      readTimes
+	gossip     gossip
+	// tickedAt is the time since startedAt, in nanoseconds, of the last tick.
+	tickedAt  atomic.Int64
+	startedAt time.Time
 }
 
 // events that only the loop knows.
@@ -81,10 +93,15 @@
 		options: options,
 		events:  make(chan any, eventQueue),
 		config:  config.New(),
-		members: membership.New(options.Self),
 		heads:   make(map[string]resource.Revision),
+
+		members:    membership.New(options.Self, options.Self.Incarnation),
+		isolation:  isolation.New(),
+		withdrawal: withdrawal.New(),
+		startedAt:  time.Now(),
 	}
 	loop.publish()
+	loop.publishHeartbeat(loop.startedAt)
 	return loop
 }
 
@@ -110,41 +127,40 @@
 
 // Run owns the control state until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
-	poll := time.NewTicker(PollInterval)
-	defer poll.Stop()
-	beat := time.NewTicker(HeartbeatInterval)
-	defer beat.Stop()
-	list := time.NewTicker(ListInterval)
-	defer list.Stop()
-	go l.readList(ctx)
-	go l.readHead(ctx)
+	tick := time.NewTicker(membership.TickInterval)
+	defer tick.Stop()
+	l.startReads(time.Now())
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case event := <-l.events:
 			l.step(event)
-		case <-poll.C:
-			go l.readHead(ctx)
-		case <-list.C:
-			go l.readList(ctx)
-		case now := <-beat.C:
-			l.step(membership.Tick{At: now})
-			l.sendHeartbeats(ctx)
+		case <-tick.C:
+			l.tick(ctx, time.Now())
 		}
 		l.carryOut(ctx)
+		l.carryOutMembers(ctx, time.Now())
 	}
 }
 
 // step hands one event to the core that it belongs to.
 func (l *Loop) step(event any) {
 	switch e := event.(type) {
-	case peer.Heartbeat:
-		l.heads[e.Router.Instance] = e.Revision
-		l.config.Step(config.PeerHead{Instance: e.Router.Instance, Revision: e.Revision})
-		l.stepMembers(membership.Heartbeat{At: time.Now(), Router: e.Router})
+	case heartbeatReceived:
+		l.stepHeartbeat(e)
+	case probeEnded:
+		l.stepProbe(e)
 	case membership.Event:
-		l.stepMembers(e)
+		l.members.Step(e)
+	case isolation.Event:
+		l.isolation.Step(e)
+	case withdrawal.Event:
+		l.stepWithdrawal(e)
+	case registrationFailed:
+		l.reads.registration = time.Now().Add(pacing.StartJitter)
+	case listRead:
+		l.stepList(e)
 	case config.Event:
 		l.config.Step(e)
 	case storeWasRead:
@@ -153,27 +169,27 @@
 	case fetchFailed:
 		l.isFetching = false
 	case leaveAsked:
-		l.members.SetLeaving()
+		l.members.SetLeaving(time.Now())
+		l.reads.registration = time.Now()
 		l.publish()
 		close(e.done)
 	case fleetAsked:
+		l.gossip.isFleetAsked = true
 		e.answer <- l.inForce()
 	}
 }
 
-func (l *Loop) stepMembers(event membership.Event) {
-	if l.members.Step(event) {
-		l.publish()
-	}
-}
-
 func (l *Loop) publish() {
 	snapshot := l.config.Snapshot()
 	l.state.Store(&State{
 		Config:  snapshot,
 		View:    l.members.View(),
-		Picker:  newPicker(snapshot),
+		Picker:  newPicker(snapshot, l.withdrawal.Set()),
 		IsReady: l.isReady,
+
+		IsIsolated: l.isolation.IsIsolated(),
+		Withdrawn:  l.withdrawal.Set(),
+		admitted:   admittedAddresses(snapshot, l.withdrawal.Set()),
 	})
 }
 
--- a/fleet/process/control/picker.go
+++ b/fleet/process/control/picker.go
@@ -1,16 +1,18 @@
 package control
 
 import (
+	"gentianhead/core/process/withdrawal"
 	"gentianhead/core/request/placement"
 	"gentianhead/core/version/resource"
 )
 
-// newPicker builds the picker for the endpoints of a configuration.
-func newPicker(snapshot *resource.Snapshot) *placement.Picker {
+// newPicker builds the picker for the endpoints of a configuration that are not
+// withdrawn.
+func newPicker(snapshot *resource.Snapshot, withdrawn *withdrawal.Set) *placement.Picker {
 	byModel := make(map[string][]placement.Candidate)
 	byService := make(map[string][]placement.Candidate)
 	for _, object := range snapshot.List(resource.KindEndpoint) {
-		if object.Endpoint.Withdrawn {
+		if object.Endpoint.Withdrawn || withdrawn.Has(withdrawal.AddressOf(object.Endpoint.URL)) {
 			continue
 		}
 		candidate := placement.Candidate{Name: object.Name, URL: object.Endpoint.URL}
--- a/fleet/process/node/inject.go
+++ b/fleet/process/node/inject.go
@@ -45,8 +45,10 @@
 	do.Provide(injector, func(do.Injector) (*platform.Client, error) {
 		return platform.NewClient(s.Platform.URL), nil
 	})
-	do.Provide(injector, func(do.Injector) (*engine.Client, error) {
-		return engine.NewClient(), nil
+	do.Provide(injector, func(i do.Injector) (*engine.Client, error) {
+		client := engine.NewClient()
+		client.UseGate(do.MustInvoke[*control.Loop](i))
+		return client, nil
 	})
 	do.Provide(injector, func(do.Injector) (*peer.Pool, error) {
 		return peer.NewPool([]byte(keys.fleetKey)), nil
--- a/fleet/request/gateway/gateway.go
+++ b/fleet/request/gateway/gateway.go
@@ -122,6 +122,9 @@
 	if !x.state.IsReady {
 		return notRun(http.StatusServiceUnavailable, outcome.CodeNotReady, "no configuration is in force on this router yet").after(time.Second)
 	}
+	if g.options.Control.IsIsolated() {
+		return isolated()
+	}
 	if problem := x.authenticate(); problem != nil {
 		return problem
 	}
@@ -141,16 +144,27 @@
 }
 
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
-	if !g.options.Control.State().IsReady {
+	if !g.options.Control.State().IsReady || g.options.Control.IsIsolated() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// retryIsolated is when a caller may try an isolated router again; the other
+// addresses of its entry answer serve it at once.
+const retryIsolated = 2 * time.Second
+
+// isolated refuses work on a router that has lost contact.
+func isolated() *outcome.Problem {
+	return notRun(http.StatusServiceUnavailable, outcome.CodeIsolated, "this router has lost contact with the rest of the system").after(retryIsolated)
+}
+
 // failure turns an error of the engine client into what is certain.
 func failure(err error) *outcome.Problem {
 	switch {
+	case errors.Is(err, engine.ErrIsolated):
+		return isolated()
 	case errors.Is(err, engine.ErrNotSent):
 		return notRun(http.StatusBadGateway, outcome.CodeEndpointFailed, "the endpoint could not be reached").after(time.Second)
 	case errors.Is(err, engine.ErrWithdrawn):
