Put what routers tell each other into one core

The control loop held decisions about heartbeats that a test bench could not drive. core/process/gossip now holds them, with membership, isolation and withdrawal below it; the loop only carries out.

--- /dev/null
+++ b/core/process/gossip/gossip.go
@@ -0,0 +1,205 @@
+package gossip
+
+import (
+	"time"
+
+	"gentianhead/core/process/isolation"
+	"gentianhead/core/process/membership"
+	"gentianhead/core/process/withdrawal"
+	"gentianhead/core/version/resource"
+)
+
+// marksAreNew is how long after a change heartbeats carry all marks.
+const marksAreNew = 3 * time.Second
+
+// published is what the owner last saw.
+type published struct {
+	view       *membership.View
+	isIsolated bool
+	withdrawn  *withdrawal.Set
+}
+
+// Core decides for one router.
+type Core struct {
+	members    *membership.Core
+	isolation  *isolation.Core
+	withdrawal *withdrawal.Core
+
+	inForce      resource.Revision
+	marksChanged time.Time
+	message      *Message
+	// isStale says that message has to be made anew.
+	isStale   bool
+	now       time.Time
+	published published
+}
+
+// New returns a core that knows only self. The seed spreads the heartbeats of
+// different routers over their peers.
+func New(self membership.Router, seed uint64) *Core {
+	c := &Core{
+		members:    membership.New(self, seed),
+		isolation:  isolation.New(),
+		withdrawal: withdrawal.New(),
+	}
+	c.compose()
+	c.published = c.current()
+	return c
+}
+
+// View returns the live routers.
+func (c *Core) View() *membership.View { return c.members.View() }
+
+// Self returns this router as peers see it.
+func (c *Core) Self() membership.Router { return c.members.Self() }
+
+// IsIsolated reports whether the router must refuse new work.
+func (c *Core) IsIsolated() bool { return c.isolation.IsIsolated() }
+
+// IsInDoubt reports whether the router should read the store soon.
+func (c *Core) IsInDoubt() bool { return c.isolation.IsInDoubt(c.now) }
+
+// Withdrawn returns the endpoints withdrawn beside those that the configuration says.
+func (c *Core) Withdrawn() *withdrawal.Set { return c.withdrawal.Set() }
+
+// Message returns what the router answers to heartbeats now.
+func (c *Core) Message() *Message { return c.message }
+
+// Step takes one event in.
+func (c *Core) Step(event Event) {
+	switch e := event.(type) {
+	case Tick:
+		c.now = e.At
+		c.isolation.Step(isolation.Tick{At: e.At, InForce: e.InForce})
+		c.members.Step(membership.Tick{At: e.At})
+		c.stepWithdrawal(withdrawal.Tick{At: e.At})
+		c.isStale = true
+	case Received:
+		c.members.Sent(e.Answered.Rumors)
+		c.learn(e.At, e.Heartbeat, false)
+	case Sent:
+		c.stepSent(e)
+	case StoreRead:
+		c.isolation.Step(isolation.StoreRead{SentAt: e.SentAt, Revision: e.Revision})
+	case ListRead:
+		c.members.Step(membership.ListRead{At: e.At, Routers: e.Routers})
+		c.stepWithdrawal(withdrawal.ListRead{At: e.At, Endpoints: e.Endpoints})
+	case Refused:
+		c.now = e.At
+		c.stepWithdrawal(withdrawal.Refused{At: e.At, Address: e.Address})
+	case InForce:
+		c.stepInForce(e)
+	case Leave:
+		c.members.SetLeaving(e.At)
+		c.isStale = true
+	}
+}
+
+func (c *Core) stepInForce(e InForce) {
+	c.now = e.At
+	c.withdrawal.Step(withdrawal.Configured{Addresses: e.Addresses})
+	if e.Revision > c.inForce {
+		c.inForce = e.Revision
+		c.isStale = true
+		c.members.Step(membership.Urgent{At: e.At})
+	}
+}
+
+func (c *Core) stepSent(e Sent) {
+	if e.Send.IsProbe {
+		c.isolation.Step(probeEnded(e))
+	}
+	if e.Answer == nil {
+		c.members.Step(membership.ProbeFailed{At: e.At, SentAt: e.SentAt, Instance: e.Send.To.Instance})
+		return
+	}
+	c.learn(e.At, *e.Answer, true)
+}
+
+func probeEnded(e Sent) isolation.ProbeEnded {
+	event := isolation.ProbeEnded{SentAt: e.SentAt, StoreAge: -1}
+	if e.Answer == nil {
+		return event
+	}
+	event.IsAnswered = true
+	event.Revision = e.Answer.Revision
+	if e.Answer.StoreAgeMillis > 0 {
+		event.StoreAge = time.Duration(e.Answer.StoreAgeMillis) * time.Millisecond
+	}
+	return event
+}
+
+// learn hands a peer's heartbeat to the cores.
+func (c *Core) learn(at time.Time, heartbeat Heartbeat, isAnswer bool) {
+	c.now = at
+	c.isStale = true
+	c.members.Step(membership.Heartbeat{At: at, Router: heartbeat.Router, Rumors: heartbeat.Rumors, IsAnswer: isAnswer})
+	if len(heartbeat.Withdrawn) > 0 {
+		c.stepWithdrawal(withdrawal.Heard{At: at, Marks: heartbeat.Withdrawn})
+	}
+}
+
+// stepWithdrawal has newly withdrawn endpoints pushed to peers.
+func (c *Core) stepWithdrawal(event withdrawal.Event) {
+	if c.withdrawal.Step(event) {
+		c.marksChanged = c.now
+		c.isStale = true
+		c.members.Step(membership.Urgent{At: c.now})
+	}
+}
+
+// Ready returns what is to be done.
+func (c *Core) Ready() Ready {
+	if c.isStale {
+		c.compose()
+	}
+	wanted := c.members.Ready()
+	ready := Ready{IsChanged: c.current() != c.published}
+	for _, router := range wanted.Probe {
+		ready.Send = append(ready.Send, c.send(router, true))
+	}
+	for _, router := range wanted.Push {
+		ready.Send = append(ready.Send, c.send(router, false))
+	}
+	return ready
+}
+
+func (c *Core) send(to membership.Router, isProbe bool) Send {
+	heartbeat := c.message.heartbeat
+	heartbeat.Rumors = c.members.MessageTo(to.Instance, heartbeat.Rumors)
+	return Send{To: to, Heartbeat: heartbeat, IsProbe: isProbe}
+}
+
+// Advance tells the core that ready was carried out.
+func (c *Core) Advance(ready Ready) {
+	for _, send := range ready.Send {
+		c.members.Sent(send.Heartbeat.Rumors)
+	}
+	c.members.Advance()
+	c.published = c.current()
+}
+
+func (c *Core) current() published {
+	return published{view: c.members.View(), isIsolated: c.isolation.IsIsolated(), withdrawn: c.withdrawal.Set()}
+}
+
+// compose makes the message that is sent and answered from now on.
+func (c *Core) compose() {
+	c.isStale = false
+	message := &Message{
+		heartbeat: Heartbeat{
+			Router:        c.members.Self(),
+			Revision:      c.inForce,
+			Rumors:        c.members.Message(),
+			WithdrawnHash: c.withdrawal.Set().Hash(),
+		},
+		marks: c.withdrawal.Marks(c.now),
+	}
+	if age := c.isolation.StoreAge(c.now); age >= 0 {
+		message.heartbeat.StoreAgeMillis = age.Milliseconds() + 1
+	}
+	if c.now.Sub(c.marksChanged) < marksAreNew {
+		message.heartbeat.Withdrawn = message.marks
+	}
+	c.message = message
+}
--- a/core/process/withdrawal/withdrawal.go
+++ b/core/process/withdrawal/withdrawal.go
@@ -105,6 +105,11 @@
 	return ok
 }
 
+// Len returns how many endpoints are withdrawn.
+func (s *Set) Len() int {
+	return len(s.addresses)
+}
+
 // Hash returns the same number for equal sets, and zero for an empty one.
 func (s *Set) Hash() uint64 {
 	return s.hash
--- a/fleet/connection/peer/message.go
+++ b/fleet/connection/peer/message.go
@@ -4,8 +4,6 @@
 package peer
 
 import (
-	"gentianhead/core/process/membership"
-	"gentianhead/core/process/withdrawal"
 	"gentianhead/core/version/resource"
 	"gentianhead/fleet/connection/frame"
 )
@@ -18,6 +16,7 @@
 
 // Types of calls. The answer to a call has the type of the call with answerBit.
 const (
+	// TypeHeartbeat carries a gossip.Heartbeat, and its answer does too.
 	TypeHeartbeat frame.Type = 10
 	TypeChanges   frame.Type = 20
 )
@@ -29,24 +28,6 @@
 	failureBit frame.Type = 0x40
 )
 
-// Heartbeat is a sign of life of its sender with the news that it passes on. The
-// answer to a heartbeat is the heartbeat of the router that answers. Its size is
-// bounded by membership.MaxRumors and withdrawal.MaxMarks.
-type Heartbeat struct {
-	Router membership.Router `msgpack:"m"`
-	// Revision is in force on the sender.
-	Revision resource.Revision  `msgpack:"r"`
-	Rumors   []membership.Rumor `msgpack:"u,omitempty"`
-	// StoreAgeMillis is how many milliseconds before this heartbeat the store is
-	// known to have been read, plus one; zero means that it is not known.
-	StoreAgeMillis int64 `msgpack:"a,omitempty"`
-	// WithdrawnHash is the Hash of the sender's withdrawal.Set.
-	WithdrawnHash uint64 `msgpack:"h,omitempty"`
-	// Withdrawn are the sender's marks, if they are new or if the heartbeat that
-	// this one answers had another WithdrawnHash.
-	Withdrawn []withdrawal.Mark `msgpack:"w,omitempty"`
-}
-
 // ChangesRequest asks for the changes after a revision.
 type ChangesRequest struct {
 	After resource.Revision `msgpack:"a"`
--- a/fleet/process/control/configuration.go
+++ b/fleet/process/control/configuration.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"gentianhead/core/process/isolation"
+	"gentianhead/core/process/gossip"
 	"gentianhead/core/version/config"
 	"gentianhead/core/version/resource"
 	"gentianhead/fleet/connection/peer"
@@ -36,7 +36,7 @@
 		return
 	}
 	l.Post(config.StoreHead{Revision: revision})
-	l.Post(isolation.StoreRead{SentAt: sentAt, Revision: revision})
+	l.Post(gossip.StoreRead{SentAt: sentAt, Revision: revision})
 	if revision == l.State().Config.Revision() {
 		l.Post(storeWasRead{})
 	}
@@ -85,7 +85,7 @@
 // inForce returns the revision in force on each live router, as last heard.
 func (l *Loop) inForce() map[string]resource.Revision {
 	revisions := make(map[string]resource.Revision)
-	for _, router := range l.members.View().Routers {
+	for _, router := range l.gossip.View().Routers {
 		revisions[router.Instance] = l.heads[router.Instance]
 	}
 	revisions[l.options.Self.Instance] = l.config.InForce()
--- a/fleet/process/control/control.go
+++ b/fleet/process/control/control.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"gentianhead/core/process/isolation"
+	"gentianhead/core/process/gossip"
 	"gentianhead/core/process/membership"
 	"gentianhead/core/process/pacing"
 	"gentianhead/core/process/withdrawal"
@@ -67,11 +67,13 @@
 	isReady    bool
 	heads      map[string]resource.Revision
 
-	members    *membership.Core
-	isolation  *isolation.Core
-	withdrawal *withdrawal.Core
-	reads      readTimes
-	gossip     gossip
+	gossip *gossip.Core
+	// message is what this router answers to heartbeats. Peer connections read it.
+	message atomic.Pointer[gossip.Message]
+	// announced is the last revision that the gossip core was told of.
+	announced resource.Revision
+	reads     readTimes
+	sweep     sweep
 	// tickedAt is the time since startedAt, in nanoseconds, of the last tick.
 	tickedAt  atomic.Int64
 	startedAt time.Time
@@ -95,13 +97,11 @@
 		config:  config.New(),
 		heads:   make(map[string]resource.Revision),
 
-		members:    membership.New(options.Self, options.Self.Incarnation),
-		isolation:  isolation.New(),
-		withdrawal: withdrawal.New(),
-		startedAt:  time.Now(),
+		gossip:    gossip.New(options.Self, options.Self.Incarnation),
+		startedAt: time.Now(),
 	}
 	loop.publish()
-	loop.publishHeartbeat(loop.startedAt)
+	loop.message.Store(loop.gossip.Message())
 	return loop
 }
 
@@ -140,23 +140,23 @@
 			l.tick(ctx, time.Now())
 		}
 		l.carryOut(ctx)
-		l.carryOutMembers(ctx, time.Now())
+		l.carryOutGossip(ctx, time.Now())
 	}
 }
 
 // step hands one event to the core that it belongs to.
 func (l *Loop) step(event any) {
 	switch e := event.(type) {
-	case heartbeatReceived:
-		l.stepHeartbeat(e)
-	case probeEnded:
-		l.stepProbe(e)
-	case membership.Event:
-		l.members.Step(e)
-	case isolation.Event:
-		l.isolation.Step(e)
-	case withdrawal.Event:
-		l.stepWithdrawal(e)
+	case gossip.Received:
+		l.notePeer(e.Heartbeat)
+		l.gossip.Step(e)
+	case gossip.Sent:
+		if e.Answer != nil {
+			l.notePeer(*e.Answer)
+		}
+		l.gossip.Step(e)
+	case gossip.Event:
+		l.gossip.Step(e)
 	case registrationFailed:
 		l.reads.registration = time.Now().Add(pacing.StartJitter)
 	case listRead:
@@ -169,12 +169,12 @@
 	case fetchFailed:
 		l.isFetching = false
 	case leaveAsked:
-		l.members.SetLeaving(time.Now())
+		l.gossip.Step(gossip.Leave{At: time.Now()})
 		l.reads.registration = time.Now()
 		l.publish()
 		close(e.done)
 	case fleetAsked:
-		l.gossip.isFleetAsked = true
+		l.sweep.isAsked = true
 		e.answer <- l.inForce()
 	}
 }
@@ -183,13 +183,13 @@
 	snapshot := l.config.Snapshot()
 	l.state.Store(&State{
 		Config:  snapshot,
-		View:    l.members.View(),
-		Picker:  newPicker(snapshot, l.withdrawal.Set()),
+		View:    l.gossip.View(),
+		Picker:  newPicker(snapshot, l.gossip.Withdrawn()),
 		IsReady: l.isReady,
 
-		IsIsolated: l.isolation.IsIsolated(),
-		Withdrawn:  l.withdrawal.Set(),
-		admitted:   admittedAddresses(snapshot, l.withdrawal.Set()),
+		IsIsolated: l.gossip.IsIsolated(),
+		Withdrawn:  l.gossip.Withdrawn(),
+		admitted:   admittedAddresses(snapshot, l.gossip.Withdrawn()),
 	})
 }
 
--- a/fleet/process/control/heard.go
+++ b/fleet/process/control/gate.go
@@ -3,41 +3,16 @@
 import (
 	"time"
 
+	"gentianhead/core/process/gossip"
 	"gentianhead/core/process/membership"
 	"gentianhead/core/process/withdrawal"
-	"gentianhead/core/version/config"
 	"gentianhead/core/version/resource"
 	"gentianhead/fleet/connection/engine"
-	"gentianhead/fleet/connection/peer"
 )
 
-// This file takes in what peers and endpoints say, and admits requests.
+// This file admits requests to endpoints.
 
-// learn hands a peer's heartbeat to the cores.
-func (l *Loop) learn(heartbeat peer.Heartbeat, isAnswer bool) {
-	now := time.Now()
-	l.heads[heartbeat.Router.Instance] = heartbeat.Revision
-	l.config.Step(config.PeerHead{Instance: heartbeat.Router.Instance, Revision: heartbeat.Revision})
-	l.members.Step(membership.Heartbeat{At: now, Router: heartbeat.Router, Rumors: heartbeat.Rumors, IsAnswer: isAnswer})
-	if len(heartbeat.Withdrawn) > 0 {
-		l.stepWithdrawal(withdrawal.Heard{At: now, Marks: heartbeat.Withdrawn})
-	}
-}
-
-// stepWithdrawal has newly withdrawn endpoints pushed to peers.
-func (l *Loop) stepWithdrawal(event withdrawal.Event) {
-	now := time.Now()
-	before := l.withdrawal.Set()
-	if l.withdrawal.Step(event) {
-		l.options.Log.Info("Endpoint withdrawn.")
-		l.gossip.marksChanged = now
-		l.publishHeartbeat(now)
-		l.members.Step(membership.Urgent{At: now})
-	}
-	if l.withdrawal.Set() != before {
-		l.publish()
-	}
-}
+var _ engine.Gate = (*Loop)(nil)
 
 // configuredAddresses returns the addresses of all endpoints.
 func configuredAddresses(snapshot *resource.Snapshot) []string {
@@ -86,5 +61,5 @@
 
 // Refused implements engine.Gate.
 func (l *Loop) Refused(address string) {
-	l.Post(withdrawal.Refused{At: time.Now(), Address: address})
+	l.Post(gossip.Refused{At: time.Now(), Address: address})
 }
--- a/fleet/process/control/reads.go
+++ b/fleet/process/control/reads.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"gentianhead/core/process/gossip"
 	"gentianhead/core/process/membership"
 	"gentianhead/core/process/pacing"
 	"gentianhead/core/process/withdrawal"
@@ -46,19 +47,19 @@
 	}
 	if !now.Before(l.reads.registration) {
 		l.reads.registration = now.Add(pacing.RegistrationInterval + rand.N(pacing.StartJitter))
-		go l.register(ctx, l.members.Self().Leaving)
+		go l.register(ctx, l.gossip.Self().Leaving)
 	}
 }
 
 // nextHead returns when the head row is read next: in this router's slot, or
 // sooner while it is not ready or has lost its peers.
 func (l *Loop) nextHead(now time.Time) time.Time {
-	rank, size := l.members.View().Rank(l.options.Self.Instance)
+	rank, size := l.gossip.View().Rank(l.options.Self.Instance)
 	next := pacing.Next(now, pacing.HeadInterval(size), rank, size)
 	if !l.isReady {
 		return now.Add(min(next.Sub(now), pacing.MinHeadInterval/2+rand.N(pacing.MinHeadInterval)))
 	}
-	if l.isolation.IsInDoubt(now) {
+	if l.gossip.IsInDoubt() {
 		return now.Add(min(next.Sub(now), pacing.DoubtInterval/2+rand.N(pacing.DoubtInterval)))
 	}
 	return next
@@ -108,9 +109,8 @@
 			endpoints = append(endpoints, withdrawal.Listed{Address: withdrawal.AddressOf(instance.URL), IsLeaving: instance.Leaving})
 		}
 	}
-	l.members.Step(membership.ListRead{At: e.at, Routers: routers})
-	l.stepWithdrawal(withdrawal.ListRead{At: e.at, Endpoints: endpoints})
-	rank, size := l.members.View().Rank(l.options.Self.Instance)
+	l.gossip.Step(gossip.ListRead{At: e.at, Routers: routers, Endpoints: endpoints})
+	rank, size := l.gossip.View().Rank(l.options.Self.Instance)
 	interval := pacing.ListInterval(len(e.instances) * listedBytes)
 	l.reads.list = pacing.Next(e.at, interval, rank, size)
 }
