--- /dev/null
+++ b/core/process/gossip/fleet_test.go
@@ -0,0 +1,221 @@
+package gossip_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/matrix"
+	"gentianhead/core/process/gossip/gossiptest"
+	"gentianhead/core/process/isolation"
+	"gentianhead/core/process/membership"
+	"gentianhead/core/process/withdrawal"
+)
+
+const (
+	// settle is the time in which a fleet that starts finds itself.
+	settle = 10 * time.Second
+	// inForceBound and withdrawalBound are the stated targets.
+	inForceBound    = 5 * time.Second
+	withdrawalBound = 2 * time.Second
+	endpoint        = "10.9.0.1:8000"
+)
+
+func settled(options gossiptest.Options) *gossiptest.Fleet {
+	f := gossiptest.New(options)
+	f.Platform.Head = 1
+	f.Run(settle)
+	return f
+}
+
+// awaitAll runs until condition holds on all routers, at most d, and returns how long.
+func awaitAll(f *gossiptest.Fleet, d time.Duration, condition func(*gossiptest.Router) bool) (time.Duration, bool) {
+	start := f.Now
+	for f.Now.Sub(start) < d {
+		holds := true
+		for _, r := range f.Routers {
+			holds = holds && (r.IsDown || condition(r))
+		}
+		if holds {
+			return f.Now.Sub(start), true
+		}
+		f.Run(50 * time.Millisecond)
+	}
+	return d, false
+}
+
+func seesAll(f *gossiptest.Fleet) func(*gossiptest.Router) bool {
+	return func(r *gossiptest.Router) bool { return len(r.Core.View().Routers) == len(f.Routers) }
+}
+
+func TestAFleetFindsItselfAndADeadRouterLeavesTheView(t *testing.T) {
+	f := settled(gossiptest.Options{Size: 30, Seed: matrix.Seed()})
+	for _, r := range f.Routers {
+		assert.Equal(t, len(r.Core.View().Routers), 30)
+		assert.Assert(t, f.IsActing(r))
+	}
+	f.Routers[3].IsDown = true
+	took, ok := awaitAll(f, 20*time.Second, func(r *gossiptest.Router) bool {
+		_, isSeen := r.Core.View().Find(f.Routers[3].Instance())
+		return !isSeen
+	})
+	assert.Assert(t, ok, "after %v", took)
+}
+
+func TestALeavingRouterIsSeenLeavingByAll(t *testing.T) {
+	f := settled(gossiptest.Options{Size: 30, Seed: matrix.Seed()})
+	leave(f, 4)
+	_, ok := awaitAll(f, withdrawalBound, func(r *gossiptest.Router) bool {
+		router, _ := r.Core.View().Find(f.Routers[4].Instance())
+		return router.Leaving
+	})
+	assert.Assert(t, ok)
+}
+
+func TestRegionsCutForMinutesMergeAgain(t *testing.T) {
+	isCut := false
+	f := settled(gossiptest.Options{Size: 35, Zones: 7, Seed: matrix.Seed(), IsCut: func(a, b int) bool {
+		return isCut && (a%7 == 0) != (b%7 == 0)
+	}})
+	isCut = true
+	f.Run(5 * time.Minute)
+	assert.Assert(t, !seesAll(f)(f.Routers[1]), "the cut was not noticed")
+	isCut = false
+	took, ok := awaitAll(f, time.Minute, seesAll(f))
+	assert.Assert(t, ok)
+	t.Logf("seed %d: merged %v after the cut ended", matrix.Seed(), took)
+}
+
+func TestAPausedRouterIsTakenBackAndDoesNotActOnWhatItBelieved(t *testing.T) {
+	f := settled(gossiptest.Options{Size: 15, Seed: matrix.Seed()})
+	paused := f.Routers[5]
+	f.Pause(paused)
+	f.Run(time.Minute)
+	f.Platform.Head = 2
+	f.Run(5 * time.Second)
+	f.Resume(paused)
+	acted := false
+	for range 200 {
+		if f.IsActing(paused) {
+			acted = true
+			assert.Equal(t, uint64(paused.InForce), uint64(2), "it acts on an old revision")
+		}
+		f.Run(10 * time.Millisecond)
+	}
+	assert.Assert(t, acted, "it does not act again")
+	_, ok := awaitAll(f, 20*time.Second, seesAll(f))
+	assert.Assert(t, ok)
+}
+
+func TestAnHourOfStoreOutageDoesNotStopTheFleet(t *testing.T) {
+	f := settled(gossiptest.Options{Size: 15, Seed: matrix.Seed()})
+	f.Platform.IsDown = true
+	f.AfterTick = func(r *gossiptest.Router) {
+		if !f.IsActing(r) {
+			t.Fatalf("%s stopped after %v of outage", r.Instance(), f.Now)
+		}
+	}
+	f.Run(time.Hour)
+}
+
+// cutOff cuts a group from the store and from all routers outside it and
+// returns the time until the last of them stopped, or how long it looked.
+func cutOff(seed uint64, size int, group int) (time.Duration, bool) {
+	isCut := false
+	inGroup := func(i int) bool { return i < group }
+	f := settled(gossiptest.Options{Size: size, Seed: seed, IsCut: func(a, b int) bool {
+		return isCut && inGroup(a) != inGroup(b)
+	}})
+	isCut = true
+	for i := range group {
+		f.Routers[i].IsStoreCut = true
+	}
+	start, last := f.Now, time.Duration(0)
+	f.AfterTick = func(r *gossiptest.Router) {
+		if inGroup(r.Index()) && f.IsActing(r) {
+			last = f.Now.Sub(start)
+		}
+	}
+	f.Run(20 * time.Minute)
+	return last, last <= isolation.Bound
+}
+
+func TestRoutersCutOffTogetherStopWithinTheBound(t *testing.T) {
+	for _, c := range []struct{ size, group int }{{7, 1}, {7, 2}, {7, 3}, {40, 2}, {40, 10}} {
+		last, ok := cutOff(matrix.Seed(), c.size, c.group)
+		assert.Assert(t, ok, "%d of %d: last new work after %v", c.group, c.size, last)
+		t.Logf("%d of %d: last new work %v after the cut", c.group, c.size, last)
+	}
+}
+
+func TestANewRevisionAndAWithdrawalReachAllInTime(t *testing.T) {
+	f := settled(gossiptest.Options{Size: 100, Seed: matrix.Seed()})
+	f.Platform.Head = 2
+	took, ok := awaitAll(f, inForceBound, func(r *gossiptest.Router) bool { return r.InForce == 2 })
+	assert.Assert(t, ok)
+	t.Logf("revision in force after %v", took)
+
+	refuse(f, 9)
+	took, ok = awaitAll(f, withdrawalBound, knowsWithdrawal)
+	assert.Assert(t, ok)
+	t.Logf("endpoint's own answer known after %v", took)
+}
+
+func knowsWithdrawal(r *gossiptest.Router) bool { return r.Core.Withdrawn().Has(endpoint) }
+
+func TestAnEndpointThatLeavesTheListIsWithdrawn(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		f := gossiptest.New(gossiptest.Options{Size: 7, Seed: matrix.Seed()})
+		for i := range 20 {
+			f.Platform.Endpoints = append(f.Platform.Endpoints, withdrawal.Listed{Address: fmt.Sprintf("10.9.0.%d:8000", i+1)})
+		}
+		f.Run(settle)
+		if gone {
+			f.Platform.Endpoints = f.Platform.Endpoints[1:]
+		} else {
+			leaving := append([]withdrawal.Listed(nil), f.Platform.Endpoints...)
+			leaving[0].IsLeaving = true
+			f.Platform.Endpoints = leaving
+		}
+		took, ok := awaitAll(f, withdrawalBound, knowsWithdrawal)
+		assert.Assert(t, ok, "gone %t", gone)
+		t.Logf("gone %t: known after %v", gone, took)
+		f.Run(10 * time.Minute)
+		assert.Assert(t, knowsWithdrawal(f.Routers[0]), "the mark was not renewed")
+	}
+}
+
+func TestAMarkThatNobodyRenewsExpires(t *testing.T) {
+	f := settled(gossiptest.Options{Size: 20, Seed: matrix.Seed()})
+	refuse(f, 0)
+	f.Run(withdrawalBound)
+	assert.Assert(t, knowsWithdrawal(f.Routers[7]))
+	f.Run(withdrawal.MarkLife)
+	for _, r := range f.Routers {
+		assert.Assert(t, !knowsWithdrawal(r), r.Instance())
+	}
+}
+
+func TestAZoneThatStartsAtOnceStaysWithinThePlatformsLimits(t *testing.T) {
+	f := gossiptest.New(gossiptest.Options{Size: 60, Seed: matrix.Seed()})
+	f.Platform.Head = 1
+	for range 10 {
+		before := f.Platform.Reads
+		f.Run(time.Second)
+		assert.Assert(t, f.Platform.Reads-before <= 500, "%d reads in a second", f.Platform.Reads-before)
+	}
+	for _, r := range f.Routers {
+		assert.Assert(t, f.IsActing(r))
+	}
+}
+
+func TestHeartbeatsStayWithinTheirBounds(t *testing.T) {
+	f := settled(gossiptest.Options{Size: 50, Seed: matrix.Seed()})
+	for _, r := range f.Routers {
+		for _, send := range r.Core.Ready().Send {
+			assert.Assert(t, len(send.Heartbeat.Rumors) <= membership.MaxRumors)
+		}
+	}
+}
--- a/core/process/isolation/isolation.go
+++ b/core/process/isolation/isolation.go
@@ -6,7 +6,9 @@
 // or by a router that said so to it, or while at least half of the probes that
 // it sent to random peers within Window were answered. The second way keeps the
 // fleet at work when the store alone is down. Half is asked for so that a few
-// routers that were cut off together do not keep each other going.
+// routers that were cut off together do not keep each other going. Once isolated,
+// two thirds of a whole Window of probes are asked for, so that a small group does
+// not come back by the luck of its draws.
 //
 // Only round trips count: what a paused router finds in its receive buffers may
 // be old. The core has no I/O and no clock and belongs to one goroutine.
@@ -24,8 +26,10 @@
 	// GapLimit is the time without a tick after which a router is isolated until
 	// it has refreshed.
 	GapLimit = 2 * time.Second
-	// MinProbes is the fewest probes that can show contact with the peers.
-	MinProbes = 3
+	// MinProbes is the fewest probes that keep a router in contact with its peers,
+	// and MinProbesToReturn the fewest that end its isolation.
+	MinProbes         = 3
+	MinProbesToReturn = 18
 	// Bound is the longest that a router sends work after its last contact.
 	Bound = 10 * time.Second
 )
@@ -168,7 +172,8 @@
 	return !c.storeAt.IsZero() && !c.storeAt.Before(c.refreshFrom) && at.Sub(c.storeAt) <= Window
 }
 
-// hasPeers reports whether at least half of the recent probes were answered.
+// hasPeers reports whether at least half of the recent probes were answered, or
+// two thirds of many on a router that is isolated.
 func (c *Core) hasPeers(at time.Time) bool {
 	sent, answered := 0, 0
 	for _, p := range c.probes {
@@ -180,5 +185,8 @@
 			answered++
 		}
 	}
+	if c.isIsolated {
+		return sent >= MinProbesToReturn && 3*answered >= 2*sent
+	}
 	return sent >= MinProbes && 2*answered >= sent
 }
--- a/core/process/membership/membership.go
+++ b/core/process/membership/membership.go
@@ -17,6 +17,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"gentianhead/core/process/pacing"
 )
 
 // Router is one instance of gentianhead that callers and peers can reach.
@@ -136,12 +138,12 @@
 	return v.Routers[i], true
 }
 
-// Rank returns the position of an instance in the view and the view's size.
-func (v *View) Rank(instance string) (rank, size int) {
-	rank, _ = slices.BinarySearchFunc(v.Routers, instance, func(r Router, name string) int {
+// Slot returns the position of an instance in the view, for the pacing of reads.
+func (v *View) Slot(instance string) pacing.Slot {
+	rank, _ := slices.BinarySearchFunc(v.Routers, instance, func(r Router, name string) int {
 		return strings.Compare(r.Instance, name)
 	})
-	return rank, len(v.Routers)
+	return pacing.Slot{Rank: rank, Size: len(v.Routers)}
 }
 
 // Ready is what the owner has to do now. The zero value asks for nothing.
--- a/fleet/process/control/control.go
+++ b/fleet/process/control/control.go
@@ -72,7 +72,7 @@
 	message atomic.Pointer[gossip.Message]
 	// announced is the last revision that the gossip core was told of.
 	announced resource.Revision
-	reads     readTimes
+	reads     *pacing.Reads
 	sweep     sweep
 	// tickedAt is the time since startedAt, in nanoseconds, of the last tick.
 	tickedAt  atomic.Int64
@@ -98,6 +98,7 @@
 		heads:   make(map[string]resource.Revision),
 
 		gossip:    gossip.New(options.Self, options.Self.Incarnation),
+		reads:     pacing.NewReads(time.Now(), options.Self.Incarnation),
 		startedAt: time.Now(),
 	}
 	loop.publish()
@@ -129,7 +130,6 @@
 func (l *Loop) Run(ctx context.Context) {
 	tick := time.NewTicker(membership.TickInterval)
 	defer tick.Stop()
-	l.startReads(time.Now())
 	for {
 		select {
 		case <-ctx.Done():
@@ -158,7 +158,7 @@
 	case gossip.Event:
 		l.gossip.Step(e)
 	case registrationFailed:
-		l.reads.registration = time.Now().Add(pacing.StartJitter)
+		l.reads.RegisterAt(time.Now().Add(pacing.StartJitter))
 	case listRead:
 		l.stepList(e)
 	case config.Event:
@@ -170,7 +170,7 @@
 		l.isFetching = false
 	case leaveAsked:
 		l.gossip.Step(gossip.Leave{At: time.Now()})
-		l.reads.registration = time.Now()
+		l.reads.RegisterAt(time.Now())
 		l.publish()
 		close(e.done)
 	case fleetAsked:
--- a/fleet/process/control/reads.go
+++ b/fleet/process/control/reads.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"gentianhead/core/process/gossip"
@@ -17,52 +16,27 @@
 // listedBytes estimates one instance in the platform's list.
 const listedBytes = 150
 
-// readTimes says when each read of the platform is due.
-type readTimes struct {
-	head, list, registration time.Time
-}
-
 // listRead is the platform's list as read.
 type listRead struct {
 	at        time.Time
 	instances []platform.Instance
 }
 
-// startReads spreads the first reads of routers that start together.
-func (l *Loop) startReads(now time.Time) {
-	l.reads.registration = now.Add(rand.N(pacing.StartJitter))
-	l.reads.list = now.Add(rand.N(pacing.StartJitter))
-	l.reads.head = now
-}
-
-// readDue begins the reads whose time has come.
+// readDue begins the calls whose time has come.
 func (l *Loop) readDue(ctx context.Context, now time.Time) {
-	if !now.Before(l.reads.head) {
-		l.reads.head = l.nextHead(now)
+	if l.reads.HeadDue(now, l.slot(), l.gossip.IsInDoubt() || !l.isReady) {
 		go l.readHead(ctx)
 	}
-	if !now.Before(l.reads.list) {
-		l.reads.list = now.Add(pacing.MinListInterval)
+	if l.reads.ListDue(now) {
 		go l.readList(ctx)
 	}
-	if !now.Before(l.reads.registration) {
-		l.reads.registration = now.Add(pacing.RegistrationInterval + rand.N(pacing.StartJitter))
+	if l.reads.RegistrationDue(now) {
 		go l.register(ctx, l.gossip.Self().Leaving)
 	}
 }
 
-// nextHead returns when the head row is read next: in this router's slot, or
-// sooner while it is not ready or has lost its peers.
-func (l *Loop) nextHead(now time.Time) time.Time {
-	rank, size := l.gossip.View().Rank(l.options.Self.Instance)
-	next := pacing.Next(now, pacing.HeadInterval(size), rank, size)
-	if !l.isReady {
-		return now.Add(min(next.Sub(now), pacing.MinHeadInterval/2+rand.N(pacing.MinHeadInterval)))
-	}
-	if l.gossip.IsInDoubt() {
-		return now.Add(min(next.Sub(now), pacing.DoubtInterval/2+rand.N(pacing.DoubtInterval)))
-	}
-	return next
+func (l *Loop) slot() pacing.Slot {
+	return l.gossip.View().Slot(l.options.Self.Instance)
 }
 
 func (l *Loop) register(ctx context.Context, isLeaving bool) {
@@ -110,9 +84,7 @@
 		}
 	}
 	l.gossip.Step(gossip.ListRead{At: e.at, Routers: routers, Endpoints: endpoints})
-	rank, size := l.gossip.View().Rank(l.options.Self.Instance)
-	interval := pacing.ListInterval(len(e.instances) * listedBytes)
-	l.reads.list = pacing.Next(e.at, interval, rank, size)
+	l.reads.ListRead(e.at, l.slot(), len(e.instances)*listedBytes)
 }
 
 func routerOf(instance platform.Instance) membership.Router {
