--- a/core/process/gossip/gossip.go
+++ b/core/process/gossip/gossip.go
@@ -84,6 +84,7 @@
 	case ListRead:
 		c.members.Step(membership.ListRead{At: e.At, Routers: e.Routers})
 		c.stepWithdrawal(withdrawal.ListRead{At: e.At, Endpoints: e.Endpoints})
+		c.isolation.Step(isolation.ListRead{SentAt: e.SentAt, HasPeers: c.members.Known() > 0})
 	case Refused:
 		c.now = e.At
 		c.stepWithdrawal(withdrawal.Refused{At: e.At, Address: e.Address})
--- a/core/process/gossip/gossiptest/fleet.go
+++ b/core/process/gossip/gossiptest/fleet.go
@@ -210,7 +210,7 @@
 		f.readHead(r)
 	}
 	if r.reads.ListDue(f.Now) {
-		f.readList(r, slot)
+		f.readList(r)
 	}
 }
 
@@ -232,8 +232,8 @@
 	})
 }
 
-func (f *Fleet) readList(r *Router, slot pacing.Slot) {
-	core := r.Core
+func (f *Fleet) readList(r *Router) {
+	sentAt, core := f.Now, r.Core
 	f.after(f.options.Latency, func() {
 		if r.IsStoreCut || f.Platform.IsDown {
 			return
@@ -245,13 +245,13 @@
 				routers = append(routers, listed.router)
 			}
 		}
-		list := gossip.ListRead{Routers: routers, Endpoints: f.Platform.Endpoints}
+		list := gossip.ListRead{SentAt: sentAt, Routers: routers, Endpoints: f.Platform.Endpoints}
 		bytes := (len(list.Routers) + len(list.Endpoints)) * f.options.ListedBytes
 		f.after(f.options.Latency, func() {
 			f.on(r, core, func() {
 				list.At = f.Now
 				core.Step(list)
-				r.reads.ListRead(f.Now, slot, bytes)
+				r.reads.ListRead(f.Now, core.View().Slot(r.router.Instance), bytes)
 				f.carryOut(r)
 			})
 		})
--- a/core/process/gossip/heartbeat.go
+++ b/core/process/gossip/heartbeat.go
@@ -81,9 +81,10 @@
 	Revision resource.Revision
 }
 
-// ListRead is the platform's list as read at At.
+// ListRead is the platform's list as read at At by a call begun at SentAt.
 type ListRead struct {
 	At        time.Time
+	SentAt    time.Time
 	Routers   []membership.Router
 	Endpoints []withdrawal.Listed
 }
--- a/core/process/isolation/isolation.go
+++ b/core/process/isolation/isolation.go
@@ -10,6 +10,10 @@
 // two thirds of a whole Window of probes are asked for, so that a small group does
 // not come back by the luck of its draws.
 //
+// A router that starts, or comes back from a pause or from isolation, first hears
+// one peer, as peers tell which endpoints refused work; PeerWait bounds the wait
+// of a router that reads the store and finds no peer.
+//
 // Only round trips count: what a paused router finds in its receive buffers may
 // be old. The core has no I/O and no clock and belongs to one goroutine.
 package isolation
@@ -30,6 +34,9 @@
 	// and MinProbesToReturn the fewest that end its isolation.
 	MinProbes         = 3
 	MinProbesToReturn = 18
+	// PeerWait is how long a router with contact to the store waits for a peer
+	// before it takes up work.
+	PeerWait = 3 * time.Second
 	// Bound is the longest that a router sends work after its last contact.
 	Bound = 10 * time.Second
 )
@@ -54,6 +61,13 @@
 	StoreAge time.Duration
 }
 
+// ListRead reports a successful read of the instance list that was begun at
+// SentAt. HasPeers says whether this router knows of any other.
+type ListRead struct {
+	SentAt   time.Time
+	HasPeers bool
+}
+
 // Tick lets time pass. InForce is the revision in force on this router.
 type Tick struct {
 	At      time.Time
@@ -62,6 +76,7 @@
 
 func (StoreRead) isEvent()  {}
 func (ProbeEnded) isEvent() {}
+func (ListRead) isEvent()   {}
 func (Tick) isEvent()       {}
 
 type probe struct {
@@ -80,7 +95,9 @@
 	// refreshFrom is when contact has to begin anew; what was learned from
 	// earlier calls does not count.
 	refreshFrom time.Time
-	isIsolated  bool
+	// isInformed says that a peer was heard since, or that there is none.
+	isInformed bool
+	isIsolated bool
 }
 
 // New returns a core that is isolated until its first contact.
@@ -119,10 +136,13 @@
 		if !e.IsAnswered {
 			return
 		}
+		c.isInformed = c.isInformed || !e.SentAt.Before(c.refreshFrom)
 		c.known = max(c.known, e.Revision)
 		if e.StoreAge >= 0 {
 			c.learnStore(e.SentAt.Add(-e.StoreAge))
 		}
+	case ListRead:
+		c.isInformed = c.isInformed || !e.HasPeers && !e.SentAt.Before(c.refreshFrom)
 	case Tick:
 		c.tick(e)
 	}
@@ -135,6 +155,9 @@
 }
 
 func (c *Core) tick(e Tick) {
+	if c.refreshFrom.IsZero() {
+		c.refreshFrom = e.At
+	}
 	gap := e.At.Sub(c.lastTick)
 	if !c.lastTick.IsZero() && (gap > GapLimit || gap < 0) {
 		c.isolate(e.At)
@@ -145,14 +168,19 @@
 	switch {
 	case !hasContact && !c.isIsolated:
 		c.isolate(e.At)
-	case hasContact && e.InForce >= c.known:
+	case hasContact && e.InForce >= c.known && c.hasWaited(e.At):
 		c.isIsolated = false
 	}
 }
 
+func (c *Core) hasWaited(at time.Time) bool {
+	return c.isInformed || at.Sub(c.refreshFrom) >= PeerWait
+}
+
 // isolate makes all contact so far count for nothing.
 func (c *Core) isolate(at time.Time) {
 	c.isIsolated = true
+	c.isInformed = false
 	c.refreshFrom = at
 	c.probes = nil
 	c.storeAt = time.Time{}
--- a/core/process/membership/core.go
+++ b/core/process/membership/core.go
@@ -32,6 +32,9 @@
 	self    Router
 	random  *rand.Rand
 	members map[string]*member
+	// unwell holds the members that are suspect or dead, and perhaps a few that
+	// were until now.
+	unwell map[string]*member
 
 	// ring holds the members in the order in which they are probed.
 	ring     []string
@@ -60,6 +63,7 @@
 		self:    self,
 		random:  rand.New(rand.NewPCG(seed, 0)),
 		members: make(map[string]*member),
+		unwell:  make(map[string]*member),
 		isStale: true,
 	}
 	c.rebuild()
@@ -141,8 +145,10 @@
 	if c.outcomes.isImpaired() {
 		timeout *= ImpairedFactor
 	}
-	for name, m := range c.members {
+	for name, m := range c.unwell {
 		switch {
+		case m.state == Alive || c.members[name] != m:
+			delete(c.unwell, name)
 		case m.state == Suspect && at.Sub(m.since) >= timeout:
 			c.setState(m, Dead, at)
 		case m.hasLeft() && at.Sub(m.since) >= ForgetAfter:
@@ -158,19 +164,9 @@
 	c.resumedAt = at
 	c.outcomes = probeOutcomes{}
 	c.nextProbe, c.nextPush = at, at
-	for _, m := range c.members {
-		if m.state == Suspect {
-			m.since = at
-		}
-		m.since = minTime(m.since, at)
-	}
-}
-
-func minTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
+	for _, m := range c.unwell {
+		m.since = at
 	}
-	return a
 }
 
 // stepList takes the list as a seed: it adds routers that are not known and
@@ -195,7 +191,7 @@
 }
 
 func (c *Core) add(router Router, state State, at time.Time) *member {
-	m := &member{router: router, state: state, since: at}
+	m := &member{router: router, since: at}
 	c.members[router.Instance] = m
 	position := c.random.IntN(len(c.ring) + 1)
 	c.ring = slices.Insert(c.ring, position, router.Instance)
@@ -203,6 +199,7 @@
 		c.ringNext++
 	}
 	c.isStale = true
+	c.setState(m, state, at)
 	return m
 }
 
@@ -211,6 +208,9 @@
 		m.state = state
 		m.since = at
 		c.isStale = true
+		if state != Alive {
+			c.unwell[m.router.Instance] = m
+		}
 	}
 }
 
--- a/core/process/membership/rumor.go
+++ b/core/process/membership/rumor.go
@@ -58,8 +58,9 @@
 	} else {
 		m.router.Incarnation = rumor.Router.Incarnation
 	}
-	m.state, m.since = rumor.State, at
 	c.isStale = true
+	c.setState(m, rumor.State, at)
+	m.since = at
 	c.enqueue(m)
 }
 
--- a/fleet/process/control/reads.go
+++ b/fleet/process/control/reads.go
@@ -18,8 +18,8 @@
 
 // listRead is the platform's list as read.
 type listRead struct {
-	at        time.Time
-	instances []platform.Instance
+	at, sentAt time.Time
+	instances  []platform.Instance
 }
 
 // readDue begins the calls whose time has come.
@@ -63,12 +63,13 @@
 func (l *Loop) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	instances, err := l.options.Platform.Instances(ctx)
 	if err != nil {
 		l.options.Log.Debug("Instance list not read.", "error", err)
 		return
 	}
-	l.Post(listRead{at: time.Now(), instances: instances})
+	l.Post(listRead{at: time.Now(), sentAt: sentAt, instances: instances})
 }
 
 // stepList hands the list to the cores and plans the next read.
@@ -83,7 +84,7 @@
 			endpoints = append(endpoints, withdrawal.Listed{Address: withdrawal.AddressOf(instance.URL), IsLeaving: instance.Leaving})
 		}
 	}
-	l.gossip.Step(gossip.ListRead{At: e.at, Routers: routers, Endpoints: endpoints})
+	l.gossip.Step(gossip.ListRead{At: e.at, SentAt: e.sentAt, Routers: routers, Endpoints: endpoints})
 	l.reads.ListRead(e.at, l.slot(), len(e.instances)*listedBytes)
 }
 
