--- a/fleet/connection/engine/gate.go
+++ b/fleet/connection/engine/gate.go
@@ -35,7 +35,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := gate.Admit(address); err != nil {
+		if err := admitNewWork(ctx, gate, address); err != nil {
 			_ = conn.Close()
 			return nil, err
 		}
@@ -43,6 +43,21 @@
 	}
 }
 
+// gated marks the context of new work. Calls that resume or cancel earlier work
+// go to withdrawn endpoints too.
+type gated struct{}
+
+func withGate(ctx context.Context) context.Context {
+	return context.WithValue(ctx, gated{}, true)
+}
+
+func admitNewWork(ctx context.Context, gate Gate, address string) error {
+	if ctx.Value(gated{}) == nil {
+		return nil
+	}
+	return gate.Admit(address)
+}
+
 // admit asks the gate, if there is one.
 func (c *Client) admit(requestURL string) error {
 	if c.gate == nil {
