--- a/core/process/entry/entry.go
+++ b/core/process/entry/entry.go
@@ -4,45 +4,61 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"gentianhead/core/process/membership"
 )
 
-// Life is how long a caller may keep an answer. A router that leaves keeps
-// serving for at least this long after entry answers stopped naming it.
-const Life = 30 * time.Second
-
 // MaxAddresses is the most addresses that an answer names.
 const MaxAddresses = 3
 
-// Answer names the addresses to use for a chat, best first.
-type Answer struct {
-	Addresses []string      `json:"addresses"`
-	Life      time.Duration `json:"-"`
+// Query asks for the routers of a chat.
+type Query struct {
+	Chat string
+	// Excluded is the instance of a router that must not be named, such as one
+	// that is isolated itself; empty excludes none.
+	Excluded string
+}
+
+// For returns the addresses to use, best first: the home of the chat and then
+// alternatives, those in other availability zones first. Leaving routers are not
+// named, so the answer may be empty. The order is a rendezvous hash over the
+// view, so a router that leaves moves only the chats that it was home of.
+func For(view *membership.View, query Query) []string {
+	candidates := ranked(view, query)
+	var addresses []string
+	isNamed := make(map[string]bool)
+	for _, wantsNewZone := range []bool{true, false} {
+		for _, router := range candidates {
+			isNew := !isNamed[router.Zone]
+			if len(addresses) < MaxAddresses && isNew == wantsNewZone && !slices.Contains(addresses, router.CallerAddress) {
+				isNamed[router.Zone] = true
+				addresses = append(addresses, router.CallerAddress)
+			}
+		}
+	}
+	return addresses
 }
 
-// For returns the answer for chat. The order is a rendezvous hash over the
-// view, so a router that leaves moves only the chats that it was first for.
-func For(view *membership.View, chat string) Answer {
+// ranked returns the routers that may be named, the home of the chat first.
+func ranked(view *membership.View, query Query) []membership.Router {
 	type scored struct {
-		address string
-		score   uint64
+		router membership.Router
+		score  uint64
 	}
-	candidates := make([]scored, 0, len(view.Routers))
+	var candidates []scored
 	for _, router := range view.Routers {
-		if !router.Leaving {
-			candidates = append(candidates, scored{router.CallerAddress, Score(chat, router.Instance)})
+		if !router.Leaving && router.Instance != query.Excluded {
+			candidates = append(candidates, scored{router, Score(query.Chat, router.Instance)})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	answer := Answer{Life: Life}
-	for _, candidate := range candidates[:min(len(candidates), MaxAddresses)] {
-		answer.Addresses = append(answer.Addresses, candidate.address)
+	routers := make([]membership.Router, len(candidates))
+	for i, candidate := range candidates {
+		routers[i] = candidate.router
 	}
-	return answer
+	return routers
 }
 
 // Score is the rendezvous weight of a name for a key; the highest comes first.
--- a/fleet/process/control/gate.go
+++ b/fleet/process/control/gate.go
@@ -36,6 +36,11 @@
 	return admitted
 }
 
+// Instance returns the name of this router.
+func (l *Loop) Instance() string {
+	return l.options.Self.Instance
+}
+
 // IsIsolated reports whether the router must refuse new work. A router whose
 // control goroutine has not run for GapLimit has just come back from a pause, or
 // is as good as paused. It may be called from any goroutine.
