Bound a router's bytes when it passes on many rumors

After a start the busiest router of 410 sent 2980 B/s, as it passed on four rumors in each heartbeat; at the largest frame and the most probes it would break 3500.

--- a/core/process/membership/membership.go
+++ b/core/process/membership/membership.go
@@ -104,7 +104,7 @@
 	// PushInterval is the least time between two pushes.
 	PushInterval = 250 * time.Millisecond
 	// MaxRumors bounds the rumors in one heartbeat.
-	MaxRumors = 4
+	MaxRumors = 3
 	// SuspicionTimeout is how long a suspected router has to refute.
 	SuspicionTimeout = 5 * time.Second
 	// ImpairedFactor lengthens SuspicionTimeout on a router most of whose own
