--- a/fleet/process/node/inject.go
+++ b/fleet/process/node/inject.go
@@ -14,6 +14,7 @@
 	"gentianhead/fleet/process/settings"
 	"gentianhead/fleet/process/telemetry"
 	"gentianhead/fleet/request/admin"
+	"gentianhead/fleet/request/claims"
 	"gentianhead/fleet/request/gateway"
 	"gentianhead/fleet/version/desired"
 )
@@ -40,6 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
+	own := self(s)
 	injector := do.New()
 	do.ProvideValue(injector, s)
 	do.Provide(injector, func(do.Injector) (*platform.Client, error) {
@@ -58,7 +60,7 @@
 	})
 	do.Provide(injector, func(i do.Injector) (*control.Loop, error) {
 		return control.New(control.Options{
-			Self:     self(s),
+			Self:     own,
 			Desired:  do.MustInvoke[*desired.Store](i),
 			Platform: do.MustInvoke[*platform.Client](i),
 			Peers:    do.MustInvoke[*peer.Pool](i),
@@ -68,12 +70,26 @@
 	do.Provide(injector, func(i do.Injector) (*peer.Server, error) {
 		server := peer.NewServer([]byte(keys.fleetKey), telemetry.Part(logger, "peer"))
 		do.MustInvoke[*control.Loop](i).Register(server)
+		do.MustInvoke[*claims.Manager](i).Register(server)
 		return server, nil
 	})
+	do.Provide(injector, func(i do.Injector) (*claims.Manager, error) {
+		loop := do.MustInvoke[*control.Loop](i)
+		return claims.New(claims.Options{
+			Self:        own,
+			Store:       do.MustInvoke[*platform.Client](i),
+			Peers:       do.MustInvoke[*peer.Pool](i),
+			Engine:      engine.NewSingleUseClient(),
+			View:        func() *membership.View { return loop.State().View },
+			SendTimeout: s.Limits.RequestDeadline,
+			Log:         telemetry.Part(logger, "claims"),
+		}), nil
+	})
 	do.Provide(injector, func(i do.Injector) (*gateway.Gateway, error) {
 		return gateway.New(gateway.Options{
 			Control:  do.MustInvoke[*control.Loop](i),
 			Engine:   do.MustInvoke[*engine.Client](i),
+			Claims:   do.MustInvoke[*claims.Manager](i),
 			Limits:   s.Limits,
 			Shutdown: s.Shutdown,
 			Log:      telemetry.Part(logger, "gateway"),
@@ -83,6 +99,7 @@
 		return admin.Options{
 			Control: do.MustInvoke[*control.Loop](i),
 			Desired: do.MustInvoke[*desired.Store](i),
+			Table:   do.MustInvoke[*platform.Client](i),
 			Token:   keys.operatorToken,
 			Log:     telemetry.Part(logger, "admin"),
 		}, nil
