--- a/core/process/gossip/gossiptest/fleet.go
+++ b/core/process/gossip/gossiptest/fleet.go
@@ -42,8 +42,8 @@
 	Head resource.Revision
 	// Endpoints is what the list shows.
 	Endpoints []withdrawal.Listed
-	// Reads, Lists and Writes count what was served. A router that has nothing in
-	// force has its read of the head row confirmed by a write.
+	// Reads, Lists and Writes count what was served. The first read of the head row
+	// by a router is confirmed by a write.
 	Reads, Lists, Writes int
 }
 
@@ -64,6 +64,8 @@
 	held       []func()
 	reads      *pacing.Reads
 	isFetching bool
+	// isConfirmed says that the store confirmed a read of the head row.
+	isConfirmed bool
 }
 
 // Fleet is a set of routers and a platform.
@@ -124,7 +126,7 @@
 	r.router.Incarnation = uint64(f.Now.UnixNano())
 	r.Core = gossip.New(r.router, f.random.Uint64())
 	r.InForce, r.IsDown, r.isPaused, r.isFetching = 0, false, false, false
-	r.held = nil
+	r.held, r.isConfirmed = nil, false
 	r.reads = pacing.NewReads(f.Now, f.random.Uint64())
 	if f.options.HeadInterval != nil {
 		r.reads.SetHeadInterval(f.options.HeadInterval)
@@ -225,7 +227,8 @@
 			return
 		}
 		f.Platform.Reads++
-		if r.InForce == 0 {
+		if !r.isConfirmed {
+			r.isConfirmed = true
 			f.Platform.Writes++
 		}
 		head := f.Platform.Head
