Let fence orders, resumes and cancels pass the gate

A fence order is no new work: refused at a withdrawn endpoint, it kept the recovery of its claim waiting. Resume and cancel calls were refused when they had to open a connection. What the gate refuses is ErrNotSent too, so that claims take an isolated router's refusal for not run.

--- a/fleet/connection/engine/engine.go
+++ b/fleet/connection/engine/engine.go
@@ -75,6 +75,9 @@
 	// Resumable says that the endpoint is an engine whose answer can be asked
 	// for again under the hop's id. It is set for chats only.
 	Resumable bool
+	// Ungated requests are no new work, such as fence orders. They go out while
+	// the endpoint is withdrawn or this router isolated.
+	Ungated bool
 }
 
 // Client sends requests. It is safe for concurrent use.
@@ -114,11 +117,12 @@
 // returned: its connection is closed, and the request's own answer is asked for
 // again where the request is resumable.
 func (c *Client) Do(ctx context.Context, request Request) (*http.Response, error) {
-	if err := c.admit(request.URL); err != nil {
+	gatedCtx, err := c.admit(ctx, request)
+	if err != nil {
 		return nil, err
 	}
 	target := newTarget(request)
-	response, err := c.send(ctx, request, target.id)
+	response, err := c.send(gatedCtx, request, target.id)
 	if err == nil || !request.Resumable || errors.IsAny(err, ErrNotSent, ErrWithdrawn) {
 		return response, err
 	}
@@ -168,7 +172,7 @@
 // send sends a request once and checks the head of its answer.
 func (c *Client) send(ctx context.Context, request Request, id string) (*http.Response, error) {
 	var used usage
-	httpRequest, err := newHTTPRequest(used.trace(withGate(ctx)), request, id)
+	httpRequest, err := newHTTPRequest(used.trace(ctx), request, id)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
--- a/fleet/connection/engine/gate.go
+++ b/fleet/connection/engine/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 
@@ -47,10 +48,6 @@
 // go to withdrawn endpoints too.
 type gated struct{}
 
-func withGate(ctx context.Context) context.Context {
-	return context.WithValue(ctx, gated{}, true)
-}
-
 func admitNewWork(ctx context.Context, gate Gate, address string) error {
 	if ctx.Value(gated{}) == nil {
 		return nil
@@ -58,12 +55,16 @@
 	return gate.Admit(address)
 }
 
-// admit asks the gate, if there is one.
-func (c *Client) admit(requestURL string) error {
-	if c.gate == nil {
-		return nil
+// admit asks the gate, if there is one, and returns the context to send with. Its
+// error is ErrNotSent too.
+func (c *Client) admit(ctx context.Context, request Request) (context.Context, error) {
+	if c.gate == nil || request.Ungated {
+		return ctx, nil
+	}
+	if err := c.gate.Admit(withdrawal.AddressOf(request.URL)); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return c.gate.Admit(withdrawal.AddressOf(requestURL))
+	return context.WithValue(ctx, gated{}, true), nil
 }
 
 // noteRefusal tells the gate of an endpoint that answered that it is withdrawn.
--- /dev/null
+++ b/fleet/connection/engine/gate_test.go
@@ -0,0 +1,58 @@
+package engine
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// fakeGate answers Admit with one error after another and keeps the last one.
+type fakeGate struct {
+	errors  []error
+	asked   int
+	refused string
+}
+
+func (g *fakeGate) Admit(string) error {
+	err := g.errors[min(g.asked, len(g.errors)-1)]
+	g.asked++
+	return err
+}
+
+func (g *fakeGate) Refused(address string) { g.refused = address }
+
+func TestTheGateKeepsNewWorkBack(t *testing.T) {
+	var served atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		served.Add(1)
+		w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+		w.WriteHeader(http.StatusGone)
+	}))
+	defer server.Close()
+	do := func(gate *fakeGate, ungated bool) error {
+		client := NewClient()
+		defer client.Close()
+		client.UseGate(gate)
+		_, err := client.Do(t.Context(), Request{Method: http.MethodPost, URL: server.URL + "/x", ID: "id", Ungated: ungated})
+		return err
+	}
+
+	// Refused before, and refused once the connection was open.
+	for _, errs := range [][]error{{ErrWithdrawn}, {nil, ErrWithdrawn}, {ErrIsolated}, {nil, ErrIsolated}} {
+		err := do(&fakeGate{errors: errs}, false)
+		assert.ErrorIs(t, err, ErrNotSent)
+		assert.ErrorIs(t, err, errs[len(errs)-1])
+	}
+	assert.Equal(t, served.Load(), int32(0))
+
+	closed := &fakeGate{errors: []error{ErrWithdrawn}}
+	assert.ErrorIs(t, do(closed, true), ErrWithdrawn)
+	assert.Equal(t, served.Load(), int32(1))
+
+	open := &fakeGate{errors: []error{nil}}
+	assert.ErrorIs(t, do(open, false), ErrWithdrawn)
+	assert.Equal(t, "http://"+open.refused, server.URL)
+}
--- a/fleet/request/claims/endpoint.go
+++ b/fleet/request/claims/endpoint.go
@@ -102,10 +102,11 @@
 	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
 	defer cancel()
 	response, err := r.manager.options.Engine.Do(ctx, engine.Request{
-		Method: http.MethodPost,
-		URL:    f.EndpointURL + FencePath,
-		Header: r.header(f.Fencing),
-		ID:     r.ask.RequestID,
+		Method:  http.MethodPost,
+		URL:     f.EndpointURL + FencePath,
+		Header:  r.header(f.Fencing),
+		ID:      r.ask.RequestID,
+		Ungated: true,
 	})
 	if err != nil {
 		span.RecordError(err)
--- a/fleet/request/gateway/gateway.go
+++ b/fleet/request/gateway/gateway.go
@@ -248,10 +248,10 @@
 	switch {
 	case errors.Is(err, engine.ErrIsolated):
 		return isolated()
-	case errors.Is(err, engine.ErrNotSent):
-		return notRun(http.StatusBadGateway, outcome.CodeEndpointFailed, "the endpoint could not be reached").after(time.Second)
 	case errors.Is(err, engine.ErrWithdrawn):
 		return notRun(http.StatusServiceUnavailable, outcome.CodeNoEndpoint, "the endpoint is withdrawn").after(time.Second)
+	case errors.Is(err, engine.ErrNotSent):
+		return notRun(http.StatusBadGateway, outcome.CodeEndpointFailed, "the endpoint could not be reached").after(time.Second)
 	case errors.Is(err, context.Canceled):
 		return callerGone
 	case errors.Is(err, context.DeadlineExceeded):
