--- a/fleet/connection/engine/engine.go
+++ b/fleet/connection/engine/engine.go
@@ -75,11 +75,15 @@
 	// Resumable says that the endpoint is an engine whose answer can be asked
 	// for again under the hop's id. It is set for chats only.
 	Resumable bool
+	// Ungated requests are no new work, such as fence orders. They go out while
+	// the endpoint is withdrawn or this router isolated.
+	Ungated bool
 }
 
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	gate Gate
 	// cancels bounds and counts the cancel calls under way.
 	cancels chan struct{}
 	wg      sync.WaitGroup
@@ -113,8 +117,12 @@
 // returned: its connection is closed, and the request's own answer is asked for
 // again where the request is resumable.
 func (c *Client) Do(ctx context.Context, request Request) (*http.Response, error) {
+	gatedCtx, err := c.admit(ctx, request)
+	if err != nil {
+		return nil, err
+	}
 	target := newTarget(request)
-	response, err := c.send(ctx, request, target.id)
+	response, err := c.send(gatedCtx, request, target.id)
 	if err == nil || !request.Resumable || errors.IsAny(err, ErrNotSent, ErrWithdrawn) {
 		return response, err
 	}
@@ -178,6 +186,7 @@
 	if err := checkHead(response, id); err != nil {
 		used.giveUp()
 		_ = response.Body.Close()
+		c.noteRefusal(request.URL, err)
 		return nil, err
 	}
 	return response, nil
--- a/fleet/connection/peer/message.go
+++ b/fleet/connection/peer/message.go
@@ -4,7 +4,6 @@
 package peer
 
 import (
-	"gentianhead/core/process/membership"
 	"gentianhead/core/version/resource"
 	"gentianhead/fleet/connection/frame"
 )
@@ -17,6 +16,7 @@
 
 // Types of calls. The answer to a call has the type of the call with answerBit.
 const (
+	// TypeHeartbeat carries a gossip.Heartbeat, and its answer does too.
 	TypeHeartbeat frame.Type = 10
 	TypeChanges   frame.Type = 20
 )
@@ -28,13 +28,6 @@
 	failureBit frame.Type = 0x40
 )
 
-// Heartbeat is a sign of life of its sender.
-type Heartbeat struct {
-	Router membership.Router `msgpack:"m"`
-	// Revision is in force on the sender.
-	Revision resource.Revision `msgpack:"r"`
-}
-
 // ChangesRequest asks for the changes after a revision.
 type ChangesRequest struct {
 	After resource.Revision `msgpack:"a"`
--- a/fleet/process/control/configuration.go
+++ b/fleet/process/control/configuration.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gentianhead/core/process/gossip"
 	"gentianhead/core/version/config"
 	"gentianhead/core/version/resource"
 	"gentianhead/fleet/connection/peer"
@@ -64,6 +65,7 @@
 func (l *Loop) readHead(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	isConfirmed := !l.State().IsReady
 	read := l.options.Desired.Head
 	if isConfirmed {
@@ -75,6 +77,7 @@
 		return
 	}
 	l.Post(config.StoreHead{Revision: revision, IsConfirmed: isConfirmed})
+	l.Post(gossip.StoreRead{SentAt: sentAt, Revision: revision})
 }
 
 // fetch carries out one fetch and posts its answer, or that there is none.
--- a/fleet/process/control/control.go
+++ b/fleet/process/control/control.go
@@ -9,25 +9,21 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"gentianhead/core/process/gossip"
 	"gentianhead/core/process/membership"
+	"gentianhead/core/process/pacing"
+	"gentianhead/core/process/withdrawal"
 	"gentianhead/core/request/placement"
 	"gentianhead/core/version/config"
 	"gentianhead/core/version/resource"
 	"gentianhead/fleet/connection/peer"
 	"gentianhead/fleet/connection/platform"
 	"gentianhead/fleet/version/desired"
+	"github.com/cespare/xxhash/v2"
 )
 
-// Intervals of the control loop.
+// Limits of the control loop.
 const (
-	// PollInterval is the time between two reads of the head row.
-	PollInterval = time.Second
-	// HeartbeatInterval is the time between two rounds of heartbeats.
-	HeartbeatInterval = time.Second
-	// ListInterval is the time between two reads of the instance list.
-	ListInterval = 5 * time.Second
 	// callTimeout bounds one call that the control loop makes.
 	callTimeout = 3 * time.Second
 	// eventQueue is how many events may wait for the control goroutine.
@@ -41,6 +37,13 @@
 	Picker *placement.Picker
 	// IsReady says that a configuration is in force.
 	IsReady bool
+	// IsIsolated says that the router lost contact and must refuse new work.
+	// Loop.IsIsolated also sees that the control goroutine itself was paused.
+	IsIsolated bool
+	// Withdrawn are endpoints withdrawn beside those that Config says.
+	Withdrawn *withdrawal.Set
+	// admitted are the addresses of endpoints that may be sent work.
+	admitted map[string]bool
 }
 
 // Options are what a Loop needs. All fields are required.
@@ -61,7 +64,6 @@
 	dropped atomic.Int64
 
 	config  *config.Core
-	members *membership.Core
 	isReady bool
 	heads   map[string]resource.Revision
 	roster  roster
@@ -70,6 +72,17 @@
 	inForceChanged broadcast
 	isWakePlanned  atomic.Bool
 	housekeptAt    time.Time
+
+	gossip *gossip.Core
+	// message is what this router answers to heartbeats. Peer connections read it.
+	message atomic.Pointer[gossip.Message]
+	// announced is the last revision that the gossip core was told of.
+	announced resource.Revision
+	reads     *pacing.Reads
+	sweep     sweep
+	// tickedAt is the time since startedAt, in nanoseconds, of the last tick.
+	tickedAt  atomic.Int64
+	startedAt time.Time
 }
 
 // events that only the loop knows.
@@ -86,10 +99,14 @@
 		options: options,
 		events:  make(chan any, eventQueue),
 		config:  config.New(xxhash.Sum64String(options.Self.Instance)),
-		members: membership.New(options.Self),
 		heads:   make(map[string]resource.Revision),
+
+		gossip:    gossip.New(options.Self, options.Self.Incarnation),
+		reads:     pacing.NewReads(time.Now(), options.Self.Incarnation),
+		startedAt: time.Now(),
 	}
 	loop.publish()
+	loop.message.Store(loop.gossip.Message())
 	loop.history.Store(loop.config.History())
 	return loop
 }
@@ -116,65 +133,63 @@
 
 // Run owns the control state until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
-	poll := time.NewTicker(PollInterval)
-	defer poll.Stop()
-	beat := time.NewTicker(HeartbeatInterval)
-	defer beat.Stop()
-	list := time.NewTicker(ListInterval)
-	defer list.Stop()
-	go l.readList(ctx)
-	go l.readHead(ctx)
+	tick := time.NewTicker(membership.TickInterval)
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case event := <-l.events:
 			l.step(event)
-		case <-poll.C:
-			go l.readHead(ctx)
-		case <-list.C:
-			go l.readList(ctx)
-		case now := <-beat.C:
-			l.step(membership.Tick{At: now})
-			l.sendHeartbeats(ctx)
+		case <-tick.C:
+			l.tick(ctx, time.Now())
 		}
 		l.carryOut(ctx)
+		l.carryOutGossip(ctx, time.Now())
 	}
 }
 
 // step hands one event to the core that it belongs to.
 func (l *Loop) step(event any) {
 	switch e := event.(type) {
-	case peer.Heartbeat:
-		l.heads[e.Router.Instance] = e.Revision
-		l.config.Step(config.PeerHead{Instance: e.Router.Instance, Revision: e.Revision})
-		l.stepMembers(membership.Heartbeat{At: time.Now(), Router: e.Router})
-	case membership.Event:
-		l.stepMembers(e)
+	case gossip.Received:
+		l.notePeer(e.Heartbeat)
+		l.gossip.Step(e)
+	case gossip.Sent:
+		if e.Answer != nil {
+			l.notePeer(*e.Answer)
+		}
+		l.gossip.Step(e)
+	case gossip.Event:
+		l.gossip.Step(e)
+	case registrationFailed:
+		l.reads.RegisterAt(time.Now().Add(pacing.RegistrationJitter))
+	case listRead:
+		l.stepList(e)
 	case config.Event:
 		l.config.Step(e)
 	case leaveAsked:
-		l.members.SetLeaving()
+		l.gossip.Step(gossip.Leave{At: time.Now()})
+		l.reads.RegisterAt(time.Now())
 		l.publish()
 		close(e.done)
 	case fleetAsked:
+		l.sweep.isAsked = true
 		e.answer <- l.inForce()
 	}
 }
 
-func (l *Loop) stepMembers(event membership.Event) {
-	if l.members.Step(event) {
-		l.publish()
-	}
-}
-
 func (l *Loop) publish() {
 	snapshot := l.config.Snapshot()
 	l.state.Store(&State{
 		Config:  snapshot,
-		View:    l.members.View(),
-		Picker:  newPicker(snapshot),
+		View:    l.gossip.View(),
+		Picker:  newPicker(snapshot, l.gossip.Withdrawn()),
 		IsReady: l.isReady,
+
+		IsIsolated: l.gossip.IsIsolated(),
+		Withdrawn:  l.gossip.Withdrawn(),
+		admitted:   admittedAddresses(snapshot, l.gossip.Withdrawn()),
 	})
 }
 
--- /dev/null
+++ b/fleet/process/control/gate.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"time"
+
+	"gentianhead/core/process/gossip"
+	"gentianhead/core/process/membership"
+	"gentianhead/core/process/withdrawal"
+	"gentianhead/core/version/resource"
+	"gentianhead/fleet/connection/engine"
+)
+
+// This file admits requests to endpoints.
+
+var _ engine.Gate = (*Loop)(nil)
+
+// configuredAddresses returns the addresses of all endpoints.
+func configuredAddresses(snapshot *resource.Snapshot) []string {
+	var addresses []string
+	for _, object := range snapshot.List(resource.KindEndpoint) {
+		addresses = append(addresses, withdrawal.AddressOf(object.Endpoint.URL))
+	}
+	return addresses
+}
+
+// admittedAddresses returns the addresses of endpoints that are configured and
+// not withdrawn.
+func admittedAddresses(snapshot *resource.Snapshot, withdrawn *withdrawal.Set) map[string]bool {
+	admitted := make(map[string]bool)
+	for _, object := range snapshot.List(resource.KindEndpoint) {
+		address := withdrawal.AddressOf(object.Endpoint.URL)
+		if !object.Endpoint.Withdrawn && !withdrawn.Has(address) {
+			admitted[address] = true
+		}
+	}
+	return admitted
+}
+
+// Instance returns the name of this router.
+func (l *Loop) Instance() string {
+	return l.options.Self.Instance
+}
+
+// IsIsolated reports whether the router must refuse new work. A router whose
+// control goroutine has not run for GapLimit has just come back from a pause, or
+// is as good as paused. It may be called from any goroutine.
+func (l *Loop) IsIsolated() bool {
+	return l.State().IsIsolated || l.isPaused()
+}
+
+// isPaused compares clocks, so it holds from the first instruction after a pause.
+func (l *Loop) isPaused() bool {
+	return time.Since(l.startedAt)-time.Duration(l.tickedAt.Load()) > membership.GapLimit
+}
+
+// Admit implements engine.Gate.
+func (l *Loop) Admit(address string) error {
+	if l.IsIsolated() {
+		return engine.ErrIsolated
+	}
+	if !l.State().admitted[address] {
+		return engine.ErrWithdrawn
+	}
+	return nil
+}
+
+// Refused implements engine.Gate.
+func (l *Loop) Refused(address string) {
+	l.Post(gossip.Refused{At: time.Now(), Address: address})
+}
--- /dev/null
+++ b/fleet/process/control/reads.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"gentianhead/core/process/gossip"
+	"gentianhead/core/process/membership"
+	"gentianhead/core/process/pacing"
+	"gentianhead/core/process/withdrawal"
+	"gentianhead/fleet/connection/platform"
+)
+
+// This file paces what the router reads of the platform.
+
+// listedBytes estimates one instance in the platform's list.
+const listedBytes = 150
+
+// listRead is the platform's list as read.
+type listRead struct {
+	at, sentAt time.Time
+	instances  []platform.Instance
+}
+
+// readDue begins the calls whose time has come.
+func (l *Loop) readDue(ctx context.Context, now time.Time) {
+	if l.reads.HeadDue(now, l.slot(), l.gossip.IsInDoubt() || !l.isReady) {
+		go l.readHead(ctx)
+	}
+	if l.reads.ListDue(now) {
+		go l.readList(ctx)
+	}
+	if l.reads.RegistrationDue(now) {
+		go l.register(ctx, l.gossip.Self().Leaving)
+	}
+}
+
+func (l *Loop) slot() pacing.Slot {
+	return l.gossip.View().Slot(l.options.Self.Instance)
+}
+
+func (l *Loop) register(ctx context.Context, isLeaving bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	self := l.options.Self
+	entry := platform.Instance{
+		Name:          self.Instance,
+		Zone:          self.Zone,
+		Role:          platform.RoleRouter,
+		Leaving:       isLeaving,
+		CallerAddress: self.CallerAddress,
+		PeerAddress:   self.PeerAddress,
+	}
+	if err := l.options.Platform.RegisterInstance(ctx, entry); err != nil {
+		l.options.Log.Debug("Instance not registered.", "error", err)
+		l.Post(registrationFailed{})
+	}
+}
+
+// registrationFailed has the instance registered again soon.
+type registrationFailed struct{}
+
+func (l *Loop) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	instances, err := l.options.Platform.Instances(ctx)
+	if err != nil {
+		l.options.Log.Debug("Instance list not read.", "error", err)
+		return
+	}
+	l.Post(listRead{at: time.Now(), sentAt: sentAt, instances: instances})
+}
+
+// stepList hands the list to the cores and plans the next read.
+func (l *Loop) stepList(e listRead) {
+	var routers []membership.Router
+	var endpoints []withdrawal.Listed
+	for _, instance := range e.instances {
+		switch instance.Role {
+		case platform.RoleRouter:
+			routers = append(routers, routerOf(instance))
+		case platform.RoleEndpoint:
+			endpoints = append(endpoints, withdrawal.Listed{Address: withdrawal.AddressOf(instance.URL), IsLeaving: instance.Leaving})
+		}
+	}
+	l.gossip.Step(gossip.ListRead{At: e.at, SentAt: e.sentAt, Routers: routers, Endpoints: endpoints})
+	l.reads.ListRead(e.at, l.slot(), len(e.instances)*listedBytes)
+}
+
+func routerOf(instance platform.Instance) membership.Router {
+	return membership.Router{
+		Instance:      instance.Name,
+		Zone:          instance.Zone,
+		CallerAddress: instance.CallerAddress,
+		PeerAddress:   instance.PeerAddress,
+		Leaving:       instance.Leaving,
+	}
+}
