--- /dev/null
+++ b/core/request/reservation/host.go
@@ -0,0 +1,202 @@
+package reservation
+
+import (
+	"time"
+
+	"gentianhead/core/process/membership"
+)
+
+// Spec is what the configuration says of a pool.
+type Spec struct {
+	Options Options
+	Engines []string
+}
+
+// Host holds the observers that one router's process keeps. Any router may be
+// asked for any pool; observers are made when first asked.
+type Host struct {
+	self      string
+	view      *membership.View
+	specs     map[PoolID]Spec
+	observers map[PoolID]*Observer
+	// order caches the observer that comes first, by pool, for the current view.
+	order map[PoolID]membership.Router
+	// dead routers refused a connection: this incarnation does not run.
+	dead map[string]uint64
+}
+
+// NewHost returns a host without pools.
+func NewHost(self string) *Host {
+	return &Host{
+		self:      self,
+		view:      &membership.View{},
+		specs:     make(map[PoolID]Spec),
+		observers: make(map[PoolID]*Observer),
+		order:     make(map[PoolID]membership.Router),
+		dead:      make(map[string]uint64),
+	}
+}
+
+// SetView replaces the routers that are believed live.
+func (h *Host) SetView(view *membership.View) {
+	h.view = view
+	clear(h.order)
+	h.updateRouters()
+}
+
+// SetDead notes that no process listens at a router's address, so that nobody
+// waits for it to register. It counts until the view has the router's next
+// incarnation or the router registers.
+func (h *Host) SetDead(instance string) {
+	router, _ := h.view.Find(instance)
+	h.dead[instance] = router.Incarnation
+	h.updateRouters()
+}
+
+func (h *Host) updateRouters() {
+	names := h.liveNames()
+	for _, o := range h.observers {
+		o.SetRouters(names)
+	}
+}
+
+func (h *Host) liveNames() []string {
+	names := make([]string, 0, len(h.view.Routers))
+	for _, router := range h.view.Routers {
+		if !h.IsDead(router.Instance) {
+			names = append(names, router.Instance)
+		}
+	}
+	return names
+}
+
+// SetSpecs replaces the pools.
+func (h *Host) SetSpecs(now time.Time, specs map[PoolID]Spec) {
+	h.specs = specs
+	for id, o := range h.observers {
+		spec, ok := specs[id]
+		if !ok {
+			delete(h.observers, id)
+			continue
+		}
+		o.SetOptions(spec.Options)
+		o.SetEngines(now, spec.Engines)
+	}
+}
+
+// Observer returns the observer of a pool, or nil when the pool does not exist.
+func (h *Host) Observer(now time.Time, id PoolID) *Observer {
+	if o, ok := h.observers[id]; ok {
+		return o
+	}
+	spec, ok := h.specs[id]
+	if !ok {
+		return nil
+	}
+	o := NewObserver(id, spec.Options)
+	o.SetEngines(now, spec.Engines)
+	o.SetRouters(h.liveNames())
+	h.observers[id] = o
+	return o
+}
+
+// First returns the router that comes first as observer of the pool.
+func (h *Host) First(id PoolID) membership.Router {
+	router, ok := h.order[id]
+	if !ok && len(h.view.Routers) > 0 {
+		router = Observers(h.view, id)[0]
+		h.order[id] = router
+	}
+	return router
+}
+
+// IsDead reports whether a router is known not to run.
+func (h *Host) IsDead(instance string) bool {
+	incarnation, isDead := h.dead[instance]
+	if !isDead {
+		return false
+	}
+	router, _ := h.view.Find(instance)
+	return router.Incarnation <= incarnation
+}
+
+// Reserve decides on a request. A router that was asked by mistake names the
+// one to ask, unless the asker could not reach it.
+func (h *Host) Reserve(now time.Time, request *Request) Decision {
+	first := h.First(request.Pool)
+	if !request.IsFailover && first.Instance != "" && first.Instance != h.self {
+		return Decision{Verdict: Redirected, Observer: first.Instance, Address: first.PeerAddress}
+	}
+	o := h.Observer(now, request.Pool)
+	if o == nil {
+		return Decision{Verdict: RefusedEmpty, RetryAfter: RetryBound}
+	}
+	return o.Reserve(now, request)
+}
+
+// Register takes in what a router has in flight.
+func (h *Host) Register(now time.Time, registration Registration) {
+	if _, wasDead := h.dead[registration.Router]; wasDead {
+		delete(h.dead, registration.Router)
+		h.updateRouters()
+	}
+	if o := h.Observer(now, registration.Pool); o != nil {
+		o.Register(now, registration)
+	}
+}
+
+// Release ends grants. It reports whether the router is registered here.
+func (h *Host) Release(now time.Time, release Release) bool {
+	o, ok := h.observers[release.Pool]
+	return ok && o.Release(now, release)
+}
+
+// SetTotal takes in the load of another pool of a model.
+func (h *Host) SetTotal(now time.Time, total Total) {
+	for id, o := range h.observers {
+		if id.Model == total.Pool.Model {
+			o.SetOther(now, total)
+		}
+	}
+}
+
+// Tick lets time pass and returns the totals to send to the observers of the
+// other pools of the same models.
+func (h *Host) Tick(now time.Time) []Total {
+	var totals []Total
+	for id, o := range h.observers {
+		o.Tick(now)
+		if h.First(id).Instance == h.self && h.isSplit(id) {
+			totals = append(totals, o.Total(now))
+		}
+	}
+	return totals
+}
+
+// isSplit reports whether the pool's model has other pools.
+func (h *Host) isSplit(id PoolID) bool {
+	other := id
+	other.Index = 1 - min(1, id.Index)
+	_, ok := h.specs[other]
+	return ok
+}
+
+// Observed calls f with each pool that this router observes.
+func (h *Host) Observed(f func(id PoolID, o *Observer)) {
+	for id, o := range h.observers {
+		if h.First(id).Instance == h.self {
+			f(id, o)
+		}
+	}
+}
+
+// Others returns the other pools of a pool's model.
+func (h *Host) Others(id PoolID) []PoolID {
+	var others []PoolID
+	for other := range h.specs {
+		if other.Model == id.Model && other.Index != id.Index {
+			others = append(others, other)
+		}
+	}
+	return others
+}
--- /dev/null
+++ b/core/request/reservation/observer.go
@@ -0,0 +1,444 @@
+package reservation
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianhead/core/request/recent"
+)
+
+// HintsPerGeneration is how many chats a pool remembers at least.
+const HintsPerGeneration = 16384
+
+// Times of the protocol.
+const (
+	// Transit bounds how long a release usually takes to arrive.
+	Transit = 10 * time.Millisecond
+	// RenewInterval is how often a router with grants lets the observer hear of it.
+	RenewInterval = time.Second
+	// SuspectAfter is the silence after which a router's grants still count as
+	// load of their engines but no longer raise the mean.
+	SuspectAfter = 2500 * time.Millisecond
+	// Lease is the silence after which a router's grants are dropped.
+	Lease = 30 * time.Second
+	// SlowStart is how long a joining engine takes to reach its full share.
+	SlowStart = 20 * time.Second
+	// FailurePause is how long an engine that refused work is left alone.
+	FailurePause = time.Second
+	// RetryBound and RetryShare are when to come back after a refusal.
+	RetryBound = time.Second
+	RetryShare = 2 * time.Second
+	// rateHalfLife smooths the rate at which grants end.
+	rateHalfLife = 2 * time.Second
+	// accountMemory is how long an account counts for fair shares after it asked.
+	accountMemory = 10 * time.Second
+)
+
+// Options set the policy of a pool. The zero value of ReuseWeight spreads load
+// evenly, and at 0.5 and above reuse may take all the room below the bound. Bound
+// must be at least one.
+type Options struct {
+	// Bound is the multiple of the mean load that no engine may exceed.
+	Bound float64
+	// ReuseWeight in [0,1] sets cache reuse (1) against even load (0).
+	ReuseWeight float64
+	// Renew is how often routers renew; zero means RenewInterval.
+	Renew time.Duration
+}
+
+// formerSuffix marks the earlier incarnation of a router. No instance name has it.
+const formerSuffix = "\x00former"
+
+type engine struct {
+	name string
+	hash uint64
+	load int
+	// slots is how many requests the engine runs at once; zero means unknown.
+	slots    int
+	reported int
+	joined   time.Time
+	isSlow   bool
+	paused   time.Time
+}
+
+type grantKey struct {
+	router *router
+	seq    uint64
+}
+
+type grant struct {
+	engine  *engine
+	account *account
+}
+
+type router struct {
+	incarnation  uint64
+	heard        time.Time
+	held         int
+	isRegistered bool
+	isSuspect    bool
+	seqs         map[uint64]struct{}
+	// voided requests were released before they arrived and get no grant.
+	voided map[uint64]struct{}
+}
+
+func newRouter(incarnation uint64) *router {
+	return &router{
+		incarnation: incarnation,
+		seqs:        make(map[uint64]struct{}),
+		voided:      make(map[uint64]struct{}),
+	}
+}
+
+type account struct {
+	held   int
+	weight int
+	asked  time.Time
+}
+
+// holders are the engines that a shared prefix was sent to, the latest first.
+type holders [4]*engine
+
+type otherPool struct {
+	total Total
+	at    time.Time
+}
+
+// Observer counts the load of one pool and grants requests.
+type Observer struct {
+	id       PoolID
+	options  Options
+	engines  []*engine
+	byName   map[string]*engine
+	gone     map[string]time.Time
+	routers  map[string]*router
+	live     map[string]struct{}
+	grants   map[grantKey]grant
+	accounts map[string]*account
+	others   map[int]otherPool
+	// hints has the engine of a chat, holders the engines of a shared prefix.
+	hints   *recent.Map[uint64, *engine]
+	holders *recent.Map[uint64, holders]
+	// total counts all grants, suspect those of silent routers.
+	total, suspect int
+	weights        int
+	rate           float64
+	rateAt         time.Time
+}
+
+// NewObserver returns an observer that knows no engine and no router.
+func NewObserver(id PoolID, options Options) *Observer {
+	if options.Renew == 0 {
+		options.Renew = RenewInterval
+	}
+	return &Observer{
+		id:       id,
+		options:  options,
+		byName:   make(map[string]*engine),
+		gone:     make(map[string]time.Time),
+		routers:  make(map[string]*router),
+		live:     make(map[string]struct{}),
+		grants:   make(map[grantKey]grant),
+		accounts: make(map[string]*account),
+		others:   make(map[int]otherPool),
+		hints:    recent.NewMap[uint64, *engine](HintsPerGeneration),
+		holders:  recent.NewMap[uint64, holders](HintsPerGeneration),
+	}
+}
+
+// SetOptions changes the policy.
+func (o *Observer) SetOptions(options Options) {
+	if options.Renew == 0 {
+		options.Renew = RenewInterval
+	}
+	o.options = options
+}
+
+// SetEngines replaces the engines of the pool. Grants on an engine that left
+// stay until they are released but count no more. An engine that joins a pool
+// that already has engines starts slowly; one that comes back soon after it
+// left keeps the chats that did not return meanwhile.
+func (o *Observer) SetEngines(now time.Time, names []string) {
+	isFirst := len(o.engines) == 0
+	previous := o.byName
+	o.engines = o.engines[:0:0]
+	o.byName = make(map[string]*engine, len(names))
+	for _, name := range names {
+		e, known := previous[name]
+		if !known {
+			e = &engine{name: name, hash: xxhash.Sum64String(name), joined: now, isSlow: !isFirst}
+			e.load = o.loadOf(name)
+		}
+		o.engines = append(o.engines, e)
+		o.byName[name] = e
+		delete(o.gone, name)
+	}
+	for name := range previous {
+		if _, stays := o.byName[name]; !stays {
+			o.gone[name] = now
+		}
+	}
+	o.rebind()
+}
+
+// loadOf counts the grants on an engine that was away.
+func (o *Observer) loadOf(name string) int {
+	count := 0
+	for _, g := range o.grants {
+		if g.engine.name == name {
+			count++
+		}
+	}
+	return count
+}
+
+// rebind points grants at the current engine values and recounts.
+func (o *Observer) rebind() {
+	o.total, o.suspect = 0, 0
+	for key, g := range o.grants {
+		e, ok := o.byName[g.engine.name]
+		if !ok {
+			continue
+		}
+		o.grants[key] = grant{engine: e, account: g.account}
+		o.count(key.router, 1)
+	}
+}
+
+func (o *Observer) count(r *router, change int) {
+	o.total += change
+	if r.isSuspect {
+		o.suspect += change
+	}
+}
+
+// SetRouters replaces the routers that are believed live. Grants of a router
+// that is not live lapse with its lease.
+func (o *Observer) SetRouters(instances []string) {
+	clear(o.live)
+	for _, instance := range instances {
+		o.live[instance] = struct{}{}
+	}
+}
+
+// IsComplete reports whether every live router is registered, so that no other
+// observer can be granting on behalf of one.
+func (o *Observer) IsComplete() bool {
+	for instance := range o.live {
+		if r, ok := o.routers[instance]; !ok || !r.isRegistered {
+			return false
+		}
+	}
+	return true
+}
+
+// Report takes in an engine's own load report. inFlight is as it was when the
+// engine answered.
+func (o *Observer) Report(name string, inFlight, slots int) {
+	if e, ok := o.byName[name]; ok {
+		e.reported, e.slots = inFlight, slots
+	}
+}
+
+// Register takes in all that a router has in flight.
+func (o *Observer) Register(now time.Time, registration Registration) {
+	if r, ok := o.routers[registration.Router]; ok {
+		if registration.Incarnation < r.incarnation {
+			return
+		}
+		if registration.Incarnation > r.incarnation {
+			o.supersede(registration.Router, r)
+			delete(o.routers, registration.Router)
+		}
+	}
+	r, ok := o.routers[registration.Router]
+	if !ok {
+		r = newRouter(registration.Incarnation)
+		o.routers[registration.Router] = r
+	}
+	o.hear(now, r)
+	r.isRegistered = true
+	for seq := range r.seqs {
+		if !slices.Contains(registration.Pending, seq) {
+			o.drop(r, seq)
+		}
+	}
+	for _, held := range registration.Grants {
+		e, ok := o.byName[held.Engine]
+		if !ok {
+			e = &engine{name: held.Engine}
+		}
+		o.record(now, r, held.Seq, e, o.account(now, held.Account, held.Weight))
+	}
+}
+
+// supersede keeps the grants of a router's earlier incarnation until its lease
+// lapses, since its requests may still run.
+func (o *Observer) supersede(name string, r *router) {
+	former := name + formerSuffix
+	if older, ok := o.routers[former]; ok {
+		o.dropAll(older)
+	}
+	o.routers[former] = r
+}
+
+// Release ends grants and renews the router's lease. It reports whether the
+// router is registered here; if not it has to register.
+func (o *Observer) Release(now time.Time, release Release) bool {
+	r, ok := o.routers[release.Router]
+	if !ok || r.incarnation != release.Incarnation {
+		return false
+	}
+	o.hear(now, r)
+	for _, seq := range release.Seqs {
+		if !o.drop(r, seq) {
+			r.void(seq)
+			continue
+		}
+		o.rate = o.decayedRate(now) + math.Ln2/rateHalfLife.Seconds()
+	}
+	if e, known := o.byName[release.Failed]; known {
+		e.paused = now.Add(FailurePause)
+	}
+	if release.IsLeaving {
+		r.isRegistered = false
+		o.dropAll(r)
+	}
+	return r.isRegistered
+}
+
+// maxVoided bounds what is remembered of requests that may still arrive.
+const maxVoided = 1024
+
+func (r *router) void(seq uint64) {
+	if len(r.voided) >= maxVoided {
+		clear(r.voided)
+	}
+	r.voided[seq] = struct{}{}
+}
+
+// decayedRate returns grants that end per second, smoothed.
+func (o *Observer) decayedRate(now time.Time) float64 {
+	age := now.Sub(o.rateAt)
+	o.rateAt = now
+	return o.rate * math.Exp2(-age.Seconds()/rateHalfLife.Seconds())
+}
+
+func (o *Observer) hear(now time.Time, r *router) {
+	r.heard = now
+	if r.isSuspect {
+		r.isSuspect = false
+		o.suspect -= o.heldHere(r)
+	}
+}
+
+// heldHere counts a router's grants on engines that are in the pool.
+func (o *Observer) heldHere(r *router) int {
+	count := 0
+	for seq := range r.seqs {
+		e := o.grants[grantKey{r, seq}].engine
+		if o.byName[e.name] == e {
+			count++
+		}
+	}
+	return count
+}
+
+// Tick lets time pass: silent routers become suspect, then their leases lapse.
+func (o *Observer) Tick(now time.Time) {
+	suspectAfter := max(SuspectAfter, o.options.Renew*5/2)
+	for name, r := range o.routers {
+		silence := now.Sub(r.heard)
+		if r.held > 0 && !r.isSuspect && silence > suspectAfter {
+			r.isSuspect = true
+			o.suspect += o.heldHere(r)
+		}
+		if silence <= max(Lease, 3*o.options.Renew) {
+			continue
+		}
+		o.dropAll(r)
+		if _, isLive := o.live[name]; !isLive {
+			delete(o.routers, name)
+		}
+	}
+	o.weights = 0
+	for name, a := range o.accounts {
+		if a.held == 0 && now.Sub(a.asked) > accountMemory {
+			delete(o.accounts, name)
+			continue
+		}
+		o.weights += a.weight
+	}
+	for name, since := range o.gone {
+		if now.Sub(since) > Lease {
+			delete(o.gone, name)
+		}
+	}
+}
+
+// SetOther takes in the load of another pool of the same model.
+func (o *Observer) SetOther(now time.Time, total Total) {
+	o.others[total.Pool.Index] = otherPool{total: total, at: now}
+}
+
+// Total returns what the observers of the model's other pools need to know.
+func (o *Observer) Total(now time.Time) Total {
+	o.rate = o.decayedRate(now)
+	return Total{Pool: o.id, Load: o.total - o.suspect, Engines: len(o.engines), Rate: o.rate}
+}
+
+// Loads calls f with the load of each engine in the pool.
+func (o *Observer) Loads(f func(name string, load int)) {
+	for _, e := range o.engines {
+		f(e.name, e.load)
+	}
+}
+
+func (o *Observer) account(now time.Time, name string, weight int) *account {
+	a, ok := o.accounts[name]
+	if !ok {
+		a = &account{weight: max(1, weight)}
+		o.accounts[name] = a
+		o.weights += a.weight
+	}
+	a.asked = now
+	return a
+}
+
+func (o *Observer) record(now time.Time, r *router, seq uint64, e *engine, a *account) {
+	o.grants[grantKey{r, seq}] = grant{engine: e, account: a}
+	r.seqs[seq] = struct{}{}
+	r.held++
+	r.heard = now
+	a.held++
+	e.load++
+	if o.byName[e.name] == e {
+		o.count(r, 1)
+	}
+}
+
+func (o *Observer) drop(r *router, seq uint64) bool {
+	key := grantKey{r, seq}
+	g, ok := o.grants[key]
+	if !ok {
+		return false
+	}
+	delete(o.grants, key)
+	delete(r.seqs, seq)
+	r.held--
+	g.account.held--
+	g.engine.load--
+	if o.byName[g.engine.name] == g.engine {
+		o.count(r, -1)
+	}
+	return true
+}
+
+func (o *Observer) dropAll(r *router) {
+	for seq := range r.seqs {
+		o.drop(r, seq)
+	}
+}
--- /dev/null
+++ b/core/request/reservation/pool.go
@@ -0,0 +1,110 @@
+package reservation
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"gentianhead/core/process/entry"
+	"gentianhead/core/process/membership"
+)
+
+// PoolSize is the number of engines that a pool holds on average at most.
+const PoolSize = 16
+
+// Pools splits the engines of a model. Each engine keeps its pool while the
+// number of pools stays, whatever other engines join or leave.
+func Pools(engines []string) [][]string {
+	count := PoolCount(len(engines))
+	pools := make([][]string, count)
+	for i, member := range Members(engines) {
+		pools[member.Pool] = append(pools[member.Pool], engines[i])
+	}
+	return pools
+}
+
+// PoolOf returns the pool that key belongs to: the one that holds the first of
+// the engines in rendezvous order, so that pools take chats by their size.
+func PoolOf(key uint64, engines []Member) int {
+	best, bestScore := 0, uint64(0)
+	for _, member := range engines {
+		if score := entry.Mix(key, member.Hash); score >= bestScore {
+			best, bestScore = member.Pool, score
+		}
+	}
+	return best
+}
+
+// Member is an engine in its pool.
+type Member struct {
+	// Hash is the hash of the engine's name.
+	Hash uint64
+	Pool int
+}
+
+// Members returns the engines of a model with their pools.
+func Members(engines []string) []Member {
+	count := PoolCount(len(engines))
+	members := make([]Member, 0, len(engines))
+	for _, name := range engines {
+		hash := xxhash.Sum64String(name)
+		members = append(members, Member{Hash: hash, Pool: poolOfEngine(hash, count)})
+	}
+	return members
+}
+
+// poolOfEngine returns the first of count pools in rendezvous order.
+func poolOfEngine(hash uint64, count int) int {
+	best, bestScore := 0, uint64(0)
+	for i := range count {
+		if score := entry.Mix(hash, uint64(i)); score >= bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// key returns the hash of a pool's name.
+func (id PoolID) key() uint64 {
+	return entry.Mix(xxhash.Sum64String(id.Model), uint64(id.Index))
+}
+
+// MaxObservers is how many routers are asked for a pool, one after the other.
+const MaxObservers = 4
+
+// Observers returns the routers of view that observe the pool, the first before
+// those that stand in for it. Leaving routers come last, so that a planned stop
+// hands over in time.
+func Observers(view *membership.View, id PoolID) []membership.Router {
+	type scored struct {
+		index int
+		score uint64
+	}
+	key := id.key()
+	var best [MaxObservers]scored
+	count := 0
+	for i, router := range view.Routers {
+		score := entry.Mix(key, xxhash.Sum64String(router.Instance)) >> 1
+		if !router.Leaving {
+			score |= 1 << 63
+		}
+		at := count
+		for at > 0 && best[at-1].score < score {
+			at--
+		}
+		if at == MaxObservers {
+			continue
+		}
+		count = min(count+1, MaxObservers)
+		copy(best[at+1:count], best[at:count-1])
+		best[at] = scored{index: i, score: score}
+	}
+	observers := make([]membership.Router, 0, count)
+	for _, candidate := range best[:count] {
+		observers = append(observers, view.Routers[candidate.index])
+	}
+	return observers
+}
+
+// PoolCount returns the number of pools of a model with so many engines.
+func PoolCount(engines int) int {
+	return max(1, (engines+PoolSize-1)/PoolSize)
+}
--- /dev/null
+++ b/core/request/routing/node.go
@@ -0,0 +1,244 @@
+package routing
+
+import (
+	"time"
+
+	"gentianhead/core/process/membership"
+	"gentianhead/core/request/admission"
+	"gentianhead/core/request/recent"
+	"gentianhead/core/request/reservation"
+	"gentianhead/core/request/retry"
+)
+
+const (
+	// maxAsks is how often a request asks for a grant before it is refused.
+	maxAsks = 4
+	// maxSpills is how many other pools are asked when one is at the bound.
+	maxSpills = 2
+	// chatsPerGeneration is how many chats a router remembers at least.
+	chatsPerGeneration = 16384
+)
+
+// Node is the routing core of one router.
+type Node struct {
+	self    string
+	view    *membership.View
+	config  Config
+	members map[string][]reservation.Member
+	ids     []reservation.PoolID
+	ledger  *reservation.Ledger
+	host    *reservation.Host
+	limiter *admission.Limiter
+	home    *admission.Home
+	budget  *retry.Budget
+	chats   *recent.Map[uint64, string]
+
+	ticket   Ticket
+	requests map[Ticket]*request
+	call     CallID
+	calls    map[CallID]pendingCall
+	// releasing pools wait for the answer to a release before they send another.
+	releasing map[reservation.PoolID]bool
+	probed    map[reservation.PoolID]time.Time
+	ready     Ready
+}
+
+// request is one request between Place and Done.
+type request struct {
+	ticket   Ticket
+	reserve  reservation.Request
+	asks     int
+	spills   int
+	attempts int
+	engine   string
+}
+
+// pendingCall is a call that is not answered yet.
+type pendingCall struct {
+	instance string
+	message  Message
+	request  *request
+}
+
+// New returns the core of a router's process that knows no configuration.
+// incarnation rises with each start of the process.
+func New(self string, incarnation uint64) *Node {
+	return &Node{
+		self:      self,
+		view:      &membership.View{},
+		ledger:    reservation.NewLedger(self, incarnation),
+		host:      reservation.NewHost(self),
+		limiter:   admission.NewLimiter(),
+		home:      admission.NewHome(),
+		budget:    retry.NewBudget(),
+		chats:     recent.NewMap[uint64, string](chatsPerGeneration),
+		requests:  make(map[Ticket]*request),
+		calls:     make(map[CallID]pendingCall),
+		releasing: make(map[reservation.PoolID]bool),
+		probed:    make(map[reservation.PoolID]time.Time),
+	}
+}
+
+// SetView takes in the routers that are believed live and registers where the
+// view names a new observer.
+func (n *Node) SetView(now time.Time, view *membership.View) {
+	n.view = view
+	n.host.SetView(view)
+	n.ledger.SetView(view)
+	n.limiter.SetRouters(len(view.Routers))
+	n.home.SetRouters(len(view.Routers))
+	n.registerAll(now)
+}
+
+// SetConfig takes in a configuration.
+func (n *Node) SetConfig(now time.Time, config Config) {
+	n.config = config
+	specs, members := config.specs()
+	n.members = members
+	n.ids = n.ids[:0]
+	for id := range specs {
+		n.ids = append(n.ids, id)
+	}
+	n.host.SetSpecs(now, specs)
+	n.registerAll(now)
+}
+
+// Ready returns what is to be done and forgets it.
+func (n *Node) Ready() Ready {
+	ready := n.ready
+	n.ready = Ready{}
+	return ready
+}
+
+// Place begins a request. Its Placement follows in Ready, now or after calls.
+func (n *Node) Place(now time.Time, ask Ask) Ticket {
+	n.ticket++
+	ticket := n.ticket
+	account := n.config.Accounts[ask.Account]
+	if ok, after := n.limiter.Allow(now, ask.Account, account.Limit); !ok {
+		n.refuse(ticket, Refusal{Reason: AccountLimit, RetryAfter: after})
+		return ticket
+	}
+	members, known := n.members[ask.Model]
+	if !known {
+		n.refuse(ticket, Refusal{Reason: NoEngine, RetryAfter: reservation.RetryBound})
+		return ticket
+	}
+	n.budget.Attempt(now, ask.Account)
+	r := &request{ticket: ticket, reserve: reservation.Request{
+		Pool:    reservation.PoolID{Model: ask.Model, Index: reservation.PoolOf(poolKey(ask), members)},
+		Chat:    ask.Chat,
+		Prefix:  ask.Prefix,
+		Account: ask.Account,
+		Weight:  account.Weight,
+		Hint:    n.chats.Get(ask.Chat),
+	}}
+	n.requests[ticket] = r
+	n.ask(now, r)
+	return ticket
+}
+
+// poolKey keeps chats that share a prefix in one pool.
+func poolKey(ask Ask) uint64 {
+	if ask.Prefix != 0 {
+		return ask.Prefix
+	}
+	return ask.Chat
+}
+
+// Done ends a request whose placement named an engine.
+func (n *Node) Done(now time.Time, ticket Ticket) {
+	r, ok := n.requests[ticket]
+	if !ok {
+		return
+	}
+	n.budget.Succeeded()
+	n.end(now, r, "")
+	delete(n.requests, ticket)
+}
+
+// Failed ends an attempt of a request. isNotRun says that it certainly did not
+// run and cannot any more, remaining is the time before its deadline. A
+// Placement follows in Ready.
+func (n *Node) Failed(now time.Time, ticket Ticket, isNotRun bool, remaining time.Duration) {
+	r, ok := n.requests[ticket]
+	if !ok {
+		return
+	}
+	failed := ""
+	if isNotRun {
+		failed = r.engine
+	}
+	n.end(now, r, failed)
+	reason := n.budget.Retry(now, retry.Failure{
+		Account:   r.reserve.Account,
+		Attempts:  r.attempts,
+		IsNotRun:  isNotRun,
+		Remaining: remaining,
+	})
+	if reason != retry.Allowed {
+		delete(n.requests, ticket)
+		n.refuse(ticket, Refusal{Reason: NoRetry, Retry: reason, RetryAfter: n.budget.Backoff(uint64(ticket))})
+		return
+	}
+	r.reserve.Excluded = append(r.reserve.Excluded, r.engine)
+	r.engine = ""
+	r.asks = 0
+	n.ask(now, r)
+}
+
+// Cancel ends a request whose caller went away before it was placed.
+func (n *Node) Cancel(now time.Time, ticket Ticket) {
+	r, ok := n.requests[ticket]
+	if !ok {
+		return
+	}
+	n.end(now, r, "")
+	delete(n.requests, ticket)
+}
+
+func (n *Node) end(now time.Time, r *request, failed string) {
+	n.ledger.End(r.reserve.Pool, r.reserve.Seq, failed)
+	n.release(now, r.reserve.Pool)
+}
+
+func (n *Node) refuse(ticket Ticket, refusal Refusal) {
+	n.ready.Placements = append(n.ready.Placements, Placement{Ticket: ticket, Refusal: &refusal})
+}
+
+// Tick lets time pass. It is to be called about once a second.
+func (n *Node) Tick(now time.Time) {
+	n.budget.Tick(now)
+	n.home.Tick(now)
+	n.registerAll(now)
+	for _, id := range n.ids {
+		n.release(now, id)
+	}
+	for _, total := range n.host.Tick(now) {
+		for _, other := range n.host.Others(total.Pool) {
+			if target, ok := n.ledger.Target(now, other); ok {
+				n.send(now, target.Router, &total, nil)
+			}
+		}
+	}
+	for _, demand := range n.limiter.Demands(now, n.self) {
+		n.send(now, admission.HomeOf(n.view, demand.Account), &demand, nil)
+	}
+}
+
+// Report takes in an engine's own load report: what is in flight there and how
+// many requests it runs at once.
+func (n *Node) Report(engine string, inFlight, slots int) {
+	n.host.Observed(func(_ reservation.PoolID, o *reservation.Observer) {
+		o.Report(engine, inFlight, slots)
+	})
+}
+
+// Observed returns the engines whose load reports this router has to read.
+func (n *Node) Observed() []string {
+	var engines []string
+	n.host.Observed(func(_ reservation.PoolID, o *reservation.Observer) {
+		o.Loads(func(name string, _ int) { engines = append(engines, name) })
+	})
+	return engines
+}
--- /dev/null
+++ b/measure/routing/chosen.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentianhead/core/process/membership"
+	"gentianhead/core/request/reservation"
+	"gentianhead/core/request/routing"
+)
+
+// Sizes and times of the messages between routers.
+const (
+	frameHeaderBytes = 10
+	loadPollBytes    = 150
+	callTimeout      = 300 * time.Millisecond
+	deadAfter        = 5 * time.Second
+)
+
+func hashOf(name string) uint64 { return xxhash.Sum64String(name) }
+
+// node is one router with its decision core.
+type node struct {
+	*routing.Node
+	index         int
+	name          string
+	isDead, isCut bool
+	bytes         int
+	tickets       map[routing.Ticket]*request
+}
+
+// chosen drives the project's policy: the core of each router, and messages
+// between them that take time and may fail.
+type chosen struct {
+	s      *sim
+	nodes  []*node
+	byName map[string]*node
+	view   *membership.View
+	byEng  map[string]*engine
+}
+
+func newChosen(s *sim) *chosen {
+	c := &chosen{s: s, byName: map[string]*node{}, byEng: map[string]*engine{}, view: &membership.View{}}
+	for i := range s.d.routers {
+		n := &node{index: i, name: "router-" + itoa(1000+i), tickets: map[routing.Ticket]*request{}}
+		n.Node = routing.New(n.name, 1)
+		c.nodes, c.byName[n.name] = append(c.nodes, n), n
+		c.view.Routers = append(c.view.Routers, membership.Router{Instance: n.name, PeerAddress: "10.0.0.1:7000"})
+	}
+	for _, e := range s.engines {
+		c.byEng[e.name] = e
+	}
+	for _, n := range c.nodes {
+		c.learn(n)
+		s.at(0, func() { n.SetView(c.time(), c.view); c.drain(n) })
+		s.at(time.Duration(s.rng.Int64N(int64(time.Second))), func() { c.tick(n) })
+	}
+	return c
+}
+
+func (c *chosen) time() time.Time { return time.Unix(1e9, 0).Add(c.s.now) }
+
+// learn takes the engines that the router's list has into its core.
+func (c *chosen) learn(n *node) {
+	config := routing.Config{Accounts: map[string]routing.Account{}}
+	for model := range c.s.d.models {
+		m := routing.Model{Name: "model-" + itoa(model), Options: reservation.Options{Bound: c.s.d.bound, ReuseWeight: c.s.d.reuse}}
+		for _, e := range c.s.known(n.index, model) {
+			m.Engines = append(m.Engines, e.name)
+		}
+		config.Models = append(config.Models, m)
+	}
+	for i, share := range c.s.d.accounts {
+		config.Accounts["account-"+itoa(i)] = routing.Account{Limit: limitFactor * share * c.s.d.requestsPerSecond}
+	}
+	n.SetConfig(c.time(), config)
+}
+
+func (c *chosen) tick(n *node) {
+	if n.isDead {
+		return
+	}
+	if c.s.d.leaves || c.s.d.flaps {
+		c.learn(n)
+	}
+	for _, name := range n.Observed() {
+		n.bytes += loadPollBytes / 2
+		n.Report(name, c.s.report(c.byEng[name]), c.s.d.slots)
+	}
+	n.Tick(c.time())
+	c.drain(n)
+	c.s.after(time.Second, func() { c.tick(n) })
+}
+
+// drain carries out what a router's core asks for.
+func (c *chosen) drain(n *node) {
+	ready := n.Ready()
+	for _, call := range ready.Calls {
+		c.call(n, call)
+	}
+	for _, placement := range ready.Placements {
+		q := n.tickets[placement.Ticket]
+		if q == nil {
+			c.s.at(c.s.now, func() { c.placed(n, n.tickets[placement.Ticket], placement) })
+			continue
+		}
+		c.placed(n, q, placement)
+	}
+}
+
+// call carries a message to another router and the reply back.
+func (c *chosen) call(from *node, call routing.Call) {
+	body, _ := msgpack.Marshal(call.Message)
+	from.bytes += frameHeaderBytes + len(body)
+	to := c.byName[call.Instance]
+	delay := time.Duration(500+(from.index*37+to.index*37)%500) * time.Microsecond
+	if from.isCut != to.isCut {
+		c.s.after(callTimeout, func() { from.Unanswered(c.time(), call.ID, false); c.drain(from) })
+		return
+	}
+	c.s.after(delay, func() {
+		if to.isDead {
+			from.Unanswered(c.time(), call.ID, true)
+			c.drain(from)
+			return
+		}
+		reply := to.Deliver(c.time(), call.Message)
+		body, _ := msgpack.Marshal(reply)
+		to.bytes += frameHeaderBytes + len(body)
+		c.drain(to)
+		c.s.after(delay, func() { from.Answered(c.time(), call.ID, reply); c.drain(from) })
+	})
+}
+
+func (c *chosen) place(q *request) {
+	n := c.nodes[q.router]
+	for n.isDead {
+		n = c.nodes[(n.index+1)%len(c.nodes)]
+	}
+	q.router = n.index
+	q.ticket = n.Place(c.time(), routing.Ask{
+		Model: "model-" + itoa(q.model), Account: "account-" + itoa(q.account), Chat: q.chat, Prefix: q.prefix,
+	})
+	n.tickets[q.ticket] = q
+	c.drain(n)
+}
+
+func (c *chosen) placed(n *node, q *request, placement routing.Placement) {
+	switch {
+	case n.isDead:
+	case placement.Refusal != nil:
+		delete(n.tickets, placement.Ticket)
+		reason := placement.Refusal.Reason
+		c.s.refuse(q, reason == routing.AccountLimit || reason == routing.AccountShare, placement.Refusal.RetryAfter)
+	case !c.s.send(q, c.byEng[placement.Engine]):
+		c.s.after(time.Millisecond, func() { n.Failed(c.time(), placement.Ticket, true, time.Minute); c.drain(n) })
+	}
+}
+
+func (c *chosen) ended(q *request) {
+	n := c.nodes[q.router]
+	delete(n.tickets, q.ticket)
+	if !n.isDead {
+		n.Done(c.time(), q.ticket)
+		c.drain(n)
+	}
+}
+
+// faults schedules what happens to routers: one is killed, one is cut off for a
+// while, and lists differ.
+func (c *chosen) faults() {
+	if c.s.d.crash {
+		c.s.at(c.s.d.length/4, func() { c.crash(c.nodes[1]) })
+		c.s.at(c.s.d.length/2, func() { c.crash(c.nodes[4]) })
+	}
+	if c.s.d.cut {
+		n := c.nodes[2]
+		c.s.at(c.s.d.length/4, func() { n.isCut = true })
+		c.s.at(c.s.d.length/4+deadAfter, func() { c.splitViews(n) })
+		c.s.at(c.s.d.length/4+2*time.Minute, func() { n.isCut = false; c.sameViews() })
+	}
+	if c.s.d.odd {
+		c.s.every(time.Minute, func() {
+			for _, n := range c.nodes[:3] {
+				c.see(n, c.s.rng.IntN(len(c.nodes)))
+			}
+			c.s.after(8*time.Second, c.sameViews)
+		})
+	}
+}
+
+func (c *chosen) crash(n *node) {
+	n.isDead = true
+	for _, q := range n.tickets {
+		if q.engine != nil {
+			c.s.cancel(q)
+		}
+	}
+	c.s.after(deadAfter, c.sameViews)
+}
+
+// see gives a router a view that lacks another one.
+func (c *chosen) see(n *node, without int) {
+	view := &membership.View{}
+	for i, router := range c.view.Routers {
+		if (i != without || i == n.index) && !c.nodes[i].isDead {
+			view.Routers = append(view.Routers, router)
+		}
+	}
+	n.SetView(c.time(), view)
+	c.drain(n)
+}
+
+func (c *chosen) sameViews() {
+	for _, n := range c.nodes {
+		c.see(n, -1)
+	}
+}
+
+func (c *chosen) splitViews(cut *node) {
+	for _, n := range c.nodes {
+		c.see(n, cut.index)
+	}
+	cut.SetView(c.time(), &membership.View{Routers: []membership.Router{c.view.Routers[cut.index]}})
+	c.drain(cut)
+}
--- /dev/null
+++ b/measure/routing/load.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"gentianhead/core/request/routing"
+)
+
+const (
+	prefillPerToken = 100 * time.Microsecond
+	// limitFactor is an account's limit as a multiple of what it normally needs.
+	limitFactor = 3
+)
+
+// request is one request of a chat, drawn before the run so that every policy
+// meets the same load.
+type request struct {
+	at                           time.Duration
+	account, router, model       int
+	chat, prefix                 uint64
+	prefixTokens, history, fresh int
+	decode                       time.Duration
+
+	engine   *engine
+	sent     time.Duration
+	isEnded  bool
+	excluded []string
+	ticket   routing.Ticket
+}
+
+// deployment describes the load and the faults of one table.
+type deployment struct {
+	name                           string
+	routers, engines, models       int
+	slots, cacheTokens             int
+	accounts                       []float64
+	requestsPerSecond              float64
+	drawings, drawingShare         float64
+	bound, reuse                   float64
+	lag, listLag, length, warm     time.Duration
+	surging                        int
+	leaves, flaps, crash, cut, odd bool
+}
+
+func itoa(i int) string { return strconv.Itoa(i) }
+
+// level is the load at a time of the day that the run stands for.
+func (d deployment) level(t time.Duration) float64 {
+	return 0.65 + 0.35*math.Sin(2*math.Pi*t.Minutes()/15)
+}
+
+// isSurge says whether the surging account asks ten times as much.
+func (d deployment) isSurge(t time.Duration) bool { return t > d.length/3 && t < d.length*2/3 }
+
+// requests draws the load. Each account has a source of its own, so that a
+// surge of one leaves the requests of the others as they are.
+func (d deployment) requests(seed uint64, withSurge bool) []*request {
+	var all []*request
+	for account, share := range d.accounts {
+		rng := rand.New(rand.NewPCG(seed, uint64(account)+100))
+		chats := []*request{}
+		factor := 1.0
+		if account == d.surging && withSurge {
+			factor = 10
+		}
+		rate := d.requestsPerSecond * share
+		for t := time.Duration(0); t < d.length; {
+			t += time.Duration(rng.ExpFloat64() / (rate * factor) * float64(time.Second))
+			keep := d.level(t)
+			if !d.isSurge(t) {
+				keep /= factor
+			}
+			if rng.Float64() > keep {
+				continue
+			}
+			q := d.next(rng, account, &chats)
+			q.at = t
+			all = append(all, q)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *request) int { return cmp.Compare(a.at, b.at) })
+	return all
+}
+
+// next continues a chat, most often a recent one, or begins one.
+func (d deployment) next(rng *rand.Rand, account int, chats *[]*request) *request {
+	q := &request{
+		account: account,
+		fresh:   100 + int(rng.ExpFloat64()*400),
+		decode:  time.Duration((0.5 + rng.ExpFloat64()*7.5) * float64(time.Second)),
+	}
+	if n := len(*chats); n > 0 && rng.Float64() < 0.75 {
+		back := int(math.Pow(float64(n), rng.Float64()))
+		earlier := (*chats)[n-back]
+		q.chat, q.prefix, q.prefixTokens = earlier.chat, earlier.prefix, earlier.prefixTokens
+		q.model, q.router, q.history = earlier.model, earlier.router, earlier.history+earlier.fresh
+		(*chats)[n-back] = q
+	} else {
+		q.chat = rng.Uint64() | 1
+		q.model = int(float64(d.models) * rng.Float64() * rng.Float64())
+		q.router = rng.IntN(d.routers)
+		if rng.Float64() < d.drawingShare {
+			drawing := rng.IntN(int(d.drawings))
+			q.prefix = uint64(account+1)<<32 | uint64(drawing+1)
+			q.prefixTokens = 20_000 + drawing*997%40_000
+		}
+		*chats = append(*chats, q)
+	}
+	if rng.Float64() < 0.1 {
+		q.router = rng.IntN(d.routers)
+	}
+	return q
+}
+
+// faults schedules what happens to engines beside the load.
+func (s *sim) faults() {
+	if s.d.leaves {
+		for t := 5 * time.Minute; t < s.d.length; t += 10 * time.Minute {
+			e := s.engines[s.rng.IntN(len(s.engines)-1)]
+			s.at(t, func() { s.toggle(e) })
+			s.at(t+4*time.Minute, func() { s.toggle(e) })
+		}
+	}
+	if s.d.flaps {
+		for i := range 8 {
+			s.at(11*time.Minute+time.Duration(i)*15*time.Second, func() { s.toggle(s.engines[len(s.engines)-1]) })
+		}
+	}
+}
--- /dev/null
+++ b/measure/routing/sim.go
@@ -0,0 +1,333 @@
+package main
+
+import (
+	"container/heap"
+	"container/list"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// event runs at a virtual time; events of one time run in the order of their making.
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// engine is a fake of the platform's engine: slots, a queue and a prefix cache.
+type engine struct {
+	name     string
+	model    int
+	isAlive  bool
+	changed  time.Duration
+	load     int
+	running  int
+	queue    []*request
+	cache    map[uint64]*list.Element
+	recent   *list.List
+	cached   int
+	reported [reportRing]int
+}
+
+type cacheEntry struct {
+	key    uint64
+	tokens int
+}
+
+// Load reports are kept for as long as the longest lag.
+const (
+	reportStep = 100 * time.Millisecond
+	reportRing = 64
+)
+
+func (e *engine) has(key uint64) bool { return key != 0 && e.cache[key] != nil }
+
+// hit returns how many tokens of the prompt the engine has cached.
+func (e *engine) hit(q *request) int {
+	tokens := 0
+	if q.prefix != 0 {
+		if !e.has(q.prefix) {
+			return 0
+		}
+		tokens = q.prefixTokens
+	}
+	if e.has(q.chat) {
+		tokens += q.history
+	}
+	return tokens
+}
+
+func (e *engine) put(key uint64, tokens, capacity int) {
+	if key == 0 {
+		return
+	}
+	if element := e.cache[key]; element != nil {
+		e.cached -= e.recent.Remove(element).(cacheEntry).tokens
+	}
+	e.cache[key] = e.recent.PushFront(cacheEntry{key, tokens})
+	e.cached += tokens
+	for e.cached > capacity {
+		entry := e.recent.Remove(e.recent.Back()).(cacheEntry)
+		delete(e.cache, entry.key)
+		e.cached -= entry.tokens
+	}
+}
+
+func (e *engine) clear() {
+	e.cache, e.recent, e.cached = make(map[uint64]*list.Element), list.New(), 0
+}
+
+// policy places requests with send or refuse, at once or later.
+type policy interface {
+	place(q *request)
+	ended(q *request)
+}
+
+// sim is one run of a policy over a deployment's load.
+type sim struct {
+	d       deployment
+	now     time.Duration
+	seq     int
+	events  eventHeap
+	rng     *rand.Rand
+	engines []*engine
+	alive   [][]*engine
+	learns  []time.Duration
+	policy  policy
+	seen    map[uint64]bool
+	last    map[uint64]*engine
+	before  map[uint64]*engine
+	m       metrics
+}
+
+// metrics is what a run measured.
+type metrics struct {
+	asked, admitted, violations, lifted, refusedBound, refusedShare, unhinted, retries, failed int
+	hit, reusable, returned, moved, bytes                                                      int
+	worst                                                                                      float64
+	ratios                                                                                     []float32
+	waits                                                                                      map[bool][]time.Duration
+}
+
+func newSim(d deployment, seed uint64) *sim {
+	s := &sim{d: d, rng: rand.New(rand.NewPCG(seed, 2)), seen: map[uint64]bool{}, last: map[uint64]*engine{}}
+	s.m.waits = map[bool][]time.Duration{}
+	for i := range d.engines {
+		e := &engine{name: "engine-" + itoa(i), model: int(float64(d.models) * s.rng.Float64() * s.rng.Float64()), isAlive: true, changed: -time.Hour}
+		e.clear()
+		s.engines = append(s.engines, e)
+	}
+	for range d.routers {
+		s.learns = append(s.learns, 200*time.Millisecond+time.Duration(s.rng.Int64N(int64(d.listLag))))
+	}
+	s.index()
+	s.every(reportStep, func() {
+		for _, e := range s.engines {
+			e.reported[int(s.now/reportStep)%reportRing] = e.load
+		}
+	})
+	return s
+}
+
+func (s *sim) at(t time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.events, event{t, s.seq, run})
+}
+
+func (s *sim) after(d time.Duration, run func()) { s.at(s.now+d, run) }
+
+func (s *sim) every(d time.Duration, run func()) {
+	s.after(d, func() { run(); s.every(d, run) })
+}
+
+func (s *sim) run(requests []*request) {
+	for _, q := range requests {
+		s.at(q.at, func() { s.m.asked++; s.policy.place(q) })
+	}
+	for len(s.events) > 0 && s.events[0].at <= s.d.length {
+		next := heap.Pop(&s.events).(event)
+		s.now = next.at
+		next.run()
+	}
+}
+
+// index lists by model the engines that count for the mean: a leaving engine
+// until it refuses work, a joining one once the slowest router knows it.
+func (s *sim) index() {
+	s.alive = make([][]*engine, s.d.models)
+	for _, e := range s.engines {
+		if e.isAlive && s.now-e.changed >= s.d.listLag+200*time.Millisecond {
+			s.alive[e.model] = append(s.alive[e.model], e)
+		}
+	}
+}
+
+// known returns the engines of a model that a router's list has.
+func (s *sim) known(router, model int) []*engine {
+	var list []*engine
+	for _, e := range s.engines {
+		if e.model == model && e.isAlive == (s.now-e.changed >= s.learns[router]) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (s *sim) mean(model int) float64 {
+	total := 0
+	for _, e := range s.alive[model] {
+		total += e.load
+	}
+	return float64(total) / float64(len(s.alive[model]))
+}
+
+// report is an engine's load as its lagging report has it.
+func (s *sim) report(e *engine) int {
+	return e.reported[int(max(0, s.now-s.d.lag)/reportStep)%reportRing]
+}
+
+// send admits a request to an engine, or reports that the engine refused it.
+func (s *sim) send(q *request, e *engine) bool {
+	if !e.isAlive {
+		s.m.retries++
+		return false
+	}
+	e.load++
+	q.engine, q.sent = e, s.now
+	if slices.Contains(s.alive[e.model], e) {
+		s.judge(e)
+	}
+	if home := s.before[q.chat]; home != nil {
+		s.m.returned++
+		if home != e {
+			s.m.moved++
+		}
+		delete(s.before, q.chat)
+	}
+	s.last[q.chat] = e
+	if e.running < s.d.slots {
+		s.start(q)
+	} else {
+		e.queue = append(e.queue, q)
+	}
+	return true
+}
+
+// judge holds an admission against the true loads.
+func (s *sim) judge(e *engine) {
+	s.m.admitted++
+	mean := s.mean(e.model)
+	if float64(e.load) > s.d.bound*mean+1+1e-9 {
+		s.m.violations++
+	}
+	if mean >= 1 {
+		s.m.worst = max(s.m.worst, float64(e.load-1)/mean)
+	}
+}
+
+func (s *sim) start(q *request) {
+	e := q.engine
+	e.running++
+	s.m.waits[q.account == s.d.surging] = append(s.m.waits[q.account == s.d.surging], s.now-q.at)
+	hit := e.hit(q)
+	s.m.hit += hit
+	if q.prefix != 0 && s.seen[q.prefix] {
+		s.m.reusable += q.prefixTokens
+	}
+	s.m.reusable += q.history
+	s.seen[q.prefix] = true
+	e.put(q.prefix, q.prefixTokens, s.d.cacheTokens)
+	e.put(q.chat, q.history+q.fresh, s.d.cacheTokens)
+	prefill := time.Duration(q.prefixTokens+q.history+q.fresh-hit) * prefillPerToken
+	s.after(prefill+q.decode, func() { s.end(q) })
+}
+
+// cancel ends a request early because its router died.
+func (s *sim) cancel(q *request) {
+	if i := slices.Index(q.engine.queue, q); i >= 0 {
+		q.engine.queue = slices.Delete(q.engine.queue, i, i+1)
+		q.engine.running++
+	}
+	s.end(q)
+}
+
+func (s *sim) end(q *request) {
+	e := q.engine
+	if q.isEnded {
+		return
+	}
+	q.isEnded = true
+	e.load--
+	e.running--
+	if len(e.queue) > 0 {
+		next := e.queue[0]
+		e.queue = e.queue[1:]
+		s.start(next)
+	}
+	s.policy.ended(q)
+	s.sample(e.model)
+}
+
+// sample notes the loads after a request ended, when only the mean fell.
+func (s *sim) sample(model int) {
+	mean, highest := s.mean(model), 0
+	for _, e := range s.alive[model] {
+		highest = max(highest, e.load)
+	}
+	if mean >= 1 {
+		s.m.ratios = append(s.m.ratios, float32(float64(highest)/mean))
+	}
+	if float64(highest) > s.d.bound*mean+1+1e-9 {
+		s.m.lifted++
+	}
+}
+
+func (s *sim) refuse(q *request, isShare bool, after time.Duration) {
+	if isShare {
+		s.m.refusedShare++
+	} else {
+		s.m.refusedBound++
+	}
+	if after <= 0 {
+		s.m.unhinted++
+	}
+}
+
+// toggle lets an engine leave or join with an empty cache.
+func (s *sim) toggle(e *engine) {
+	if e.isAlive && s.before == nil {
+		s.before = make(map[uint64]*engine, len(s.last))
+		for chat, home := range s.last {
+			s.before[chat] = home
+		}
+		s.after(s.d.listLag*60, func() { s.before = nil })
+	}
+	e.isAlive, e.changed = !e.isAlive, s.now
+	e.clear()
+	s.index()
+	s.after(s.d.listLag+200*time.Millisecond, s.index)
+}
+
+func percentile[T float32 | time.Duration](values []T, p float64) T {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[int(math.Ceil(p*float64(len(values))))-1]
+}
