Keep the load bound by reservations from one observer per pool

Cause: each router sees a sliver of the traffic, so bounds that a router keeps by itself or over lagging reports break.

--- a/core/request/admission/limiter.go
+++ b/core/request/admission/limiter.go
@@ -19,7 +19,7 @@
 	// demand. It grows with the fleet, so that the home of an account hears at
 	// most about ReportsPerSecond.
 	ReportInterval   = time.Second
-	ReportsPerSecond = 100
+	ReportsPerSecond = 40
 	// ShareIntervals is for how many report intervals a share is used.
 	ShareIntervals = 4
 	// BurstTime and MinBurst are how much of its share a router may use at once.
@@ -136,12 +136,13 @@
 			continue
 		}
 		interval := now.Sub(b.counted)
-		if interval < Interval(l.routers) {
+		isShort := b.shared.IsZero() && b.tokens <= MinBurst/2
+		if interval <= 0 || (interval < Interval(l.routers) && !isShort) {
 			continue
 		}
 		b.demand = b.demand/2 + float64(b.asked)/interval.Seconds()/2
 		b.asked, b.counted = 0, now
-		if b.shared.IsZero() && b.tokens > MinBurst/2 {
+		if b.shared.IsZero() && !isShort {
 			continue
 		}
 		demands = append(demands, Demand{Account: account, Router: router, Rate: b.demand})
--- a/core/request/reservation/host.go
+++ b/core/request/reservation/host.go
@@ -1,6 +1,7 @@
 package reservation
 
 import (
+	"slices"
 	"time"
 
 	"gentianhead/core/process/membership"
@@ -9,39 +10,79 @@
 // Spec is what the configuration says of a pool.
 type Spec struct {
 	Options Options
-	Engines []string
+	// ModelEngines is how many engines all pools of the model have.
+	ModelEngines int
+	Engines      []string
 }
 
 // Host holds the observers that one router's process keeps. Any router may be
 // asked for any pool; observers are made when first asked.
 type Host struct {
-	self      string
-	view      *membership.View
-	specs     map[PoolID]Spec
-	observers map[PoolID]*Observer
-	// order caches the observer that comes first, by pool, for the current view.
-	order map[PoolID]membership.Router
+	self       string
+	view       *membership.View
+	specs      map[PoolID]Spec
+	observers  map[PoolID]*Observer
+	assignment *Assignment
+	// sizes are the recent sizes of the view.
+	sizes []viewSize
 	// dead routers refused a connection: this incarnation does not run.
 	dead map[string]uint64
 }
 
+// viewSize is how many routers a view had until a time.
+type viewSize struct {
+	until time.Time
+	count int
+}
+
 // NewHost returns a host without pools.
 func NewHost(self string) *Host {
 	return &Host{
-		self:      self,
-		view:      &membership.View{},
-		specs:     make(map[PoolID]Spec),
-		observers: make(map[PoolID]*Observer),
-		order:     make(map[PoolID]membership.Router),
-		dead:      make(map[string]uint64),
+		self:       self,
+		view:       &membership.View{},
+		specs:      make(map[PoolID]Spec),
+		observers:  make(map[PoolID]*Observer),
+		assignment: &Assignment{},
+		dead:       make(map[string]uint64),
 	}
 }
 
-// SetView replaces the routers that are believed live.
-func (h *Host) SetView(view *membership.View) {
-	h.view = view
-	clear(h.order)
+// SetView replaces the routers that are believed live, and what they observe. It returns the pools
+// that this router observed first and does no more.
+func (h *Host) SetView(now time.Time, view *membership.View, assignment *Assignment) []PoolID {
+	var former []PoolID
+	for id := range h.observers {
+		if h.First(id).Instance == h.self {
+			former = append(former, id)
+		}
+	}
+	h.sizes = append(h.sizes, viewSize{until: now, count: len(h.view.Routers)})
+	h.view, h.assignment = view, assignment
 	h.updateRouters()
+	h.updateIsolation(now)
+	return slices.DeleteFunc(former, func(id PoolID) bool { return h.First(id).Instance == h.self })
+}
+
+// updateIsolation tells the observers whether this router sees no more than half
+// of the routers that it saw lately: then it may be cut off from the others,
+// and uses none of the slack.
+func (h *Host) updateIsolation(now time.Time) {
+	h.sizes = slices.DeleteFunc(h.sizes, func(s viewSize) bool { return now.Sub(s.until) > Lease })
+	largest := 0
+	for _, s := range h.sizes {
+		largest = max(largest, s.count)
+	}
+	for _, o := range h.observers {
+		o.isIsolated = 2*len(h.view.Routers) <= largest
+	}
+}
+
+// Disconnected notes that a router's process probably ended: its requests may
+// run no more.
+func (h *Host) Disconnected(instance string) {
+	for _, o := range h.observers {
+		o.Disconnected(instance)
+	}
 }
 
 // SetDead notes that no process listens at a router's address, so that nobody
@@ -80,7 +121,7 @@
 			continue
 		}
 		o.SetOptions(spec.Options)
-		o.SetEngines(now, spec.Engines)
+		o.SetEngines(now, spec.Engines, spec.ModelEngines)
 	}
 }
 
@@ -94,7 +135,7 @@
 		return nil
 	}
 	o := NewObserver(id, spec.Options)
-	o.SetEngines(now, spec.Engines)
+	o.SetEngines(now, spec.Engines, spec.ModelEngines)
 	o.SetRouters(h.liveNames())
 	h.observers[id] = o
 	return o
@@ -102,12 +143,7 @@
 
 // First returns the router that comes first as observer of the pool.
 func (h *Host) First(id PoolID) membership.Router {
-	router, ok := h.order[id]
-	if !ok && len(h.view.Routers) > 0 {
-		router = Observers(h.view, id)[0]
-		h.order[id] = router
-	}
-	return router
+	return h.assignment.First(id)
 }
 
 // IsDead reports whether a router is known not to run.
@@ -163,10 +199,11 @@
 // Tick lets time pass and returns the totals to send to the observers of the
 // other pools of the same models.
 func (h *Host) Tick(now time.Time) []Total {
+	h.updateIsolation(now)
 	var totals []Total
 	for id, o := range h.observers {
 		o.Tick(now)
-		if h.First(id).Instance == h.self && h.isSplit(id) {
+		if h.First(id).Instance == h.self && h.isSplit(id) && o.isTotalDue(now) {
 			totals = append(totals, o.Total(now))
 		}
 	}
--- a/core/request/reservation/ledger.go
+++ b/core/request/reservation/ledger.go
@@ -30,18 +30,17 @@
 	incarnation uint64
 	seq         uint64
 	view        *membership.View
+	assignment  *Assignment
 	pools       map[PoolID]*poolLedger
 	avoided     map[string]avoidance
 }
 
 type poolLedger struct {
-	// order is the order of observers in view.
-	view  *membership.View
-	order []membership.Router
 	// redirect is another router to ask first.
 	redirect   membership.Router
 	redirected time.Time
 	observer   membership.Router
+	isFailover bool
 	grants     []Grant
 	pending    []uint64
 	ended      []uint64
@@ -64,19 +63,20 @@
 		router:      router,
 		incarnation: incarnation,
 		view:        &membership.View{},
+		assignment:  &Assignment{},
 		pools:       make(map[PoolID]*poolLedger),
 		avoided:     make(map[string]avoidance),
 	}
 }
 
-// SetView replaces the routers that are believed live.
-func (l *Ledger) SetView(view *membership.View) {
+// SetView replaces the routers that are believed live, and what they observe.
+func (l *Ledger) SetView(view *membership.View, assignment *Assignment) {
 	for _, router := range view.Routers {
 		if former, ok := l.view.Find(router.Instance); ok && former.Incarnation != router.Incarnation {
 			l.Reached(router.Instance)
 		}
 	}
-	l.view = view
+	l.view, l.assignment = view, assignment
 }
 
 func (l *Ledger) pool(id PoolID) *poolLedger {
@@ -85,28 +85,34 @@
 		p = &poolLedger{}
 		l.pools[id] = p
 	}
-	if p.view != l.view {
-		p.view, p.order = l.view, Observers(l.view, id)
-	}
 	return p
 }
 
 // Target returns the router to ask for a pool, or false when all that could be
-// asked were not reached lately.
+// asked were not reached lately. A router stays with its observer until that
+// names another one or can't be reached: views that differ for a while move nobody.
 func (l *Ledger) Target(now time.Time, id PoolID) (Target, bool) {
 	p := l.pool(id)
-	if p.redirect.Instance != "" && now.Sub(p.redirected) < redirectTime && !l.isAvoided(now, p.redirect.Instance) {
+	if p.observer.Instance != "" && !p.isFailover && !l.isAvoided(now, p.observer.Instance) && !l.isRedirected(now, p) {
+		return Target{Router: p.observer}, true
+	}
+	if l.isRedirected(now, p) {
 		return Target{Router: p.redirect, MustRegister: p.observer.Instance != p.redirect.Instance}, true
 	}
-	for i, router := range p.order {
-		if l.isAvoided(now, router.Instance) {
+	for place := range MaxObservers {
+		router, ok := l.assignment.At(id, place)
+		if !ok || l.isAvoided(now, router.Instance) {
 			continue
 		}
-		return Target{Router: router, MustRegister: p.observer.Instance != router.Instance, IsFailover: i > 0}, true
+		return Target{Router: router, MustRegister: p.observer.Instance != router.Instance, IsFailover: place > 0}, true
 	}
 	return Target{}, false
 }
 
+func (l *Ledger) isRedirected(now time.Time, p *poolLedger) bool {
+	return p.redirect.Instance != "" && now.Sub(p.redirected) < redirectTime && !l.isAvoided(now, p.redirect.Instance)
+}
+
 func (l *Ledger) isAvoided(now time.Time, instance string) bool {
 	a, ok := l.avoided[instance]
 	return ok && now.Before(a.until)
@@ -145,12 +151,12 @@
 
 // Registration returns what to tell an observer before it is asked. The former
 // observer, if it names one, is to be sent Leave.
-func (l *Ledger) Registration(now time.Time, id PoolID, observer membership.Router) (registration Registration, former membership.Router) {
+func (l *Ledger) Registration(now time.Time, id PoolID, target Target) (registration Registration, former membership.Router) {
 	p := l.pool(id)
-	if p.observer.Instance != observer.Instance {
+	if p.observer.Instance != target.Router.Instance {
 		former = p.observer
 	}
-	p.observer, p.heard = observer, now
+	p.observer, p.isFailover, p.heard = target.Router, target.IsFailover, now
 	return Registration{
 		Pool:        id,
 		Router:      l.router,
@@ -221,8 +227,9 @@
 
 // TakeRelease returns what the observer of the pool has to be told now, and
 // whether there is anything: ended grants, or a renewal that is due.
-func (l *Ledger) TakeRelease(now time.Time, id PoolID, renew time.Duration) (Release, bool) {
+func (l *Ledger) TakeRelease(now time.Time, id PoolID) (Release, bool) {
 	p := l.pool(id)
+	renew := RenewEvery(len(l.view.Routers))
 	isDue := len(p.grants) > 0 && now.Sub(p.heard) >= renew
 	if p.observer.Instance == "" || (len(p.ended) == 0 && !isDue) {
 		return Release{}, false
--- a/core/request/reservation/message.go
+++ b/core/request/reservation/message.go
@@ -126,10 +126,13 @@
 	Rate float64
 }
 
-// Invitation tells routers that a pool's first observer does not run, and that
-// the sender observes the pool in its place.
+// Invitation asks routers to register with the observer that it names.
 type Invitation struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Pool     PoolID
-	Dead     string
+	Observer string
+	Address  string
+	// Dead names the first observer, which does not run, or is empty when it
+	// sends the invitation itself because it comes first no more.
+	Dead string
 }
--- a/core/request/reservation/observer.go
+++ b/core/request/reservation/observer.go
@@ -17,13 +17,20 @@
 const (
 	// Transit bounds how long a release usually takes to arrive.
 	Transit = 10 * time.Millisecond
-	// RenewInterval is how often a router with grants lets the observer hear of it.
-	RenewInterval = time.Second
-	// SuspectAfter is the silence after which a router's grants still count as
-	// load of their engines but no longer raise the mean.
-	SuspectAfter = 2500 * time.Millisecond
+	// RenewInterval is how often a router with grants lets the observer hear of
+	// it, in a fleet of up to RoutersPerRenew; it grows with the fleet.
+	RenewInterval   = time.Second
+	RoutersPerRenew = 40
 	// Lease is the silence after which a router's grants are dropped.
 	Lease = 30 * time.Second
+	// WarmUp is how long a new observer grants nothing while routers register.
+	WarmUp = 500 * time.Millisecond
+	// TotalInterval is the time between two exchanges of totals.
+	TotalInterval = time.Second - TickInterval/2
+	// TickInterval is how often Tick is to be called.
+	TickInterval = 250 * time.Millisecond
+	// lowMean is the mean load below which totals are exchanged at each tick.
+	lowMean = 3
 	// SlowStart is how long a joining engine takes to reach its full share.
 	SlowStart = 20 * time.Second
 	// FailurePause is how long an engine that refused work is left alone.
@@ -37,6 +44,17 @@
 	accountMemory = 10 * time.Second
 )
 
+// RenewEvery returns how often a router renews in a fleet of this size.
+func RenewEvery(routers int) time.Duration {
+	return RenewInterval * time.Duration(max(1, (routers+RoutersPerRenew-1)/RoutersPerRenew))
+}
+
+// suspectAfter is the silence after which a router's grants still count as load
+// of their engines but no longer raise the mean.
+func suspectAfter(routers int) time.Duration {
+	return RenewEvery(routers) * 5 / 2
+}
+
 // Options set the policy of a pool. The zero value of ReuseWeight spreads load
 // evenly, and at 0.5 and above reuse may take all the room below the bound. Bound
 // must be at least one.
@@ -45,8 +63,6 @@
 	Bound float64
 	// ReuseWeight in [0,1] sets cache reuse (1) against even load (0).
 	ReuseWeight float64
-	// Renew is how often routers renew; zero means RenewInterval.
-	Renew time.Duration
 }
 
 // formerSuffix marks the earlier incarnation of a router. No instance name has it.
@@ -109,9 +125,13 @@
 
 // Observer counts the load of one pool and grants requests.
 type Observer struct {
-	id       PoolID
-	options  Options
-	engines  []*engine
+	id      PoolID
+	options Options
+	engines []*engine
+	// modelEngines counts those of the other pools too.
+	modelEngines int
+	// started is when the first router registered after there was none.
+	started  time.Time
 	byName   map[string]*engine
 	gone     map[string]time.Time
 	routers  map[string]*router
@@ -122,18 +142,20 @@
 	// hints has the engine of a chat, holders the engines of a shared prefix.
 	hints   *recent.Map[uint64, *engine]
 	holders *recent.Map[uint64, holders]
+	// isComplete holds while isCounted: no router came, went or moved since.
+	isComplete, isCounted bool
+	// isIsolated observers may be cut off from others that grant as well.
+	isIsolated bool
 	// total counts all grants, suspect those of silent routers.
 	total, suspect int
 	weights        int
 	rate           float64
 	rateAt         time.Time
+	totalSent      time.Time
 }
 
 // NewObserver returns an observer that knows no engine and no router.
 func NewObserver(id PoolID, options Options) *Observer {
-	if options.Renew == 0 {
-		options.Renew = RenewInterval
-	}
 	return &Observer{
 		id:       id,
 		options:  options,
@@ -151,17 +173,16 @@
 
 // SetOptions changes the policy.
 func (o *Observer) SetOptions(options Options) {
-	if options.Renew == 0 {
-		options.Renew = RenewInterval
-	}
 	o.options = options
 }
 
 // SetEngines replaces the engines of the pool. Grants on an engine that left
 // stay until they are released but count no more. An engine that joins a pool
 // that already has engines starts slowly; one that comes back soon after it
-// left keeps the chats that did not return meanwhile.
-func (o *Observer) SetEngines(now time.Time, names []string) {
+// left keeps the chats that did not return meanwhile. modelEngines is how many
+// engines all pools of the model have.
+func (o *Observer) SetEngines(now time.Time, names []string, modelEngines int) {
+	o.modelEngines = max(modelEngines, len(names))
 	isFirst := len(o.engines) == 0
 	previous := o.byName
 	o.engines = o.engines[:0:0]
@@ -218,6 +239,7 @@
 // SetRouters replaces the routers that are believed live. Grants of a router
 // that is not live lapse with its lease.
 func (o *Observer) SetRouters(instances []string) {
+	o.isCounted = false
 	clear(o.live)
 	for _, instance := range instances {
 		o.live[instance] = struct{}{}
@@ -227,6 +249,14 @@
 // IsComplete reports whether every live router is registered, so that no other
 // observer can be granting on behalf of one.
 func (o *Observer) IsComplete() bool {
+	if !o.isCounted {
+		o.isCounted = true
+		o.isComplete = o.areAllRegistered()
+	}
+	return o.isComplete && !o.isIsolated
+}
+
+func (o *Observer) areAllRegistered() bool {
 	for instance := range o.live {
 		if r, ok := o.routers[instance]; !ok || !r.isRegistered {
 			return false
@@ -260,7 +290,11 @@
 		o.routers[registration.Router] = r
 	}
 	o.hear(now, r)
+	if !o.isAnyRegistered() {
+		o.started = now
+	}
 	r.isRegistered = true
+	o.isCounted = false
 	for seq := range r.seqs {
 		if !slices.Contains(registration.Pending, seq) {
 			o.drop(r, seq)
@@ -275,6 +309,21 @@
 	}
 }
 
+func (o *Observer) isAnyRegistered() bool {
+	for _, r := range o.routers {
+		if r.isRegistered {
+			return true
+		}
+	}
+	return false
+}
+
+// isWarming reports whether routers may be about to register that have requests
+// in flight on the pool.
+func (o *Observer) isWarming(now time.Time) bool {
+	return now.Sub(o.started) < WarmUp && !o.IsComplete()
+}
+
 // supersede keeps the grants of a router's earlier incarnation until its lease
 // lapses, since its requests may still run.
 func (o *Observer) supersede(name string, r *router) {
@@ -305,6 +354,7 @@
 	}
 	if release.IsLeaving {
 		r.isRegistered = false
+		o.isCounted = false
 		o.dropAll(r)
 	}
 	return r.isRegistered
@@ -349,19 +399,20 @@
 
 // Tick lets time pass: silent routers become suspect, then their leases lapse.
 func (o *Observer) Tick(now time.Time) {
-	suspectAfter := max(SuspectAfter, o.options.Renew*5/2)
+	limit := suspectAfter(len(o.live))
 	for name, r := range o.routers {
 		silence := now.Sub(r.heard)
-		if r.held > 0 && !r.isSuspect && silence > suspectAfter {
+		if r.held > 0 && !r.isSuspect && silence > limit {
 			r.isSuspect = true
 			o.suspect += o.heldHere(r)
 		}
-		if silence <= max(Lease, 3*o.options.Renew) {
+		if silence <= max(Lease, 2*limit) {
 			continue
 		}
 		o.dropAll(r)
 		if _, isLive := o.live[name]; !isLive {
 			delete(o.routers, name)
+			o.isCounted = false
 		}
 	}
 	o.weights = 0
@@ -379,11 +430,32 @@
 	}
 }
 
+// Disconnected makes a router's grants suspect until it is heard of again.
+func (o *Observer) Disconnected(instance string) {
+	r, ok := o.routers[instance]
+	if ok && !r.isSuspect {
+		r.isSuspect = true
+		o.suspect += o.heldHere(r)
+	}
+}
+
 // SetOther takes in the load of another pool of the same model.
 func (o *Observer) SetOther(now time.Time, total Total) {
 	o.others[total.Pool.Index] = otherPool{total: total, at: now}
 }
 
+// isTotalDue reports whether the other pools have to hear of the load now: at
+// once a second, and more often while loads are so low that one request more or
+// less matters.
+func (o *Observer) isTotalDue(now time.Time) bool {
+	isLow := o.total < lowMean*len(o.engines)
+	if !isLow && now.Sub(o.totalSent) < TotalInterval {
+		return false
+	}
+	o.totalSent = now
+	return true
+}
+
 // Total returns what the observers of the model's other pools need to know.
 func (o *Observer) Total(now time.Time) Total {
 	o.rate = o.decayedRate(now)
--- a/core/request/reservation/pool.go
+++ b/core/request/reservation/pool.go
@@ -4,7 +4,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gentianhead/core/process/entry"
-	"gentianhead/core/process/membership"
 )
 
 // PoolSize is the number of engines that a pool holds on average at most.
@@ -67,43 +66,6 @@
 	return entry.Mix(xxhash.Sum64String(id.Model), uint64(id.Index))
 }
 
-// MaxObservers is how many routers are asked for a pool, one after the other.
-const MaxObservers = 4
-
-// Observers returns the routers of view that observe the pool, the first before
-// those that stand in for it. Leaving routers come last, so that a planned stop
-// hands over in time.
-func Observers(view *membership.View, id PoolID) []membership.Router {
-	type scored struct {
-		index int
-		score uint64
-	}
-	key := id.key()
-	var best [MaxObservers]scored
-	count := 0
-	for i, router := range view.Routers {
-		score := entry.Mix(key, xxhash.Sum64String(router.Instance)) >> 1
-		if !router.Leaving {
-			score |= 1 << 63
-		}
-		at := count
-		for at > 0 && best[at-1].score < score {
-			at--
-		}
-		if at == MaxObservers {
-			continue
-		}
-		count = min(count+1, MaxObservers)
-		copy(best[at+1:count], best[at:count-1])
-		best[at] = scored{index: i, score: score}
-	}
-	observers := make([]membership.Router, 0, count)
-	for _, candidate := range best[:count] {
-		observers = append(observers, view.Routers[candidate.index])
-	}
-	return observers
-}
-
 // PoolCount returns the number of pools of a model with so many engines.
 func PoolCount(engines int) int {
 	return max(1, (engines+PoolSize-1)/PoolSize)
--- a/core/request/reservation/reserve.go
+++ b/core/request/reservation/reserve.go
@@ -30,6 +30,9 @@
 	if o.isAboveShare(a) {
 		return Decision{Verdict: RefusedShare, RetryAfter: RetryShare}
 	}
+	if o.isWarming(now) {
+		return Decision{Verdict: RefusedBound, RetryAfter: RetryBound}
+	}
 	e := o.choose(now, request)
 	if e == nil {
 		return o.refusal(now, request)
@@ -72,7 +75,8 @@
 	// hard keeps the bound, and soft is where overflow from a cached engine
 	// begins; even is what a chat without cache may add to.
 	hard, soft, even float64
-	// exact keeps the bound if no release is on its way.
+	// exact keeps the bound if no release is on its way; zero where other pools
+	// count too.
 	exact float64
 }
 
@@ -82,19 +86,12 @@
 // taken off.
 func (o *Observer) caps(now time.Time) caps {
 	certain := float64(o.total - o.suspect + 1)
-	engines := float64(len(o.engines))
+	engines := float64(o.modelEngines)
 	highest := 0
 	for _, e := range o.engines {
 		highest = max(highest, e.load)
 	}
-	others := 0.0
-	for index, other := range o.others {
-		if index == o.id.Index {
-			continue
-		}
-		others += other.atLeast(now)
-		engines += float64(other.total.Engines)
-	}
+	others := o.othersAtLeast(now)
 	slack := 0.0
 	if o.IsComplete() {
 		slack = 1
@@ -106,12 +103,15 @@
 	guard := minGuard + unseen + 3*math.Sqrt(unseen)
 	mean := max(0, certain-guard+others-float64(highest)) / (engines - 1)
 	bound := o.options.Bound
-	return caps{
-		hard:  bound*mean + slack,
-		soft:  (1+(bound-1)*o.options.reuseRoom())*mean + slack,
-		even:  mean + slack,
-		exact: bound*(certain+others)/engines + slack,
+	limits := caps{
+		hard: bound*mean + slack,
+		soft: (1+(bound-1)*o.options.reuseRoom())*mean + slack,
+		even: mean + slack,
 	}
+	if o.modelEngines == len(o.engines) {
+		limits.exact = bound*certain/engines + slack
+	}
+	return limits
 }
 
 // reuseRoom returns how much of the room between the mean and the bound may be
@@ -123,11 +123,23 @@
 	return o.ReuseWeight / (1 - o.ReuseWeight)
 }
 
-// atLeast returns a load that the pool still has with near certainty: the
-// report less what ends meanwhile, which is Poisson distributed.
-func (p otherPool) atLeast(now time.Time) float64 {
-	ended := p.total.Rate * now.Sub(p.at).Seconds()
-	return max(0, float64(p.total.Load)-ended-3*math.Sqrt(ended)-minGuard)
+// othersAtLeast returns a load that the model's other pools still have together
+// with near certainty: their reports less what ended since, which is Poisson
+// distributed. A pool that did not report counts nothing.
+func (o *Observer) othersAtLeast(now time.Time) float64 {
+	reported, ended := 0.0, 0.0
+	for index, other := range o.others {
+		if index == o.id.Index {
+			continue
+		}
+		load := float64(other.total.Load)
+		reported += load
+		ended += min(load, other.total.Rate*now.Sub(other.at).Seconds())
+	}
+	if reported == 0 {
+		return 0
+	}
+	return max(0, reported-ended-3*math.Sqrt(ended)-minGuard)
 }
 
 // choose returns the engine for a request, or nil when none is below the bound.
--- a/core/request/routing/calls.go
+++ b/core/request/routing/calls.go
@@ -33,7 +33,7 @@
 		decision := n.host.Reserve(now, m)
 		return &decision
 	case *reservation.Invitation:
-		n.lost(now, m.Pool, m.Dead)
+		n.invited(now, m)
 		return &Ack{IsRegistered: true}
 	case *reservation.Registration:
 		n.host.Register(now, *m)
@@ -71,15 +71,16 @@
 	for _, id := range n.ids {
 		target, ok := n.ledger.Target(now, id)
 		if ok && n.host.First(id).Instance == dead && target.Router.Instance == n.self {
-			n.invite(now, id, dead)
+			self, _ := n.view.Find(n.self)
+			n.invite(now, id, self, dead)
 		}
 	}
 }
 
-// invite asks all routers to register here, because the first observer is dead.
-func (n *Node) invite(now time.Time, id reservation.PoolID, dead string) {
-	n.lost(now, id, dead)
-	invitation := &reservation.Invitation{Pool: id, Dead: dead}
+// invite asks all routers to register with an observer.
+func (n *Node) invite(now time.Time, id reservation.PoolID, observer membership.Router, dead string) {
+	invitation := &reservation.Invitation{Pool: id, Observer: observer.Instance, Address: observer.PeerAddress, Dead: dead}
+	n.invited(now, invitation)
 	for _, router := range n.view.Routers {
 		if router.Instance != n.self && router.Instance != dead {
 			n.send(now, router, invitation, nil)
@@ -87,6 +88,16 @@
 	}
 }
 
+// invited follows an invitation.
+func (n *Node) invited(now time.Time, m *reservation.Invitation) {
+	if m.Dead != "" {
+		n.lost(now, m.Pool, m.Dead)
+		return
+	}
+	n.ledger.Redirect(now, m.Pool, membership.Router{Instance: m.Observer, PeerAddress: m.Address})
+	n.register(now, m.Pool)
+}
+
 // Answered takes in the reply to a call.
 func (n *Node) Answered(now time.Time, id CallID, reply Reply) {
 	pending, ok := n.calls[id]
@@ -163,7 +174,7 @@
 	if !ok || !target.MustRegister {
 		return
 	}
-	registration, former := n.ledger.Registration(now, id, target.Router)
+	registration, former := n.ledger.Registration(now, id, target)
 	n.send(now, target.Router, &registration, nil)
 	if former.Instance != "" {
 		leave := n.ledger.Leave(id)
@@ -255,7 +266,7 @@
 	if n.releasing[id] {
 		return
 	}
-	release, ok := n.ledger.TakeRelease(now, id, reservation.RenewInterval)
+	release, ok := n.ledger.TakeRelease(now, id)
 	if !ok {
 		return
 	}
--- a/core/request/routing/message.go
+++ b/core/request/routing/message.go
@@ -127,7 +127,7 @@
 		members[model.Name] = reservation.Members(model.Engines)
 		for i, engines := range reservation.Pools(model.Engines) {
 			id := reservation.PoolID{Model: model.Name, Index: i}
-			specs[id] = reservation.Spec{Options: model.Options, Engines: engines}
+			specs[id] = reservation.Spec{Options: model.Options, ModelEngines: len(model.Engines), Engines: engines}
 		}
 	}
 	return specs, members
--- a/core/request/routing/node.go
+++ b/core/request/routing/node.go
@@ -83,13 +83,29 @@
 // view names a new observer.
 func (n *Node) SetView(now time.Time, view *membership.View) {
 	n.view = view
-	n.host.SetView(view)
-	n.ledger.SetView(view)
+	n.assign(now)
 	n.limiter.SetRouters(len(view.Routers))
 	n.home.SetRouters(len(view.Routers))
 	n.registerAll(now)
 }
 
+// assign spreads the pools over the view and invites routers to the new
+// observers of pools that this router observed.
+func (n *Node) assign(now time.Time) {
+	assignment := reservation.Assign(n.view, n.ids)
+	former := n.host.SetView(now, n.view, assignment)
+	n.ledger.SetView(n.view, assignment)
+	for _, id := range former {
+		n.invite(now, id, n.host.First(id), "")
+	}
+}
+
+// Disconnected takes in that a router's process probably ended, for example
+// because its connection was closed.
+func (n *Node) Disconnected(instance string) {
+	n.host.Disconnected(instance)
+}
+
 // SetConfig takes in a configuration.
 func (n *Node) SetConfig(now time.Time, config Config) {
 	n.config = config
@@ -100,6 +116,7 @@
 		n.ids = append(n.ids, id)
 	}
 	n.host.SetSpecs(now, specs)
+	n.assign(now)
 	n.registerAll(now)
 }
 
@@ -206,7 +223,7 @@
 	n.ready.Placements = append(n.ready.Placements, Placement{Ticket: ticket, Refusal: &refusal})
 }
 
-// Tick lets time pass. It is to be called about once a second.
+// Tick lets time pass. It is to be called every reservation.TickInterval.
 func (n *Node) Tick(now time.Time) {
 	n.budget.Tick(now)
 	n.home.Tick(now)
@@ -214,6 +231,14 @@
 	for _, id := range n.ids {
 		n.release(now, id)
 	}
+	n.sendTotals(now)
+	for _, demand := range n.limiter.Demands(now, n.self) {
+		n.send(now, admission.HomeOf(n.view, demand.Account), &demand, nil)
+	}
+}
+
+// sendTotals tells the observers of the other pools of a model the load here.
+func (n *Node) sendTotals(now time.Time) {
 	for _, total := range n.host.Tick(now) {
 		for _, other := range n.host.Others(total.Pool) {
 			if target, ok := n.ledger.Target(now, other); ok {
@@ -221,9 +246,6 @@
 			}
 		}
 	}
-	for _, demand := range n.limiter.Demands(now, n.self) {
-		n.send(now, admission.HomeOf(n.view, demand.Account), &demand, nil)
-	}
 }
 
 // Report takes in an engine's own load report: what is in flight there and how
--- a/measure/routing/chosen.go
+++ b/measure/routing/chosen.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,7 @@
 const (
 	frameHeaderBytes = 10
 	loadPollBytes    = 150
+	loadPollInterval = 5 * time.Second
 	callTimeout      = 300 * time.Millisecond
 	deadAfter        = 5 * time.Second
 )
@@ -86,17 +88,20 @@
 		c.learn(n)
 	}
 	for _, name := range n.Observed() {
-		n.bytes += loadPollBytes / 2
+		n.bytes += int(loadPollBytes * reservation.TickInterval / loadPollInterval)
 		n.Report(name, c.s.report(c.byEng[name]), c.s.d.slots)
 	}
 	n.Tick(c.time())
 	c.drain(n)
-	c.s.after(time.Second, func() { c.tick(n) })
+	c.s.after(reservation.TickInterval, func() { c.tick(n) })
 }
 
 // drain carries out what a router's core asks for.
 func (c *chosen) drain(n *node) {
 	ready := n.Ready()
+	if n.isDead {
+		return
+	}
 	for _, call := range ready.Calls {
 		c.call(n, call)
 	}
@@ -153,6 +158,7 @@
 	case placement.Refusal != nil:
 		delete(n.tickets, placement.Ticket)
 		reason := placement.Refusal.Reason
+		if reason == 3 { stat[fmt.Sprintf("model%02d", q.model)]++ }
 		c.s.refuse(q, reason == routing.AccountLimit || reason == routing.AccountShare, placement.Refusal.RetryAfter)
 	case !c.s.send(q, c.byEng[placement.Engine]):
 		c.s.after(time.Millisecond, func() { n.Failed(c.time(), placement.Ticket, true, time.Minute); c.drain(n) })
@@ -172,8 +178,8 @@
 // while, and lists differ.
 func (c *chosen) faults() {
 	if c.s.d.crash {
-		c.s.at(c.s.d.length/4, func() { c.crash(c.nodes[1]) })
-		c.s.at(c.s.d.length/2, func() { c.crash(c.nodes[4]) })
+		c.s.at(c.s.d.length/4, func() { c.crash(c.observer()) })
+		c.s.at(c.s.d.length/2, func() { c.crash(c.observer()) })
 	}
 	if c.s.d.cut {
 		n := c.nodes[2]
@@ -191,6 +197,12 @@
 	}
 }
 
+// observer returns a router that observes engines.
+func (c *chosen) observer() *node {
+	i := slices.IndexFunc(c.nodes, func(n *node) bool { return !n.isDead && len(n.Observed()) > 0 })
+	return c.nodes[i]
+}
+
 func (c *chosen) crash(n *node) {
 	n.isDead = true
 	for _, q := range n.tickets {
@@ -198,6 +210,11 @@
 			c.s.cancel(q)
 		}
 	}
+	c.s.after(time.Millisecond, func() {
+		for _, other := range c.nodes {
+			other.Disconnected(n.name)
+		}
+	})
 	c.s.after(deadAfter, c.sameViews)
 }
 
--- a/measure/routing/load.go
+++ b/measure/routing/load.go
@@ -51,6 +51,9 @@
 
 // level is the load at a time of the day that the run stands for.
 func (d deployment) level(t time.Duration) float64 {
+	if d.length < 2*time.Minute {
+		return min(1, t.Seconds()/20)
+	}
 	return 0.65 + 0.35*math.Sin(2*math.Pi*t.Minutes()/15)
 }
 
--- a/measure/routing/main.go
+++ b/measure/routing/main.go
@@ -9,6 +9,13 @@
 	"time"
 )
 
+// Control bytes per second: routing's share on average, and the whole limit of a
+// router less what the other parts need.
+const (
+	meanControlBytes = 2048
+	maxControlBytes  = 5 * 1024
+)
+
 // way is one row of a table.
 type way struct {
 	name string
@@ -149,6 +156,11 @@
 	for _, n := range c.nodes {
 		s.m.bytes = max(s.m.bytes, n.bytes)
 	}
+	total := 0
+	for _, n := range c.nodes {
+		total += n.bytes
+	}
+	mean := float64(total) / large.length.Seconds() / float64(large.routers)
 	row(large, ways[6].name, &s.m)
 	for _, e := range s.engines {
 		e.clear()
@@ -160,7 +172,10 @@
 	fmt.Printf("memory per router: %d KB\n", perRouter/1024)
 	runtime.KeepAlive(c)
 	missed.require(s.m.violations == 0, "large: %d admissions above the bound", s.m.violations)
-	missed.require(float64(s.m.bytes)/large.length.Seconds() <= 2048, "large: %d bytes sent by a router", s.m.bytes)
+	fmt.Printf("control bytes sent per second and router: mean %.0f\n", mean)
+	missed.require(mean <= meanControlBytes, "large: %.0f control bytes/s and router", mean)
+	worst := float64(s.m.bytes) / large.length.Seconds()
+	missed.require(worst <= maxControlBytes, "large: a router sends %.0f control bytes/s", worst)
 	for _, miss := range missed {
 		fmt.Println("MISSED", miss)
 	}
--- a/measure/routing/sim.go
+++ b/measure/routing/sim.go
@@ -130,6 +130,9 @@
 	s.m.waits = map[bool][]time.Duration{}
 	for i := range d.engines {
 		e := &engine{name: "engine-" + itoa(i), model: int(float64(d.models) * s.rng.Float64() * s.rng.Float64()), isAlive: true, changed: -time.Hour}
+		if i < d.models {
+			e.model = i
+		}
 		e.clear()
 		s.engines = append(s.engines, e)
 	}
