--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -15,6 +15,9 @@
 type PickInfo struct {
 	// Chat identifies the conversation; requests of one chat share a prompt prefix.
 	Chat string
+	// Prefix identifies a long prompt prefix that several chats of the account
+	// share; zero means none.
+	Prefix uint64
 	// Model or Service names what is asked for; exactly one is set.
 	Model   string
 	Service string
--- a/core/request/routing/node.go
+++ b/core/request/routing/node.go
@@ -131,9 +131,8 @@
 func (n *Node) Place(now time.Time, ask Ask) Ticket {
 	n.ticket++
 	ticket := n.ticket
-	account := n.config.Accounts[ask.Account]
-	if ok, after := n.limiter.Allow(now, ask.Account, account.Limit); !ok {
-		n.refuse(ticket, Refusal{Reason: AccountLimit, RetryAfter: after})
+	if refusal := n.Admit(now, ask.Account); refusal != nil {
+		n.refuse(ticket, *refusal)
 		return ticket
 	}
 	members, known := n.members[ask.Model]
@@ -141,13 +140,12 @@
 		n.refuse(ticket, Refusal{Reason: NoEngine, RetryAfter: reservation.RetryBound})
 		return ticket
 	}
-	n.budget.Attempt(now, ask.Account)
 	r := &request{ticket: ticket, reserve: reservation.Request{
 		Pool:    reservation.PoolID{Model: ask.Model, Index: reservation.PoolOf(poolKey(ask), members)},
 		Chat:    ask.Chat,
 		Prefix:  ask.Prefix,
 		Account: ask.Account,
-		Weight:  account.Weight,
+		Weight:  n.config.Accounts[ask.Account].Weight,
 		Hint:    n.chats.Get(ask.Chat),
 	}}
 	n.requests[ticket] = r
@@ -204,6 +202,27 @@
 	n.ask(now, r)
 }
 
+// Admit decides whether a request to a plain service is within its account's
+// rate, and returns nil or the refusal.
+func (n *Node) Admit(now time.Time, account string) *Refusal {
+	if ok, after := n.limiter.Allow(now, account, n.config.Accounts[account].Limit); !ok {
+		return &Refusal{Reason: AccountLimit, RetryAfter: after}
+	}
+	n.budget.Attempt(now, account)
+	return nil
+}
+
+// Retry decides whether a request to a plain service that failed is sent again,
+// and returns nil or the refusal.
+func (n *Node) Retry(now time.Time, failure retry.Failure) *Refusal {
+	reason := n.budget.Retry(now, failure)
+	if reason == retry.Allowed {
+		return nil
+	}
+	n.ticket++
+	return &Refusal{Reason: NoRetry, Retry: reason, RetryAfter: n.budget.Backoff(uint64(n.ticket))}
+}
+
 // Cancel ends a request whose caller went away before it was placed.
 func (n *Node) Cancel(now time.Time, ticket Ticket) {
 	r, ok := n.requests[ticket]
--- a/fleet/connection/peer/message.go
+++ b/fleet/connection/peer/message.go
@@ -21,6 +21,17 @@
 	TypeChanges   frame.Type = 20
 )
 
+// Types of the calls between routing cores; their messages are those of
+// core/request/routing.
+const (
+	TypeReserve frame.Type = iota + 30
+	TypeRegister
+	TypeRelease
+	TypeInvite
+	TypeTotal
+	TypeDemand
+)
+
 // answerBit marks the answer to a call, and failureBit an answer without body
 // to a call that was refused.
 const (
--- a/fleet/process/control/control.go
+++ b/fleet/process/control/control.go
@@ -63,6 +63,7 @@
 	isFetching bool
 	isReady    bool
 	heads      map[string]resource.Revision
+	routing    *Routing
 }
 
 // events that only the loop knows.
@@ -83,6 +84,7 @@
 		config:  config.New(),
 		members: membership.New(options.Self),
 		heads:   make(map[string]resource.Revision),
+		routing: newRouting(options.Self, options.Peers),
 	}
 	loop.publish()
 	return loop
@@ -93,6 +95,11 @@
 	return l.state.Load()
 }
 
+// Routing returns the part that places requests.
+func (l *Loop) Routing() *Routing {
+	return l.routing
+}
+
 // Post hands an event to the control goroutine. A full queue drops and counts
 // it, so that traffic never waits.
 func (l *Loop) Post(event any) {
@@ -118,6 +125,8 @@
 	defer list.Stop()
 	go l.readList(ctx)
 	go l.readHead(ctx)
+	go l.routing.run(ctx)
+	go l.routing.readLoads(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -175,10 +184,12 @@
 		Picker:  newPicker(snapshot),
 		IsReady: l.isReady,
 	})
+	l.routing.update(snapshot, l.members.View())
 }
 
 // Register sets the handlers of the calls that this part answers.
 func (l *Loop) Register(server *peer.Server) {
 	server.Register(peer.TypeHeartbeat, peer.Handle(l.answerHeartbeat))
 	server.Register(peer.TypeChanges, peer.Handle(l.answerChanges))
+	l.routing.register(server)
 }
--- a/fleet/request/gateway/chat.go
+++ b/fleet/request/gateway/chat.go
@@ -17,6 +17,8 @@
 type chatRequest struct {
 	Model  string `json:"model"`
 	Stream bool   `json:"stream"`
+	// Messages are only compared with those of other chats.
+	Messages []json.RawMessage `json:"messages"`
 }
 
 // chat serves POST /v1/chat/completions.
@@ -32,6 +34,7 @@
 		Chat:         x.chat,
 		Model:        request.Model,
 		Account:      x.account,
+		Prefix:       prefixKey(x.account, request.Messages),
 		PromptTokens: len(x.body) / bytesPerToken,
 	}
 	call := endpointCall{method: http.MethodPost, path: "/v1/chat/completions"}
--- a/fleet/request/gateway/dispatch.go
+++ b/fleet/request/gateway/dispatch.go
@@ -2,19 +2,32 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
+	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
 	"gentianhead/core/request/outcome"
 	"gentianhead/core/request/placement"
+	"gentianhead/core/request/retry"
+	"gentianhead/core/request/routing"
+	"gentianhead/core/version/resource"
 	"gentianhead/fleet/connection/engine"
 )
 
-// retryNoEndpoint is when to come back after no endpoint was live.
-const retryNoEndpoint = 2 * time.Second
+const (
+	// retryNoEndpoint is when to come back after no endpoint was live.
+	retryNoEndpoint = 2 * time.Second
+	// maxRefusalBytes is how much of an endpoint's refusal is read.
+	maxRefusalBytes = 4 << 10
+	problemType     = "application/problem+json"
+)
 
 // endpointCall is what is asked of an endpoint beside the exchange's body.
 type endpointCall struct {
@@ -27,27 +40,107 @@
 type passFunc func(*http.Response) *outcome.Problem
 
 // dispatch picks an endpoint for the exchange, sends the request there and
-// hands the answer to pass.
+// hands the answer to pass. What certainly did not run is sent to another
+// endpoint while the budgets for retries allow.
 func (g *Gateway) dispatch(ctx context.Context, x *exchange, info placement.PickInfo, call endpointCall, pass passFunc) *outcome.Problem {
-	picked, err := x.state.Picker.Pick(info)
-	if err != nil {
-		return notRun(http.StatusServiceUnavailable, outcome.CodeNoEndpoint, "no live endpoint serves this").after(retryNoEndpoint)
+	if info.Service != "" {
+		return g.dispatchService(ctx, x, info, call, pass)
 	}
-	defer picked.Done()
-	response, err := g.send(ctx, x, picked, call)
-	if err != nil {
-		return failure(err)
+	return g.dispatchModel(ctx, x, info, call, pass)
+}
+
+// dispatchModel reserves room on an engine before each attempt.
+func (g *Gateway) dispatchModel(ctx context.Context, x *exchange, info placement.PickInfo, call endpointCall, pass passFunc) *outcome.Problem {
+	router := g.options.Control.Routing()
+	placed, ok := router.Place(ctx, routing.Ask{
+		Model:   info.Model,
+		Account: info.Account,
+		Chat:    chatKey(info),
+		Prefix:  info.Prefix,
+	})
+	for {
+		if !ok {
+			return notRun(http.StatusGatewayTimeout, outcome.CodeDeadline, "the deadline passed before the request was sent").Problem
+		}
+		if placed.Refusal != nil {
+			return refused(placed.Refusal)
+		}
+		response, err := g.sendPlaced(ctx, x, placed.Engine, call)
+		if err == nil {
+			defer router.Done(placed.Ticket)
+			return pass(response)
+		}
+		if !isNotRun(err) {
+			router.Done(placed.Ticket)
+			return failure(err)
+		}
+		placed, ok = router.Failed(ctx, placed.Ticket, true)
+		if ok && placed.Refusal != nil {
+			return notSentAgain(err, placed.Refusal)
+		}
+	}
+}
+
+// sendPlaced sends to the engine of that name as the configuration now in force
+// has it.
+func (g *Gateway) sendPlaced(ctx context.Context, x *exchange, name string, call endpointCall) (*http.Response, error) {
+	object, known := g.options.Control.State().Config.Get(resource.KindEndpoint, name)
+	if !known || object.Endpoint.Withdrawn {
+		return nil, engine.ErrWithdrawn
+	}
+	return g.send(ctx, x, placement.PickResult{Endpoint: name, URL: object.Endpoint.URL}, call)
+}
+
+// dispatchService sends to a server of a plain service, which has no load bound.
+func (g *Gateway) dispatchService(ctx context.Context, x *exchange, info placement.PickInfo, call endpointCall, pass passFunc) *outcome.Problem {
+	router := g.options.Control.Routing()
+	if refusal := router.Admit(info.Account); refusal != nil {
+		return refused(refusal)
+	}
+	for attempts := 1; ; attempts++ {
+		picked, err := g.options.Control.State().Picker.Pick(info)
+		if err != nil {
+			return notRun(http.StatusServiceUnavailable, outcome.CodeNoEndpoint, "no live endpoint serves this").after(retryNoEndpoint)
+		}
+		response, err := g.send(ctx, x, picked, call)
+		if err == nil {
+			return pass(response)
+		}
+		refusal := router.Retry(retry.Failure{
+			Account:   info.Account,
+			Attempts:  attempts,
+			IsNotRun:  isNotRun(err),
+			Remaining: remaining(ctx),
+		})
+		if refusal != nil {
+			return notSentAgain(err, refusal)
+		}
+		info.Excluded = append(info.Excluded, picked.Endpoint)
 	}
-	return pass(response)
 }
 
-// send sends the exchange's body to the endpoint that was picked.
+// isNotRun reports whether the request certainly did not run and cannot any more.
+func isNotRun(err error) bool {
+	return errors.IsAny(err, engine.ErrNotSent, engine.ErrWithdrawn, errEndpointRefused)
+}
+
+func remaining(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline)
+}
+
+// send sends the exchange's body to the endpoint that was picked, with the time
+// that is left and the account's priority.
 func (g *Gateway) send(ctx context.Context, x *exchange, picked placement.PickResult, call endpointCall) (*http.Response, error) {
 	ctx, span := g.tracer.Start(ctx, "endpoint "+picked.Endpoint, trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("endpoint", picked.Endpoint), attribute.String("request.id", x.id)))
 	defer span.End()
 	header := http.Header{}
 	header.Set("Content-Type", x.r.Header.Get("Content-Type"))
+	header.Set(engine.HeaderDeadline, strconv.FormatInt(max(0, remaining(ctx).Milliseconds()), 10))
+	if account, known := x.state.Config.Get(resource.KindAccount, x.account); known {
+		header.Set(engine.HeaderPriority, strconv.Itoa(account.Account.Priority))
+	}
 	response, err := g.options.Engine.Do(ctx, engine.Request{
 		Method: call.method,
 		URL:    picked.URL + call.path,
@@ -55,8 +148,33 @@
 		Body:   x.body,
 		ID:     x.id,
 	})
+	if err == nil {
+		err = refusedByEndpoint(response)
+	}
 	if err != nil {
 		span.RecordError(err)
+		return nil, err
+	}
+	return response, nil
+}
+
+// errEndpointRefused means that the endpoint answered that it did not run the request.
+var errEndpointRefused = errors.New("gateway: endpoint refused the request as not run")
+
+// refusedByEndpoint returns errEndpointRefused for a 503 whose problem names the
+// outcome not-run. Any other 503 may have run and is passed on.
+func refusedByEndpoint(response *http.Response) error {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return nil
+	}
+	if contentType, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type")); contentType != problemType {
+		return nil
+	}
+	defer response.Body.Close()
+	var problem problemBody
+	err := json.NewDecoder(io.LimitReader(response.Body, maxRefusalBytes)).Decode(&problem)
+	if err == nil && problem.Outcome == outcome.NotRun {
+		return errEndpointRefused
 	}
-	return response, err
+	return errors.Mark(errors.New("gateway: endpoint unavailable"), engine.ErrNoAnswer)
 }
--- a/measure/routing/chosen.go
+++ b/measure/routing/chosen.go
@@ -158,7 +158,6 @@
 	case placement.Refusal != nil:
 		delete(n.tickets, placement.Ticket)
 		reason := placement.Refusal.Reason
-		if reason == 3 { stat[fmt.Sprintf("model%02d", q.model)]++ }
 		c.s.refuse(q, reason == routing.AccountLimit || reason == routing.AccountShare, placement.Refusal.RetryAfter)
 	case !c.s.send(q, c.byEng[placement.Engine]):
 		c.s.after(time.Millisecond, func() { n.Failed(c.time(), placement.Ticket, true, time.Minute); c.drain(n) })
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -25,6 +25,7 @@
 	name := flags.String("name", "e1", "name shown in answers")
 	tokens := flags.Int("tokens", 8, "tokens in an answer")
 	tokenDelay := flags.Duration("token-delay", 5*time.Millisecond, "time between two tokens")
+	slots := flags.Int("slots", 0, "requests that the engine says it runs at once")
 	checksFencing := flags.Bool("checks-fencing", false, "refuse old fencing numbers")
 	_ = flags.Parse(os.Args[2:])
 
@@ -37,6 +38,7 @@
 			Name:          *name,
 			Tokens:        *tokens,
 			TokenDelay:    *tokenDelay,
+			Slots:         *slots,
 			ChecksFencing: *checksFencing,
 		}).Handler()
 	default:
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -29,6 +29,9 @@
 	TokenDelay time.Duration
 	// Tokens is the length of an answer; zero means 8.
 	Tokens int
+	// Slots is how many requests the engine says it runs at once; zero means it
+	// does not say.
+	Slots int
 	// ChecksFencing makes the engine refuse numbers below the highest it saw for a key.
 	ChecksFencing bool
 }
@@ -64,8 +67,10 @@
 	faults   Faults
 	runs     []Run
 	inFlight int
-	fencing  map[string]uint64
-	lastID   string
+	// maxInFlight is the highest that inFlight was.
+	maxInFlight int
+	fencing     map[string]uint64
+	lastID      string
 }
 
 // New returns a stand-in.
@@ -112,6 +117,7 @@
 	}
 	s.lastID = id
 	s.inFlight++
+	s.maxInFlight = max(s.maxInFlight, s.inFlight)
 	s.runs = append(s.runs, Run{RequestID: id, Key: key, Path: r.URL.Path, Body: string(body), Fencing: number})
 	return answerID, s.faults, true
 }
@@ -210,7 +216,7 @@
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, map[string]int{"inFlight": s.inFlight})
+	writeJSON(w, map[string]int{"inFlight": s.inFlight, "maxInFlight": s.maxInFlight, "slots": s.options.Slots})
 }
 
 func (s *Server) listRuns(w http.ResponseWriter, _ *http.Request) {
