--- a/fleet/e2e/harness_test.go
+++ b/fleet/e2e/harness_test.go
@@ -112,13 +112,22 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// issued holds the addresses that freeAddress returned, since the system may
+// give a port again before the process that it was meant for listens on it.
+var issued sync.Map
+
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		address := listener.Addr().String()
+		listener.Close()
+		if _, isKnown := issued.LoadOrStore(address, true); !isKnown {
+			return address
+		}
+	}
 }
 
 // standin is a running stand-in.
@@ -158,11 +167,13 @@
 
 // engineRun is one piece of work that a stand-in engine did.
 type engineRun struct {
-	RequestID string
-	Key       string
-	Path      string
-	Body      string
-	Fencing   uint64
+	CallerRequestID string
+	DeadlineMillis  int64
+	RequestID       string
+	Key             string
+	Path            string
+	Body            string
+	Fencing         uint64
 }
 
 func (s *standin) runs(t *testing.T) []engineRun {
@@ -193,6 +204,8 @@
 type routerOptions struct {
 	zone  string
 	extra string
+	// shutdown replaces the shutdown settings.
+	shutdown string
 }
 
 func startRouter(t *testing.T, instance, platformURL string, options routerOptions) *router {
@@ -200,12 +213,15 @@
 	if options.zone == "" {
 		options.zone = "zone-1"
 	}
+	if options.shutdown == "" {
+		options.shutdown = "{announce: 2s, entryLife: 1s, grace: 20s}"
+	}
 	r := &router{instance: instance, callers: freeAddress(t), operators: freeAddress(t), peers: freeAddress(t)}
 	r.settings = filepath.Join(t.TempDir(), instance+".yaml")
 	text := fmt.Sprintf("instance: %s\nzone: %s\nlisten: {callers: %q, operators: %q, peers: %q}\nplatform: {url: %q}\n"+
 		"secrets:\n  operatorToken: {env: GENTIANHEAD_OPERATOR_TOKEN}\n  fleetKey: {env: GENTIANHEAD_FLEET_KEY}\n"+
-		"shutdown: {entryLife: 1s, grace: 20s}\n%s",
-		instance, options.zone, r.callers, r.operators, r.peers, platformURL, options.extra)
+		"shutdown: %s\n%s",
+		instance, options.zone, r.callers, r.operators, r.peers, platformURL, options.shutdown, options.extra)
 	assert.NilError(t, os.WriteFile(r.settings, []byte(text), 0o600))
 	r.restart(t)
 	return r
@@ -336,7 +352,12 @@
 
 // ask sends a caller's request to a router. Headers come as pairs.
 func (r *router) ask(ctx context.Context, method, path, body string, headers ...string) answer {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.callers+path, bytes.NewBufferString(body))
+	return askAt(ctx, http.DefaultClient, r.callers, method, path, body, headers...)
+}
+
+// askAt is ask with a client of its own.
+func askAt(ctx context.Context, client *http.Client, address, method, path, body string, headers ...string) answer {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewBufferString(body))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -344,7 +365,7 @@
 	for pair := range slices.Chunk(headers, 2) {
 		request.Header.Set(pair[0], pair[1])
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return answer{err: err}
 	}
--- a/fleet/request/gateway/dispatch.go
+++ b/fleet/request/gateway/dispatch.go
@@ -33,6 +33,8 @@
 type endpointCall struct {
 	method string
 	path   string
+	// isResumable says that the answer can be asked for again.
+	isResumable bool
 }
 
 // passFunc hands an endpoint's answer on to the caller. It returns a problem
@@ -129,15 +131,14 @@
 	return time.Until(deadline)
 }
 
-// send sends the exchange's body to the endpoint that was picked, with the time
-// that is left and the account's priority.
+// send sends the exchange's body to the endpoint that was picked, with the
+// account's priority. The engine client hands on the time that is left.
 func (g *Gateway) send(ctx context.Context, x *exchange, picked placement.PickResult, call endpointCall) (*http.Response, error) {
 	ctx, span := g.tracer.Start(ctx, "endpoint "+picked.Endpoint, trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("endpoint", picked.Endpoint), attribute.String("request.id", x.id)))
 	defer span.End()
 	header := http.Header{}
 	header.Set("Content-Type", x.r.Header.Get("Content-Type"))
-	header.Set(engine.HeaderDeadline, strconv.FormatInt(max(0, remaining(ctx).Milliseconds()), 10))
 	if account, known := x.state.Config.Get(resource.KindAccount, x.account); known {
 		header.Set(engine.HeaderPriority, strconv.Itoa(account.Account.Priority))
 	}
@@ -147,6 +148,8 @@
 		Header: header,
 		Body:   x.body,
 		ID:     x.id,
+
+		Resumable: call.isResumable,
 	})
 	if err == nil {
 		err = refusedByEndpoint(response)
