--- a/core/request/routing/calls.go
+++ b/core/request/routing/calls.go
@@ -57,12 +57,27 @@
 // could not reach it.
 func (n *Node) probe(now time.Time, id reservation.PoolID) {
 	first := n.host.First(id)
-	if first.Instance == n.self || n.host.IsDead(first.Instance) || now.Sub(n.probed[id]) < probeInterval {
+	if first.Instance != n.self && !n.host.IsDead(first.Instance) {
+		n.renew(now, id, first)
+	}
+}
+
+// verify calls the observer that this router is registered with when the view
+// has it no more: it may have ended, or only be missing from the view.
+func (n *Node) verify(now time.Time, id reservation.PoolID, observer membership.Router) {
+	if _, isLive := n.view.Find(observer.Instance); !isLive {
+		n.renew(now, id, observer)
+	}
+}
+
+// renew sends an empty release, at most one each probeInterval and pool.
+func (n *Node) renew(now time.Time, id reservation.PoolID, to membership.Router) {
+	if now.Sub(n.probed[id]) < probeInterval {
 		return
 	}
 	n.probed[id] = now
 	probe := n.ledger.Renewal(id)
-	n.send(now, first, &probe, nil)
+	n.send(now, to, &probe, nil)
 }
 
 // inviteAll does so for each pool that this router observes once dead is gone.
@@ -171,7 +186,11 @@
 
 func (n *Node) register(now time.Time, id reservation.PoolID) {
 	target, ok := n.ledger.Target(now, id)
-	if !ok || !target.MustRegister {
+	if !ok {
+		return
+	}
+	if !target.MustRegister {
+		n.verify(now, id, target.Router)
 		return
 	}
 	registration, former := n.ledger.Registration(now, id, target)
--- /dev/null
+++ b/core/request/routing/node_test.go
@@ -0,0 +1,115 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"gentianhead/core/request/retry"
+)
+
+func TestBoundHoldsForAnyLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.SampledFrom([]float64{1.25, 1.5}).Draw(t, "bound")
+		c := newCluster(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 7).Draw(t, "routers"), rapid.IntRange(8, 14).Draw(t, "engines"), bound)
+		c.run(100 * time.Millisecond)
+		c.ask(3*time.Second, rapid.Float64Range(5, 400).Draw(t, "per second"))
+		c.run(3 * time.Second)
+		assert.Equal(t, c.violations, 0, "worst excess %.2f of %d admissions", c.worst, c.admitted)
+		assert.Equal(t, c.refused, 0)
+		c.run(3 * time.Second)
+		assert.Equal(t, c.held(), 0, "grants that nobody releases")
+	})
+}
+
+// localNode is what a router could do alone: bounded rendezvous over its own
+// requests. It shows that the check above can fail.
+func TestBoundBreaksWhenEachRouterCountsAlone(t *testing.T) {
+	c := newCluster(1, 7, 12, 1.25)
+	c.setViews(func(_, _ *fakeRouter) bool { return true })
+	for _, r := range c.nodes {
+		r.Tick(c.now.Add(time.Minute))
+	}
+	c.run(100 * time.Millisecond)
+	c.now = c.now.Add(time.Minute)
+	c.ask(3*time.Second, 200)
+	c.run(3 * time.Second)
+	assert.Assert(t, c.violations > 0, "%d admissions", c.admitted)
+}
+
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
+	c := newCluster(1, 3, 8, 1.25)
+	c.run(100 * time.Millisecond)
+	for _, engine := range c.engines {
+		c.isGone[engine] = true
+	}
+	c.ask(time.Second, 50)
+	c.run(5 * time.Second)
+	assert.Assert(t, c.refused > 0)
+	assert.Equal(t, c.unhinted, 0)
+	assert.Equal(t, c.admitted, 0)
+}
+
+func TestRouterThatLeavesHandsItsPoolsOver(t *testing.T) {
+	c := newCluster(3, 5, 10, 1.25)
+	c.run(100 * time.Millisecond)
+	c.ask(4*time.Second, 100)
+	c.run(2 * time.Second)
+	leaving := c.observer()
+	for _, r := range c.nodes {
+		view := *r.view
+		view.Routers = append(view.Routers[:0:0], view.Routers...)
+		for i := range view.Routers {
+			view.Routers[i].Leaving = view.Routers[i].Instance == leaving.name
+		}
+		r.SetView(c.now, &view)
+		c.drain(r)
+	}
+	c.run(2 * time.Second)
+	assert.Assert(t, c.observer() != leaving)
+	assert.Equal(t, c.violations, 0, "worst excess %.2f", c.worst)
+	c.run(3 * time.Second)
+	assert.Equal(t, c.held(), 0)
+}
+
+func TestChatComesBackToItsEngineAfterItsRouterDied(t *testing.T) {
+	c := newCluster(5, 5, 12, 1.5)
+	c.run(100 * time.Millisecond)
+	place := func(r *fakeRouter, chat uint64) string {
+		ticket := r.Place(c.now, Ask{Model: "m", Account: "a", Chat: chat})
+		c.drain(r)
+		c.run(50 * time.Millisecond)
+		engine := r.running[ticket]
+		c.end(r, ticket)
+		c.run(50 * time.Millisecond)
+		return engine
+	}
+	homes := map[uint64]string{}
+	for chat := uint64(1); chat <= 50; chat++ {
+		homes[chat] = place(c.nodes[0], chat)
+	}
+	c.kill(c.nodes[0])
+	c.run(6 * time.Second)
+	for chat, home := range homes {
+		assert.Equal(t, place(c.nodes[1], chat), home)
+	}
+}
+
+func TestRetriesStayWithinTheirBudgetWhenEnginesRefuse(t *testing.T) {
+	n := New("router", 1)
+	now := time.Unix(1e9, 0)
+	allowed := 0
+	const requests = 10_000
+	for i := range requests {
+		now = now.Add(time.Millisecond)
+		account := fmt.Sprint("account-", i%20)
+		assert.Assert(t, n.Admit(now, account) == nil)
+		if n.Retry(now, retry.Failure{Account: account, Attempts: 1, IsNotRun: true, Remaining: time.Minute}) == nil {
+			allowed++
+		}
+	}
+	assert.Assert(t, float64(allowed) <= retry.Ratio*requests+retry.RouterReserve, "%d retries", allowed)
+}
