Let only one observer of a pool grant at a time

Ruled out: giving each observer only its part of the bound, since what routers had in flight before is not spread evenly over the parts. Now a router leaves an observer only when its process is gone or the view lacks it; a new observer grants once all live routers have registered; an observer that a router left grants no more; requests whose observer does not answer are refused with a time to come back. A silent router's grants count for the mean again only once it has told what ended.

--- /dev/null
+++ b/core/request/admission/admission_test.go
@@ -0,0 +1,95 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// exchange runs one account through routers with a home for some seconds and
+// returns how many requests were admitted. ask says how many a router asks in
+// one step of 10 ms.
+func exchange(routers, seconds int, limit float64, ask func(router, step int) int) int {
+	now := time.Unix(1e9, 0)
+	home := NewHome()
+	home.SetRouters(routers)
+	limiters := make([]*Limiter, routers)
+	for i := range limiters {
+		limiters[i] = NewLimiter()
+		limiters[i].SetRouters(routers)
+	}
+	admitted := 0
+	for step := range seconds * 100 {
+		now = now.Add(10 * time.Millisecond)
+		for i, limiter := range limiters {
+			for range ask(i, step) {
+				if ok, after := limiter.Allow(now, "a", limit); ok {
+					admitted++
+				} else if after <= 0 {
+					panic("refused without a time to come back")
+				}
+			}
+			if step%25 == i%25 {
+				for _, demand := range limiter.Demands(now, fmt.Sprint("router-", i)) {
+					limiter.SetShare(now, home.Step(now, demand, limit))
+				}
+			}
+		}
+	}
+	return admitted
+}
+
+func TestSharesFollowDemand(t *testing.T) {
+	// All requests meet one router of seven: an equal part would be 14 a second.
+	admitted := exchange(7, 30, 100, func(router, step int) int {
+		if router == 0 {
+			return 1
+		}
+		return 0
+	})
+	assert.Assert(t, admitted > 28*100, "%d of 3000 admitted", admitted)
+}
+
+func TestLimitHoldsAcrossRoutersForAnyDemand(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := rapid.IntRange(1, 12).Draw(t, "routers")
+		limit := rapid.Float64Range(1, 200).Draw(t, "limit")
+		weights := rapid.SliceOfN(rapid.IntRange(0, 5), routers, routers).Draw(t, "demand")
+		const seconds = 20
+		admitted := exchange(routers, seconds, limit, func(router, _ int) int { return weights[router] })
+		bursts := float64(routers)*MinBurst + 2*limit*BurstTime.Seconds()
+		untilShared := limit * 2 * ReportInterval.Seconds()
+		assert.Assert(t, float64(admitted) <= limit*seconds+bursts+untilShared, "%d admitted", admitted)
+	})
+}
+
+func TestSharesNeverAddUpToMoreThanTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		home := NewHome()
+		now := time.Unix(1e9, 0)
+		held := map[string]float64{}
+		limit := rapid.Float64Range(1, 100).Draw(t, "limit")
+		for range rapid.IntRange(1, 60).Draw(t, "reports") {
+			now = now.Add(50 * time.Millisecond)
+			router := rapid.SampledFrom([]string{"r", "s", "t", "u"}).Draw(t, "router")
+			share := home.Step(now, Demand{Account: "a", Router: router, Rate: rapid.Float64Range(0, 300).Draw(t, "rate")}, limit)
+			held[router] = share.Rate
+			sum := 0.0
+			for _, rate := range held {
+				sum += rate
+			}
+			assert.Assert(t, sum <= limit+1e-6, "%v", held)
+		}
+	})
+}
+
+func TestAccountWithoutLimitIsNeverRefused(t *testing.T) {
+	l := NewLimiter()
+	for range 1000 {
+		ok, _ := l.Allow(time.Unix(1e9, 0), "a", 0)
+		assert.Assert(t, ok)
+	}
+}
--- a/core/request/admission/limiter.go
+++ b/core/request/admission/limiter.go
@@ -27,7 +27,8 @@
 	MinBurst  = 5
 	// idleTime is how long an account without requests is remembered.
 	idleTime = 20 * time.Second
-	// maxRetryAfter bounds the time to come back.
+	// minRetryAfter and maxRetryAfter bound the time to come back.
+	minRetryAfter = 10 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
 )
 
@@ -104,7 +105,7 @@
 		return true, 0
 	}
 	wait := (1 - b.tokens) / math.Max(rate, 1/maxRetryAfter.Seconds())
-	return false, min(maxRetryAfter, time.Duration(wait*float64(time.Second)))
+	return false, min(maxRetryAfter, max(minRetryAfter, time.Duration(wait*float64(time.Second))))
 }
 
 // rate returns the share in force.
--- a/core/request/reservation/host.go
+++ b/core/request/reservation/host.go
@@ -23,6 +23,7 @@
 	specs      map[PoolID]Spec
 	observers  map[PoolID]*Observer
 	assignment *Assignment
+	started    time.Time
 	// sizes are the recent sizes of the view.
 	sizes []viewSize
 	// dead routers refused a connection: this incarnation does not run.
@@ -50,6 +51,9 @@
 // SetView replaces the routers that are believed live, and what they observe. It returns the pools
 // that this router observed first and does no more.
 func (h *Host) SetView(now time.Time, view *membership.View, assignment *Assignment) []PoolID {
+	if h.started.IsZero() {
+		h.started = now
+	}
 	var former []PoolID
 	for id := range h.observers {
 		if h.First(id).Instance == h.self {
@@ -64,16 +68,17 @@
 }
 
 // updateIsolation tells the observers whether this router sees no more than half
-// of the routers that it saw lately: then it may be cut off from the others,
-// and uses none of the slack.
+// of the routers that it saw lately: then it may be cut off from the others, and
+// grants nothing.
 func (h *Host) updateIsolation(now time.Time) {
 	h.sizes = slices.DeleteFunc(h.sizes, func(s viewSize) bool { return now.Sub(s.until) > Lease })
 	largest := 0
 	for _, s := range h.sizes {
 		largest = max(largest, s.count)
 	}
+	isStarting := len(h.view.Routers) <= 1 && now.Sub(h.started) < StartTime
 	for _, o := range h.observers {
-		o.isIsolated = 2*len(h.view.Routers) <= largest
+		o.isIsolated = isStarting || 2*len(h.view.Routers) <= largest
 	}
 }
 
@@ -138,6 +143,7 @@
 	o.SetEngines(now, spec.Engines, spec.ModelEngines)
 	o.SetRouters(h.liveNames())
 	h.observers[id] = o
+	h.updateIsolation(now)
 	return o
 }
 
--- a/core/request/reservation/ledger.go
+++ b/core/request/reservation/ledger.go
@@ -7,8 +7,8 @@
 	"gentianhead/core/process/membership"
 )
 
-// Times for which a router is not asked after it could not be reached. The time
-// doubles with each failure in a row.
+// Times for which a router that is gone is not asked. The time doubles with each
+// failure in a row.
 const (
 	MinAvoid = 3 * time.Second
 	MaxAvoid = 30 * time.Second
@@ -89,12 +89,12 @@
 }
 
 // Target returns the router to ask for a pool, or false when all that could be
-// asked were not reached lately. A router stays with its observer until that
-// names another one or can't be reached: views that differ for a while move nobody.
+// asked are gone. A router stays with its observer until that names another one
+// or is gone: views that differ for a while and answers that stay out move nobody.
 func (l *Ledger) Target(now time.Time, id PoolID) (Target, bool) {
 	p := l.pool(id)
-	if p.observer.Instance != "" && !p.isFailover && !l.isAvoided(now, p.observer.Instance) && !l.isRedirected(now, p) {
-		return Target{Router: p.observer}, true
+	if p.observer.Instance != "" && !l.isRedirected(now, p) {
+		return Target{Router: p.observer, IsFailover: p.isFailover}, true
 	}
 	if l.isRedirected(now, p) {
 		return Target{Router: p.redirect, MustRegister: p.observer.Instance != p.redirect.Instance}, true
@@ -118,8 +118,8 @@
 	return ok && now.Before(a.until)
 }
 
-// Unreachable notes that a router could not be reached.
-func (l *Ledger) Unreachable(now time.Time, instance string) {
+// Gone notes that a router does not run, or is not in the view and does not answer.
+func (l *Ledger) Gone(now time.Time, instance string) {
 	if l.isAvoided(now, instance) {
 		return
 	}
--- a/core/request/reservation/observer.go
+++ b/core/request/reservation/observer.go
@@ -19,12 +19,15 @@
 	Transit = 10 * time.Millisecond
 	// RenewInterval is how often a router with grants lets the observer hear of
 	// it, in a fleet of up to RoutersPerRenew; it grows with the fleet.
-	RenewInterval   = time.Second
-	RoutersPerRenew = 40
+	RenewInterval   = TickInterval
+	RoutersPerRenew = 10
 	// Lease is the silence after which a router's grants are dropped.
 	Lease = 30 * time.Second
-	// WarmUp is how long a new observer grants nothing while routers register.
-	WarmUp = 500 * time.Millisecond
+	// DisconnectedLease is the Lease of a router that closed its connection.
+	DisconnectedLease = 2 * time.Second
+	// StartTime is how long a new process that sees no other router grants
+	// nothing, since it may not have heard of the others yet.
+	StartTime = time.Second
 	// TotalInterval is the time between two exchanges of totals.
 	TotalInterval = time.Second - TickInterval/2
 	// TickInterval is how often Tick is to be called.
@@ -95,8 +98,12 @@
 	heard        time.Time
 	held         int
 	isRegistered bool
-	isSuspect    bool
-	seqs         map[uint64]struct{}
+	// hasLeft routers are registered with another observer.
+	hasLeft bool
+	// isDisconnected routers closed their connection and were not heard since.
+	isDisconnected bool
+	isSuspect      bool
+	seqs           map[uint64]struct{}
 	// voided requests were released before they arrived and get no grant.
 	voided map[uint64]struct{}
 }
@@ -142,8 +149,8 @@
 	// hints has the engine of a chat, holders the engines of a shared prefix.
 	hints   *recent.Map[uint64, *engine]
 	holders *recent.Map[uint64, holders]
-	// isComplete holds while isCounted: no router came, went or moved since.
-	isComplete, isCounted bool
+	// isIncumbent holds while isCounted: no router came, went or moved since.
+	isIncumbent, isCounted bool
 	// isIsolated observers may be cut off from others that grant as well.
 	isIsolated bool
 	// total counts all grants, suspect those of silent routers.
@@ -246,23 +253,29 @@
 	}
 }
 
-// IsComplete reports whether every live router is registered, so that no other
-// observer can be granting on behalf of one.
-func (o *Observer) IsComplete() bool {
+// IsServing reports whether this is the only observer of the pool that grants.
+// A new observer serves once every live router has registered with it, since
+// before that some may be registered with the former one. From then on it
+// serves until a router moves to another observer, or this one may be cut off.
+func (o *Observer) IsServing() bool {
 	if !o.isCounted {
 		o.isCounted = true
-		o.isComplete = o.areAllRegistered()
+		o.isIncumbent = o.countRouters()
 	}
-	return o.isComplete && !o.isIsolated
+	return o.isIncumbent && !o.isIsolated
 }
 
-func (o *Observer) areAllRegistered() bool {
+// countRouters reports whether the observer may grant by what routers it knows.
+func (o *Observer) countRouters() bool {
+	isComplete := len(o.live) > 0
 	for instance := range o.live {
-		if r, ok := o.routers[instance]; !ok || !r.isRegistered {
+		r, ok := o.routers[instance]
+		if ok && r.hasLeft {
 			return false
 		}
+		isComplete = isComplete && ok && r.isRegistered
 	}
-	return true
+	return isComplete || o.isIncumbent
 }
 
 // Report takes in an engine's own load report. inFlight is as it was when the
@@ -289,11 +302,8 @@
 		r = newRouter(registration.Incarnation)
 		o.routers[registration.Router] = r
 	}
-	o.hear(now, r)
-	if !o.isAnyRegistered() {
-		o.started = now
-	}
-	r.isRegistered = true
+	r.hear(now)
+	r.isRegistered, r.hasLeft = true, false
 	o.isCounted = false
 	for seq := range r.seqs {
 		if !slices.Contains(registration.Pending, seq) {
@@ -307,21 +317,7 @@
 		}
 		o.record(now, r, held.Seq, e, o.account(now, held.Account, held.Weight))
 	}
-}
-
-func (o *Observer) isAnyRegistered() bool {
-	for _, r := range o.routers {
-		if r.isRegistered {
-			return true
-		}
-	}
-	return false
-}
-
-// isWarming reports whether routers may be about to register that have requests
-// in flight on the pool.
-func (o *Observer) isWarming(now time.Time) bool {
-	return now.Sub(o.started) < WarmUp && !o.IsComplete()
+	o.trust(r)
 }
 
 // supersede keeps the grants of a router's earlier incarnation until its lease
@@ -341,7 +337,7 @@
 	if !ok || r.incarnation != release.Incarnation {
 		return false
 	}
-	o.hear(now, r)
+	r.hear(now)
 	for _, seq := range release.Seqs {
 		if !o.drop(r, seq) {
 			r.void(seq)
@@ -349,11 +345,12 @@
 		}
 		o.rate = o.decayedRate(now) + math.Ln2/rateHalfLife.Seconds()
 	}
+	o.trust(r)
 	if e, known := o.byName[release.Failed]; known {
 		e.paused = now.Add(FailurePause)
 	}
 	if release.IsLeaving {
-		r.isRegistered = false
+		r.isRegistered, r.hasLeft = false, true
 		o.isCounted = false
 		o.dropAll(r)
 	}
@@ -377,8 +374,13 @@
 	return o.rate * math.Exp2(-age.Seconds()/rateHalfLife.Seconds())
 }
 
-func (o *Observer) hear(now time.Time, r *router) {
-	r.heard = now
+func (r *router) hear(now time.Time) {
+	r.heard, r.isDisconnected = now, false
+}
+
+// trust lets a router's grants count for the mean again, once it has told what
+// ended while it was silent.
+func (o *Observer) trust(r *router) {
 	if r.isSuspect {
 		r.isSuspect = false
 		o.suspect -= o.heldHere(r)
@@ -406,7 +408,7 @@
 			r.isSuspect = true
 			o.suspect += o.heldHere(r)
 		}
-		if silence <= max(Lease, 2*limit) {
+		if silence <= r.lease(limit) {
 			continue
 		}
 		o.dropAll(r)
@@ -433,12 +435,25 @@
 // Disconnected makes a router's grants suspect until it is heard of again.
 func (o *Observer) Disconnected(instance string) {
 	r, ok := o.routers[instance]
-	if ok && !r.isSuspect {
+	if !ok {
+		return
+	}
+	r.isDisconnected = true
+	if !r.isSuspect {
 		r.isSuspect = true
 		o.suspect += o.heldHere(r)
 	}
 }
 
+// lease is the silence after which a router's grants are dropped. The engines
+// cancel the requests of a process that ended.
+func (r *router) lease(suspectAfter time.Duration) time.Duration {
+	if r.isDisconnected {
+		return max(DisconnectedLease, suspectAfter)
+	}
+	return max(Lease, 2*suspectAfter)
+}
+
 // SetOther takes in the load of another pool of the same model.
 func (o *Observer) SetOther(now time.Time, total Total) {
 	o.others[total.Pool.Index] = otherPool{total: total, at: now}
--- a/core/request/reservation/reserve.go
+++ b/core/request/reservation/reserve.go
@@ -18,7 +18,7 @@
 	if !ok || r.incarnation != request.Incarnation || !r.isRegistered {
 		return Decision{Verdict: Unregistered}
 	}
-	o.hear(now, r)
+	r.hear(now)
 	if g, ok := o.grants[grantKey{r, request.Seq}]; ok {
 		return Decision{Verdict: Granted, Engine: g.engine.name}
 	}
@@ -30,7 +30,7 @@
 	if o.isAboveShare(a) {
 		return Decision{Verdict: RefusedShare, RetryAfter: RetryShare}
 	}
-	if o.isWarming(now) {
+	if !o.IsServing() {
 		return Decision{Verdict: RefusedBound, RetryAfter: RetryBound}
 	}
 	e := o.choose(now, request)
@@ -76,7 +76,7 @@
 	// begins; even is what a chat without cache may add to.
 	hard, soft, even float64
 	// exact keeps the bound if no release is on its way; zero where other pools
-	// count too.
+	// count too and while a router is silent.
 	exact float64
 }
 
@@ -92,11 +92,7 @@
 		highest = max(highest, e.load)
 	}
 	others := o.othersAtLeast(now)
-	slack := 0.0
-	if o.IsComplete() {
-		slack = 1
-	}
-	if engines <= 1 {
+	if engines <= 1 && o.modelEngines == len(o.engines) {
 		return caps{hard: math.Inf(1), soft: math.Inf(1), even: math.Inf(1), exact: math.Inf(1)}
 	}
 	unseen := o.rate * Transit.Seconds()
@@ -104,12 +100,12 @@
 	mean := max(0, certain-guard+others-float64(highest)) / (engines - 1)
 	bound := o.options.Bound
 	limits := caps{
-		hard: bound*mean + slack,
-		soft: (1+(bound-1)*o.options.reuseRoom())*mean + slack,
-		even: mean + slack,
+		hard: bound*mean + 1,
+		soft: (1+(bound-1)*o.options.reuseRoom())*mean + 1,
+		even: mean + 1,
 	}
-	if o.modelEngines == len(o.engines) {
-		limits.exact = bound*certain/engines + slack
+	if o.modelEngines == len(o.engines) && o.suspect == 0 {
+		limits.exact = bound*certain/engines + 1
 	}
 	return limits
 }
@@ -152,13 +148,16 @@
 	if request.Prefix != 0 {
 		key = request.Prefix
 	}
-	var first, least *engine
+	var first, least, lowest *engine
 	var firstScore uint64
 	for _, e := range o.engines {
 		if !o.isUsable(now, request, e) {
 			continue
 		}
-		if least == nil || e.load < least.load {
+		if lowest == nil || e.load < lowest.load {
+			lowest = e
+		}
+		if e.hasRoom(now, limits.hard) && (least == nil || e.load < least.load) {
 			least = e
 		}
 		if !e.hasRoom(now, limits.even) || e.isFull() {
@@ -168,11 +167,13 @@
 			first, firstScore = e, score
 		}
 	}
-	if first != nil {
+	switch {
+	case first != nil:
 		return first
-	}
-	if least != nil && float64(least.load+1) <= max(limits.hard, limits.exact) {
+	case least != nil:
 		return least
+	case lowest != nil && float64(lowest.load+1) <= max(limits.hard, limits.exact):
+		return lowest
 	}
 	return nil
 }
--- /dev/null
+++ b/core/request/retry/retry_test.go
@@ -0,0 +1,96 @@
+package retry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/matrix"
+)
+
+var start = time.Unix(1e9, 0)
+
+func failure() Failure {
+	return Failure{Account: "a", Attempts: 1, IsNotRun: true, Remaining: time.Minute}
+}
+
+func TestOnlyWhatCertainlyDidNotRunIsSentAgain(t *testing.T) {
+	b := NewBudget()
+	mayHaveRun := failure()
+	mayHaveRun.IsNotRun = false
+	assert.Equal(t, b.Retry(start, mayHaveRun), MayHaveRun)
+	late := failure()
+	late.Remaining = MinTime - 1
+	assert.Equal(t, b.Retry(start, late), NoTime)
+	used := failure()
+	used.Attempts = MaxAttempts
+	assert.Equal(t, b.Retry(start, used), AttemptsUsed)
+	assert.Equal(t, b.Retry(start, failure()), Allowed)
+}
+
+func TestOneAccountCannotSpendTheBudgetOfOthers(t *testing.T) {
+	b := NewBudget()
+	for range AccountReserve {
+		assert.Equal(t, b.Retry(start, failure()), Allowed)
+	}
+	assert.Equal(t, b.Retry(start, failure()), NoBudget)
+	other := failure()
+	other.Account = "b"
+	assert.Equal(t, b.Retry(start, other), Allowed)
+}
+
+// storm lets a share of all attempts fail for seconds at 100 requests a second
+// and returns retries per first attempt.
+func storm(share float64, isNotRun bool, accounts, seconds int) float64 {
+	b := NewBudget()
+	now := start
+	retries, count := 0, seconds*100
+	for i := range count {
+		now = now.Add(10 * time.Millisecond)
+		f := failure()
+		f.Account = fmt.Sprint(i % accounts)
+		f.IsNotRun = isNotRun
+		b.Attempt(now, f.Account)
+		for f.Attempts = 1; float64(i*7919%1000) < share*1000 && b.Retry(now, f) == Allowed; f.Attempts++ {
+			retries++
+		}
+	}
+	return float64(retries) / float64(count)
+}
+
+// TestFaultsRetry holds the retries that a failure adds to the load.
+func TestFaultsRetry(t *testing.T) {
+	m := matrix.New(t)
+	for _, c := range []struct {
+		fault    string
+		share    float64
+		isNotRun bool
+		most     float64
+	}{
+		{"one endpoint of twelve refuses", 1.0 / 12, true, 1.0/12 + Ratio},
+		{"an availability zone of three goes", 1.0 / 3, true, Ratio + 0.01},
+		{"every endpoint refuses", 1, true, Ratio + 0.01},
+		{"answers stay out", 1, false, 0},
+	} {
+		verdict, note := matrix.Held, ""
+		if got := storm(c.share, c.isNotRun, 10, 120); got > c.most {
+			verdict, note = matrix.Broken, fmt.Sprintf("%.3f retries per request, %.3f allowed", got, c.most)
+		}
+		m.Record(matrix.Cell{Protocol: "retry", Step: "send", Fault: c.fault}, verdict, 1, note)
+	}
+	m.Record(matrix.Cell{Protocol: "retry", Step: "send", Fault: "router killed between attempts"}, matrix.NotCovered, 0, "")
+}
+
+func TestBackoffGrowsWhileNothingSucceeds(t *testing.T) {
+	b := NewBudget()
+	first := b.Backoff(0)
+	for range 20 * RouterReserve {
+		b.Retry(start, failure())
+	}
+	assert.Equal(t, first, BackoffBase)
+	assert.Equal(t, b.Backoff(0), BackoffMax)
+	b.Succeeded()
+	assert.Equal(t, b.Backoff(0), BackoffBase)
+}
--- a/core/request/routing/calls.go
+++ b/core/request/routing/calls.go
@@ -80,15 +80,17 @@
 	n.send(now, to, &probe, nil)
 }
 
-// inviteAll does so for each pool that this router observes once dead is gone.
-func (n *Node) inviteAll(now time.Time, dead string) {
-	n.ledger.Unreachable(now, dead)
+// leaveDead turns to other observers wherever this router was registered with
+// one that does not run, and invites all where this router is the next.
+func (n *Node) leaveDead(now time.Time, dead string) {
+	n.ledger.Gone(now, dead)
 	for _, id := range n.ids {
+		n.ledger.Unregister(id, dead)
 		target, ok := n.ledger.Target(now, id)
 		if ok && n.host.First(id).Instance == dead && target.Router.Instance == n.self {
-			self, _ := n.view.Find(n.self)
-			n.invite(now, id, self, dead)
+			n.invite(now, id, target.Router, dead)
 		}
+		n.register(now, id)
 	}
 }
 
@@ -106,7 +108,7 @@
 // invited follows an invitation.
 func (n *Node) invited(now time.Time, m *reservation.Invitation) {
 	if m.Dead != "" {
-		n.lost(now, m.Pool, m.Dead)
+		n.abandon(now, m.Pool, m.Dead, true)
 		return
 	}
 	n.ledger.Redirect(now, m.Pool, membership.Router{Instance: m.Observer, PeerAddress: m.Address})
@@ -150,29 +152,50 @@
 	delete(n.calls, id)
 	if isDead && !n.host.IsDead(pending.instance) {
 		n.host.SetDead(pending.instance)
-		n.inviteAll(now, pending.instance)
+		n.leaveDead(now, pending.instance)
 	}
+	isGone := isDead || !n.isLive(pending.instance)
 	switch m := pending.message.(type) {
 	case *reservation.Request:
-		n.lost(now, m.Pool, pending.instance)
 		n.ledger.End(m.Pool, m.Seq, "")
-		if n.requests[pending.request.ticket] == pending.request {
-			n.ask(now, pending.request)
-		}
+		n.unanswered(now, pending.request, m.Pool, pending.instance, isGone)
 	case *reservation.Registration:
-		n.lost(now, m.Pool, pending.instance)
+		n.ledger.Unregister(m.Pool, pending.instance)
+		n.abandon(now, m.Pool, pending.instance, isGone)
 	case *reservation.Release:
 		n.releasing[m.Pool] = false
 		if !m.IsLeaving {
 			n.ledger.PutBack(*m)
-			n.lost(now, m.Pool, pending.instance)
+			n.abandon(now, m.Pool, pending.instance, isGone)
 		}
 	}
 }
 
-// lost turns to another observer, because this one could not be reached.
-func (n *Node) lost(now time.Time, id reservation.PoolID, instance string) {
-	n.ledger.Unreachable(now, instance)
+// unanswered gives a request up whose observer may be alive, since another
+// observer would not know the whole load, or turns to the next observer.
+func (n *Node) unanswered(now time.Time, r *request, id reservation.PoolID, observer string, isGone bool) {
+	n.abandon(now, id, observer, isGone)
+	switch {
+	case n.requests[r.ticket] != r:
+	case isGone:
+		n.ask(now, r)
+	default:
+		delete(n.requests, r.ticket)
+		n.refuse(r.ticket, Refusal{Reason: NoObserver, RetryAfter: reservation.RetryBound})
+	}
+}
+
+func (n *Node) isLive(instance string) bool {
+	_, isLive := n.view.Find(instance)
+	return isLive && !n.host.IsDead(instance)
+}
+
+// abandon turns to another observer when this one is gone.
+func (n *Node) abandon(now time.Time, id reservation.PoolID, instance string, isGone bool) {
+	if !isGone {
+		return
+	}
+	n.ledger.Gone(now, instance)
 	n.ledger.Unregister(id, instance)
 	n.register(now, id)
 }
