--- a/core/request/admission/limiter.go
+++ b/core/request/admission/limiter.go
@@ -34,7 +34,8 @@
 
 // Demand is how much an account asks of one router.
 type Demand struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 The codec reads the tag.
+	_msgpack struct{} `msgpack:",as_array"`
 	Account  string
 	Router   string
 	// Rate is in requests per second, refused ones included.
@@ -43,7 +44,8 @@
 
 // Share is the part of an account's limit that a router may use.
 type Share struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 The codec reads the tag.
+	_msgpack struct{} `msgpack:",as_array"`
 	Account  string
 	// Rate is in requests per second.
 	Rate float64
--- a/core/request/reservation/host.go
+++ b/core/request/reservation/host.go
@@ -23,7 +23,8 @@
 	specs      map[PoolID]Spec
 	observers  map[PoolID]*Observer
 	assignment *Assignment
-	started    time.Time
+	// isListed says that the platform\'s list of instances was read.
+	isListed bool
 	// sizes are the recent sizes of the view.
 	sizes []viewSize
 	// dead routers refused a connection: this incarnation does not run.
@@ -51,9 +52,6 @@
 // SetView replaces the routers that are believed live, and what they observe. It returns the pools
 // that this router observed first and does no more.
 func (h *Host) SetView(now time.Time, view *membership.View, assignment *Assignment) []PoolID {
-	if h.started.IsZero() {
-		h.started = now
-	}
 	var former []PoolID
 	for id := range h.observers {
 		if h.First(id).Instance == h.self {
@@ -67,6 +65,14 @@
 	return slices.DeleteFunc(former, func(id PoolID) bool { return h.First(id).Instance == h.self })
 }
 
+// Listed notes that the platform's list of instances was read and is in the
+// view. Before that, a router that sees no other can't know that it is alone,
+// and grants nothing.
+func (h *Host) Listed(now time.Time) {
+	h.isListed = true
+	h.updateIsolation(now)
+}
+
 // updateIsolation tells the observers whether this router sees no more than half
 // of the routers that it saw lately: then it may be cut off from the others, and
 // grants nothing.
@@ -76,7 +82,7 @@
 	for _, s := range h.sizes {
 		largest = max(largest, s.count)
 	}
-	isStarting := len(h.view.Routers) <= 1 && now.Sub(h.started) < StartTime
+	isStarting := len(h.view.Routers) <= 1 && !h.isListed
 	for _, o := range h.observers {
 		o.isIsolated = isStarting || 2*len(h.view.Routers) <= largest
 	}
--- a/core/request/reservation/message.go
+++ b/core/request/reservation/message.go
@@ -20,14 +20,16 @@
 
 // PoolID names a pool of a model's engines.
 type PoolID struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 The codec reads the tag.
+	_msgpack struct{} `msgpack:",as_array"`
 	Model    string
 	Index    int
 }
 
 // Request asks the observer of a pool for a grant.
 type Request struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 The codec reads the tag.
+	_msgpack struct{} `msgpack:",as_array"`
 	Pool     PoolID
 	// Router and Incarnation identify the process that asks.
 	Router      string
@@ -71,7 +73,8 @@
 
 // Decision answers a Request.
 type Decision struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 The codec reads the tag.
+	_msgpack struct{} `msgpack:",as_array"`
 	Verdict  Verdict
 	// Engine is the engine that was granted.
 	Engine string
@@ -84,7 +87,8 @@
 
 // Grant is a request in flight as its router knows it.
 type Grant struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 The codec reads the tag.
+	_msgpack struct{} `msgpack:",as_array"`
 	Seq      uint64
 	Engine   string
 	Account  string
@@ -94,7 +98,8 @@
 // Registration makes a router known to the observer of a pool, with all that it
 // has in flight there. It replaces what the observer knew of the router.
 type Registration struct {
-	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 The codec reads the tag.
+	_msgpack    struct{} `msgpack:",as_array"`
 	Pool        PoolID
 	Router      string
 	Incarnation uint64
@@ -105,7 +110,8 @@
 
 // Release ends grants of a router. An empty release renews the router's lease.
 type Release struct {
-	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 The codec reads the tag.
+	_msgpack    struct{} `msgpack:",as_array"`
 	Pool        PoolID
 	Router      string
 	Incarnation uint64
@@ -118,7 +124,8 @@
 
 // Total is the load of a pool, sent to the observers of the model's other pools.
 type Total struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 The codec reads the tag.
+	_msgpack struct{} `msgpack:",as_array"`
 	Pool     PoolID
 	Load     int
 	Engines  int
@@ -128,7 +135,8 @@
 
 // Invitation asks routers to register with the observer that it names.
 type Invitation struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 The codec reads the tag.
+	_msgpack struct{} `msgpack:",as_array"`
 	Pool     PoolID
 	Observer string
 	Address  string
--- a/core/request/reservation/observer.go
+++ b/core/request/reservation/observer.go
@@ -25,9 +25,6 @@
 	Lease = 30 * time.Second
 	// DisconnectedLease is the Lease of a router that closed its connection.
 	DisconnectedLease = 2 * time.Second
-	// StartTime is how long a new process that sees no other router grants
-	// nothing, since it may not have heard of the others yet.
-	StartTime = time.Second
 	// TotalInterval is the time between two exchanges of totals.
 	TotalInterval = time.Second - TickInterval/2
 	// TickInterval is how often Tick is to be called.
@@ -137,15 +134,13 @@
 	engines []*engine
 	// modelEngines counts those of the other pools too.
 	modelEngines int
-	// started is when the first router registered after there was none.
-	started  time.Time
-	byName   map[string]*engine
-	gone     map[string]time.Time
-	routers  map[string]*router
-	live     map[string]struct{}
-	grants   map[grantKey]grant
-	accounts map[string]*account
-	others   map[int]otherPool
+	byName       map[string]*engine
+	gone         map[string]time.Time
+	routers      map[string]*router
+	live         map[string]struct{}
+	grants       map[grantKey]grant
+	accounts     map[string]*account
+	others       map[int]otherPool
 	// hints has the engine of a chat, holders the engines of a shared prefix.
 	hints   *recent.Map[uint64, *engine]
 	holders *recent.Map[uint64, holders]
--- a/core/request/routing/cluster_test.go
+++ b/core/request/routing/cluster_test.go
@@ -99,6 +99,7 @@
 func (c *cluster) newRouter(name string, incarnation uint64) *fakeRouter {
 	r := &fakeRouter{Node: New(name, incarnation), name: name, running: map[Ticket]string{}, asked: map[Ticket]bool{}}
 	r.SetConfig(c.now, c.config())
+	r.Listed(c.now)
 	return r
 }
 
--- a/core/request/routing/message.go
+++ b/core/request/routing/message.go
@@ -77,7 +77,8 @@
 
 // Ack answers messages that have nothing to decide.
 type Ack struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 The codec reads the tag.
+	_msgpack struct{} `msgpack:",as_array"`
 	// IsRegistered says that the observer knows the router.
 	IsRegistered bool
 }
--- a/core/request/routing/node.go
+++ b/core/request/routing/node.go
@@ -100,6 +100,11 @@
 	}
 }
 
+// Listed takes in that the platform's list of instances was read and is in the view.
+func (n *Node) Listed(now time.Time) {
+	n.host.Listed(now)
+}
+
 // Disconnected takes in that a router's process probably ended, for example
 // because its connection was closed.
 func (n *Node) Disconnected(instance string) {
--- a/fleet/process/control/control.go
+++ b/fleet/process/control/control.go
@@ -175,6 +175,9 @@
 	if l.members.Step(event) {
 		l.publish()
 	}
+	if _, isList := event.(membership.ListRead); isList {
+		l.routing.listed()
+	}
 }
 
 func (l *Loop) publish() {
--- a/fleet/process/control/reservation.go
+++ b/fleet/process/control/reservation.go
@@ -65,6 +65,13 @@
 	r.drain()
 }
 
+// listed takes in that the platform's list was read and is in the view.
+func (r *Routing) listed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.node.Listed(time.Now())
+}
+
 // routingConfig returns what the configuration says of routing.
 func routingConfig(snapshot *resource.Snapshot) routing.Config {
 	models := lo.Map(snapshot.List(resource.KindModel), func(o resource.Object, _ int) routing.Model {
--- a/measure/routing/load.go
+++ b/measure/routing/load.go
@@ -42,7 +42,7 @@
 	requestsPerSecond              float64
 	drawings, drawingShare         float64
 	bound, reuse                   float64
-	lag, listLag, length, warm     time.Duration
+	lag, listLag, length           time.Duration
 	surging                        int
 	leaves, flaps, crash, cut, odd bool
 }
--- a/measure/routing/sim.go
+++ b/measure/routing/sim.go
@@ -118,11 +118,11 @@
 
 // metrics is what a run measured.
 type metrics struct {
-	asked, admitted, violations, lifted, refusedBound, refusedShare, unhinted, retries, failed int
-	hit, reusable, returned, moved, bytes                                                      int
-	worst                                                                                      float64
-	ratios                                                                                     []float32
-	waits                                                                                      map[bool][]time.Duration
+	asked, admitted, violations, lifted, refusedBound, refusedShare, unhinted, retries int
+	hit, reusable, returned, moved, bytes                                              int
+	worst                                                                              float64
+	ratios                                                                             []float32
+	waits                                                                              map[bool][]time.Duration
 }
 
 func newSim(d deployment, seed uint64) *sim {
