--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -27,12 +27,22 @@
 	LoseAnswers int `json:"loseAnswers"`
 	// DelayMillis delays every call by so many milliseconds.
 	DelayMillis int `json:"delayMillis"`
+	// DelayCommitMillis delays every commit before it takes effect.
+	DelayCommitMillis int `json:"delayCommitMillis"`
+	// HoldCommitMillis delays the answer of every commit after it took effect.
+	HoldCommitMillis int `json:"holdCommitMillis"`
+	// LateCommits is how many of the next commits drop the connection and take
+	// effect only LateMillis later.
+	LateCommits int `json:"lateCommits"`
+	LateMillis  int `json:"lateMillis"`
 	// FrozenList keeps the instance list as it is.
 	FrozenList bool `json:"frozenList"`
 }
 
 // Counters are the calls that the platform has served.
 type Counters struct {
+	// Begun counts the commits that arrived.
+	Begun   int `json:"begun"`
 	Commits int `json:"commits"`
 	Reads   int `json:"reads"`
 	Scans   int `json:"scans"`
@@ -101,9 +111,11 @@
 	if !decode(w, r, &tx) {
 		return
 	}
+	s.beginCommit(tx)
 	result := s.Table.Commit(tx)
 	s.mu.Lock()
 	s.counters.Commits++
+	hold := time.Duration(s.faults.HoldCommitMillis) * time.Millisecond
 	lose := s.faults.LoseAnswers > 0
 	if lose {
 		s.faults.LoseAnswers--
@@ -112,6 +124,7 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
+	time.Sleep(hold)
 	status := http.StatusOK
 	if result.Conflict != "" {
 		status = http.StatusConflict
@@ -119,6 +132,24 @@
 	encode(w, status, result)
 }
 
+// beginCommit delays the commit, or drops the connection and commits later, as
+// the faults say.
+func (s *Server) beginCommit(tx Transaction) {
+	s.mu.Lock()
+	s.counters.Begun++
+	delay := time.Duration(s.faults.DelayCommitMillis) * time.Millisecond
+	isLate, after := s.faults.LateCommits > 0, time.Duration(s.faults.LateMillis)*time.Millisecond
+	if isLate {
+		s.faults.LateCommits--
+	}
+	s.mu.Unlock()
+	if isLate {
+		time.AfterFunc(after, func() { s.Table.Commit(tx) })
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(delay)
+}
+
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
 	var request struct{ Keys []string }
 	if !decode(w, r, &request) {
