--- a/fleet/connection/peer/pool.go
+++ b/fleet/connection/peer/pool.go
@@ -30,6 +30,7 @@
 	mu     sync.Mutex
 	peers  map[string]*client
 	closed bool
+	onEnd  func(address string)
 }
 
 // NewPool returns an empty pool that proves to peers that it holds key.
@@ -37,6 +38,14 @@
 	return &Pool{key: key, peers: make(map[string]*client)}
 }
 
+// OnEnd sets what is called, on a goroutine of the pool, after a connection that
+// was open has ended. It must be set before the first call.
+func (p *Pool) OnEnd(f func(address string)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onEnd = f
+}
+
 // Call sends question to the peer at address and decodes its answer, for which
 // it waits until ctx ends. It returns ErrNotSent, ErrNoAnswer or ErrUnknownCall.
 func (p *Pool) Call(ctx context.Context, address string, callType frame.Type, question, answer any) error {
@@ -82,10 +91,14 @@
 		c.receive()
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.peers[address] == c {
 		delete(p.peers, address)
 	}
+	onEnd := p.onEnd
+	p.mu.Unlock()
+	if err == nil && onEnd != nil {
+		onEnd(address)
+	}
 }
 
 func dial(address string, key []byte) (*frame.Conn, error) {
--- a/fleet/process/control/reservation.go
+++ b/fleet/process/control/reservation.go
@@ -32,20 +32,34 @@
 type Routing struct {
 	peers *peer.Pool
 
-	mu       sync.Mutex
-	node     *routing.Node
-	config   *resource.Snapshot
-	view     *membership.View
-	waiting  map[routing.Ticket]chan routing.Placement
-	shutdown context.Context
+	mu      sync.Mutex
+	node    *routing.Node
+	config  *resource.Snapshot
+	view    *membership.View
+	waiting map[routing.Ticket]chan routing.Placement
 }
 
 func newRouting(self membership.Router, peers *peer.Pool) *Routing {
-	return &Routing{
-		peers:    peers,
-		node:     routing.New(self.Instance, self.Incarnation),
-		waiting:  make(map[routing.Ticket]chan routing.Placement),
-		shutdown: context.Background(),
+	r := &Routing{
+		peers:   peers,
+		node:    routing.New(self.Instance, self.Incarnation),
+		waiting: make(map[routing.Ticket]chan routing.Placement),
+	}
+	peers.OnEnd(r.disconnected)
+	return r
+}
+
+// disconnected takes in that the connection to a peer has ended.
+func (r *Routing) disconnected(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.view == nil {
+		return
+	}
+	for _, router := range r.view.Routers {
+		if router.PeerAddress == address {
+			r.node.Disconnected(router.Instance)
+		}
 	}
 }
 
@@ -195,7 +209,7 @@
 
 // call carries one message to another router.
 func (r *Routing) call(call routing.Call) {
-	ctx, cancel := context.WithTimeout(r.shutdown, reserveTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
 	defer cancel()
 	callType, reply := callTypeOf(call.Message)
 	err := r.peers.Call(ctx, call.Address, callType, call.Message, reply)
--- a/measure/routing/main.go
+++ b/measure/routing/main.go
@@ -135,6 +135,9 @@
 	only := flag.Bool("large", false, "only the large size")
 	flag.Parse()
 	var missed checks
+	for _, engines := range []int{12, 157, 1100} {
+		decisions(engines, &missed)
+	}
 	if !*only {
 		for _, bound := range []float64{1.25, 1.5} {
 			molle, zhanibek := molle, zhanibek
