Take over from a router that is known to have ended, also of two

Cause: the rule that a router which sees half of those it saw lately grants nothing also held for one of two routers whose peer was stopped or killed, for 30 s. Those that left or refuse connections do not count any more; a closed connection is followed by a call that shows whether the process runs.

--- a/core/request/reservation/host.go
+++ b/core/request/reservation/host.go
@@ -27,18 +27,12 @@
 	appointed map[PoolID]time.Time
 	// isListed says that the platform\'s list of instances was read.
 	isListed bool
-	// sizes are the recent sizes of the view.
-	sizes []viewSize
+	// lately has when routers were last in the view, but for those that left.
+	lately map[string]time.Time
 	// dead routers refused a connection: this incarnation does not run.
 	dead map[string]uint64
 }
 
-// viewSize is how many routers a view had until a time.
-type viewSize struct {
-	until time.Time
-	count int
-}
-
 // NewHost returns a host without pools.
 func NewHost(self string) *Host {
 	return &Host{
@@ -47,6 +41,7 @@
 		specs:      make(map[PoolID]Spec),
 		observers:  make(map[PoolID]*Observer),
 		assignment: &Assignment{},
+		lately:     make(map[string]time.Time),
 		dead:       make(map[string]uint64),
 		appointed:  make(map[PoolID]time.Time),
 	}
@@ -61,7 +56,6 @@
 			former = append(former, id)
 		}
 	}
-	h.sizes = append(h.sizes, viewSize{until: now, count: len(h.view.Routers)})
 	h.view, h.assignment = view, assignment
 	h.updateRouters()
 	h.updateIsolation(now)
@@ -77,17 +71,28 @@
 }
 
 // updateIsolation tells the observers whether this router sees no more than half
-// of the routers that it saw lately: then it may be cut off from the others, and
-// grants nothing.
+// of the routers that it saw lately and that are not known to have ended or left:
+// then it may be cut off from the others, and grants nothing.
 func (h *Host) updateIsolation(now time.Time) {
-	h.sizes = slices.DeleteFunc(h.sizes, func(s viewSize) bool { return now.Sub(s.until) > Lease })
-	largest := 0
-	for _, s := range h.sizes {
-		largest = max(largest, s.count)
+	for _, router := range h.view.Routers {
+		h.lately[router.Instance] = now
+		if router.Leaving {
+			delete(h.lately, router.Instance)
+		}
+	}
+	known := 0
+	for instance, seen := range h.lately {
+		if now.Sub(seen) > Lease {
+			delete(h.lately, instance)
+			continue
+		}
+		if !h.IsDead(instance) {
+			known++
+		}
 	}
 	isStarting := len(h.view.Routers) <= 1 && !h.isListed
 	for _, o := range h.observers {
-		o.isIsolated = isStarting || 2*len(h.view.Routers) <= largest
+		o.isIsolated = isStarting || 2*len(h.view.Routers) <= known
 	}
 }
 
--- a/core/request/routing/cluster_test.go
+++ b/core/request/routing/cluster_test.go
@@ -289,7 +289,8 @@
 	}
 	c.after(2*testTransit, func() {
 		for _, other := range c.nodes {
-			other.Disconnected(r.name)
+			other.Disconnected(c.now, r.name)
+			c.drain(other)
 		}
 	})
 	c.after(5*time.Second, func() { c.setViews(nil) })
--- a/core/request/routing/node.go
+++ b/core/request/routing/node.go
@@ -110,10 +110,16 @@
 	n.host.Listed(now)
 }
 
-// Disconnected takes in that a router's process probably ended, for example
-// because its connection was closed.
-func (n *Node) Disconnected(instance string) {
+// Disconnected takes in that a router's process probably ended, because its
+// connection was closed. A call shows whether it still runs.
+func (n *Node) Disconnected(now time.Time, instance string) {
 	n.host.Disconnected(instance)
+	router, isLive := n.view.Find(instance)
+	if !isLive || len(n.ids) == 0 {
+		return
+	}
+	probe := n.ledger.Renewal(n.ids[0])
+	n.send(now, router, &probe, nil)
 }
 
 // SetConfig takes in a configuration.
--- a/core/request/routing/node_test.go
+++ b/core/request/routing/node_test.go
@@ -57,6 +57,28 @@
 	assert.Assert(t, n.Ready().Placements[0].Refusal == nil)
 }
 
+func TestSideWithHalfOfTheRoutersGrantsNothing(t *testing.T) {
+	for name, end := range map[string]func(c *cluster){
+		"cut off": func(c *cluster) { c.nodes[1].isCut = true },
+		"killed":  func(c *cluster) { c.kill(c.nodes[1]) },
+	} {
+		c := newCluster(1, 2, 8, 1.25)
+		c.run(100 * time.Millisecond)
+		c.ask(time.Second, 20)
+		c.run(10 * time.Second)
+		end(c)
+		c.ask(time.Second, 20)
+		c.run(6 * time.Second)
+		c.setViews(func(from, to *fakeRouter) bool { return from.isCut != to.isCut })
+		c.run(2 * time.Second)
+		before := c.admitted
+		c.nodes[0].Place(c.now, Ask{Model: "m", Account: "a", Chat: 1})
+		c.drain(c.nodes[0])
+		c.run(2 * time.Second)
+		assert.Equal(t, c.admitted > before, name == "killed", name)
+	}
+}
+
 func TestRefusalsSayWhenToComeBack(t *testing.T) {
 	c := newCluster(1, 3, 8, 1.25)
 	c.run(100 * time.Millisecond)
--- a/fleet/process/control/reservation.go
+++ b/fleet/process/control/reservation.go
@@ -58,9 +58,10 @@
 	}
 	for _, router := range r.view.Routers {
 		if router.PeerAddress == address {
-			r.node.Disconnected(router.Instance)
+			r.node.Disconnected(time.Now(), router.Instance)
 		}
 	}
+	r.drain()
 }
 
 // update takes in what is in force now.
--- a/measure/routing/chosen.go
+++ b/measure/routing/chosen.go
@@ -212,7 +212,8 @@
 	}
 	c.s.after(time.Millisecond, func() {
 		for _, other := range c.nodes {
-			other.Disconnected(n.name)
+			other.Disconnected(c.time(), n.name)
+			c.drain(other)
 		}
 	})
 	c.s.after(deadAfter, c.sameViews)
