Merge routing by reservations

Beside the merge: routing leaves out endpoints that the list or the endpoint itself withdrew, hears of the instance list once its routers are in the view, and the two sets of metrics that real-process tests read are one.

--- /dev/null
+++ b/core/request/reservation/host.go
@@ -0,0 +1,266 @@
+package reservation
+
+import (
+	"slices"
+	"time"
+
+	"gentianhead/core/process/membership"
+)
+
+// Spec is what the configuration says of a pool.
+type Spec struct {
+	Options Options
+	// ModelEngines is how many engines all pools of the model have.
+	ModelEngines int
+	Engines      []string
+}
+
+// Host holds the observers that one router's process keeps. Any router may be
+// asked for any pool; observers are made when first asked.
+type Host struct {
+	self       string
+	view       *membership.View
+	specs      map[PoolID]Spec
+	observers  map[PoolID]*Observer
+	assignment *Assignment
+	// appointed pools were handed over by their former observer at a time.
+	appointed map[PoolID]time.Time
+	// isListed says that the platform\'s list of instances was read.
+	isListed bool
+	// lately has when routers were last in the view, but for those that left.
+	lately map[string]time.Time
+	// dead routers refused a connection: this incarnation does not run.
+	dead map[string]uint64
+}
+
+// NewHost returns a host without pools.
+func NewHost(self string) *Host {
+	return &Host{
+		self:       self,
+		view:       &membership.View{},
+		specs:      make(map[PoolID]Spec),
+		observers:  make(map[PoolID]*Observer),
+		assignment: &Assignment{},
+		lately:     make(map[string]time.Time),
+		dead:       make(map[string]uint64),
+		appointed:  make(map[PoolID]time.Time),
+	}
+}
+
+// SetView replaces the routers that are believed live, and what they observe. It returns the pools
+// that this router observed first and does no more.
+func (h *Host) SetView(now time.Time, view *membership.View, assignment *Assignment) []PoolID {
+	var former []PoolID
+	for id := range h.observers {
+		if h.First(id).Instance == h.self {
+			former = append(former, id)
+		}
+	}
+	h.view, h.assignment = view, assignment
+	h.updateRouters()
+	h.updateIsolation(now)
+	return slices.DeleteFunc(former, func(id PoolID) bool { return h.First(id).Instance == h.self })
+}
+
+// Listed notes that the platform's list of instances was read and is in the
+// view. Before that, a router that sees no other can't know that it is alone,
+// and grants nothing.
+func (h *Host) Listed(now time.Time) {
+	h.isListed = true
+	h.updateIsolation(now)
+}
+
+// updateIsolation tells the observers whether this router sees no more than half
+// of the routers that it saw lately and that are not known to have ended or left:
+// then it may be cut off from the others, and grants nothing.
+func (h *Host) updateIsolation(now time.Time) {
+	for _, router := range h.view.Routers {
+		h.lately[router.Instance] = now
+		if router.Leaving {
+			delete(h.lately, router.Instance)
+		}
+	}
+	known := 0
+	for instance, seen := range h.lately {
+		if now.Sub(seen) > Lease {
+			delete(h.lately, instance)
+			continue
+		}
+		if !h.IsDead(instance) {
+			known++
+		}
+	}
+	isStarting := len(h.view.Routers) <= 1 && !h.isListed
+	for _, o := range h.observers {
+		o.isIsolated = isStarting || 2*len(h.view.Routers) <= known
+	}
+}
+
+// Disconnected notes that a router's process probably ended: its requests may
+// run no more.
+func (h *Host) Disconnected(instance string) {
+	for _, o := range h.observers {
+		o.Disconnected(instance)
+	}
+}
+
+// SetDead notes that no process listens at a router's address, so that nobody
+// waits for it to register. It counts until the view has the router's next
+// incarnation or the router registers.
+func (h *Host) SetDead(instance string) {
+	router, _ := h.view.Find(instance)
+	h.dead[instance] = router.Incarnation
+	h.updateRouters()
+}
+
+func (h *Host) updateRouters() {
+	names := h.liveNames()
+	for _, o := range h.observers {
+		o.SetRouters(names)
+	}
+}
+
+func (h *Host) liveNames() []string {
+	names := make([]string, 0, len(h.view.Routers))
+	for _, router := range h.view.Routers {
+		if !h.IsDead(router.Instance) {
+			names = append(names, router.Instance)
+		}
+	}
+	return names
+}
+
+// SetSpecs replaces the pools.
+func (h *Host) SetSpecs(now time.Time, specs map[PoolID]Spec) {
+	h.specs = specs
+	for id, o := range h.observers {
+		spec, ok := specs[id]
+		if !ok {
+			delete(h.observers, id)
+			continue
+		}
+		o.SetOptions(spec.Options)
+		o.SetEngines(now, spec.Engines, spec.ModelEngines)
+	}
+}
+
+// Observer returns the observer of a pool, or nil when the pool does not exist.
+func (h *Host) Observer(now time.Time, id PoolID) *Observer {
+	if o, ok := h.observers[id]; ok {
+		return o
+	}
+	spec, ok := h.specs[id]
+	if !ok {
+		return nil
+	}
+	o := NewObserver(id, spec.Options)
+	o.SetEngines(now, spec.Engines, spec.ModelEngines)
+	o.SetRouters(h.liveNames())
+	h.observers[id] = o
+	h.updateIsolation(now)
+	return o
+}
+
+// First returns the router that comes first as observer of the pool.
+func (h *Host) First(id PoolID) membership.Router {
+	return h.assignment.First(id)
+}
+
+// Appoint notes that the former observer of a pool handed it over to this
+// router, whose view may not show that yet.
+func (h *Host) Appoint(now time.Time, id PoolID) {
+	h.appointed[id] = now
+}
+
+// IsDead reports whether a router is known not to run.
+func (h *Host) IsDead(instance string) bool {
+	incarnation, isDead := h.dead[instance]
+	if !isDead {
+		return false
+	}
+	router, _ := h.view.Find(instance)
+	return router.Incarnation <= incarnation
+}
+
+// Reserve decides on a request. A router that was asked by mistake names the
+// one to ask, unless the asker could not reach it.
+func (h *Host) Reserve(now time.Time, request *Request) Decision {
+	first := h.First(request.Pool)
+	isAppointed := now.Sub(h.appointed[request.Pool]) < redirectTime
+	if !isAppointed && !request.IsFailover && first.Instance != "" && first.Instance != h.self {
+		return Decision{Verdict: Redirected, Observer: first.Instance, Address: first.PeerAddress}
+	}
+	o := h.Observer(now, request.Pool)
+	if o == nil {
+		return Decision{Verdict: RefusedEmpty, RetryAfter: RetryBound}
+	}
+	return o.Reserve(now, request)
+}
+
+// Register takes in what a router has in flight.
+func (h *Host) Register(now time.Time, registration Registration) {
+	if _, wasDead := h.dead[registration.Router]; wasDead {
+		delete(h.dead, registration.Router)
+		h.updateRouters()
+	}
+	if o := h.Observer(now, registration.Pool); o != nil {
+		o.Register(now, registration)
+	}
+}
+
+// Release ends grants. It reports whether the router is registered here.
+func (h *Host) Release(now time.Time, release Release) bool {
+	o, ok := h.observers[release.Pool]
+	return ok && o.Release(now, release)
+}
+
+// SetTotal takes in the load of another pool of a model.
+func (h *Host) SetTotal(now time.Time, total Total) {
+	for id, o := range h.observers {
+		if id.Model == total.Pool.Model {
+			o.SetOther(now, total)
+		}
+	}
+}
+
+// Tick lets time pass and returns the totals to send to the observers of the
+// other pools of the same models.
+func (h *Host) Tick(now time.Time) []Total {
+	h.updateIsolation(now)
+	var totals []Total
+	for id, o := range h.observers {
+		o.Tick(now)
+		if h.First(id).Instance == h.self && h.isSplit(id) && o.isTotalDue(now) {
+			totals = append(totals, o.Total(now))
+		}
+	}
+	return totals
+}
+
+// isSplit reports whether the pool's model has other pools.
+func (h *Host) isSplit(id PoolID) bool {
+	other := id
+	other.Index = 1 - min(1, id.Index)
+	_, ok := h.specs[other]
+	return ok
+}
+
+// Observed calls f with each pool that this router observes.
+func (h *Host) Observed(f func(id PoolID, o *Observer)) {
+	for id, o := range h.observers {
+		if h.First(id).Instance == h.self {
+			f(id, o)
+		}
+	}
+}
+
+// Others returns the other pools of a pool's model.
+func (h *Host) Others(id PoolID) []PoolID {
+	var others []PoolID
+	for other := range h.specs {
+		if other.Model == id.Model && other.Index != id.Index {
+			others = append(others, other)
+		}
+	}
+	return others
+}
--- a/fleet/e2e/claims_test.go
+++ b/fleet/e2e/claims_test.go
@@ -402,21 +402,6 @@
 	}
 }
 
-// routerVars are the metrics that these tests read.
-type routerVars struct {
-	// View is how many routers are believed live.
-	View int `json:"control.routers"`
-	// Relayed is how many rows other routers wrote for this one.
-	Relayed int `json:"claims.relayedRows"`
-}
-
-func (r *router) vars(t *testing.T) routerVars {
-	t.Helper()
-	var vars routerVars
-	getJSON(t, "http://"+r.operators+"/debug/vars", &vars)
-	return vars
-}
-
 // askMany asks for count new keys at each router and returns their answers.
 func askMany(t *testing.T, routers []*router, to target, prefix string, count int) map[string]answer {
 	t.Helper()
--- a/fleet/e2e/harness_test.go
+++ b/fleet/e2e/harness_test.go
@@ -345,6 +345,24 @@
 	return revisions
 }
 
+// routerVars are the metrics that tests read.
+type routerVars struct {
+	// View is how many routers are believed live.
+	View int `json:"control.routers"`
+	// Withdrawn is how many endpoints are believed withdrawn.
+	Withdrawn int   `json:"control.withdrawn"`
+	SentBytes int64 `json:"peer.sentBytes"`
+	// Relayed is how many rows other routers wrote for this one.
+	Relayed int `json:"claims.relayedRows"`
+}
+
+func (r *router) vars(t *testing.T) routerVars {
+	t.Helper()
+	var vars routerVars
+	getJSON(t, "http://"+r.operators+"/debug/vars", &vars)
+	return vars
+}
+
 // answer is what a caller received.
 type answer struct {
 	status int
--- a/fleet/e2e/members_test.go
+++ b/fleet/e2e/members_test.go
@@ -158,19 +158,6 @@
 	}
 }
 
-// vars are the metrics that these tests read.
-type vars struct {
-	SentBytes int64 `json:"peer.sentBytes"`
-	Withdrawn int   `json:"control.withdrawn"`
-}
-
-func (r *router) vars(t *testing.T) vars {
-	t.Helper()
-	var v vars
-	getJSON(t, "http://"+r.operators+"/debug/vars", &v)
-	return v
-}
-
 func (r *router) withdrawnCount(t *testing.T) int {
 	t.Helper()
 	return r.vars(t).Withdrawn
--- a/fleet/process/control/control.go
+++ b/fleet/process/control/control.go
@@ -66,6 +66,7 @@
 	config  *config.Core
 	isReady bool
 	heads   map[string]resource.Revision
+	routing *Routing
 	roster  roster
 	// history is what peers and watchers are answered from.
 	history        atomic.Pointer[config.History]
@@ -79,7 +80,10 @@
 	// announced is the last revision that the gossip core was told of.
 	announced resource.Revision
 	reads     *pacing.Reads
-	sweep     sweep
+	// isListRead says that the instance list was read and that routing has yet
+	// to hear of it, once the routers in it are in the published view.
+	isListRead bool
+	sweep      sweep
 	// tickedAt is the time since startedAt, in nanoseconds, of the last tick.
 	tickedAt  atomic.Int64
 	startedAt time.Time
@@ -100,6 +104,7 @@
 		events:  make(chan any, eventQueue),
 		config:  config.New(xxhash.Sum64String(options.Self.Instance)),
 		heads:   make(map[string]resource.Revision),
+		routing: newRouting(options.Self, options.Peers),
 
 		gossip:    gossip.New(options.Self, options.Self.Incarnation),
 		reads:     pacing.NewReads(time.Now(), options.Self.Incarnation),
@@ -116,6 +121,11 @@
 	return l.state.Load()
 }
 
+// Routing returns the part that places requests.
+func (l *Loop) Routing() *Routing {
+	return l.routing
+}
+
 // Post hands an event to the control goroutine. A full queue drops and counts
 // it, so that traffic never waits.
 func (l *Loop) Post(event any) {
@@ -135,6 +145,8 @@
 func (l *Loop) Run(ctx context.Context) {
 	tick := time.NewTicker(membership.TickInterval)
 	defer tick.Stop()
+	go l.routing.run(ctx)
+	go l.routing.readLoads(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -191,10 +203,12 @@
 		Withdrawn:  l.gossip.Withdrawn(),
 		admitted:   admittedAddresses(snapshot, l.gossip.Withdrawn()),
 	})
+	l.routing.update(snapshot, l.gossip.Withdrawn(), l.gossip.View())
 }
 
 // Register sets the handlers of the calls that this part answers.
 func (l *Loop) Register(server *peer.Server) {
 	server.Register(peer.TypeHeartbeat, peer.Handle(l.answerHeartbeat))
 	server.Register(peer.TypeChanges, peer.Handle(l.answerChanges))
+	l.routing.register(server)
 }
--- a/fleet/process/control/members.go
+++ b/fleet/process/control/members.go
@@ -64,6 +64,10 @@
 		l.noteChange()
 		l.publish()
 	}
+	if l.isListRead {
+		l.isListRead = false
+		l.routing.listed()
+	}
 	for _, send := range ready.Send {
 		go l.send(ctx, send, now)
 	}
--- a/fleet/process/control/reads.go
+++ b/fleet/process/control/reads.go
@@ -86,6 +86,7 @@
 	}
 	l.gossip.Step(gossip.ListRead{At: e.at, SentAt: e.sentAt, Routers: routers, Endpoints: endpoints})
 	l.reads.ListRead(e.at, l.slot(), len(e.instances)*listedBytes)
+	l.isListRead = true
 }
 
 func routerOf(instance platform.Instance) membership.Router {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -31,6 +31,9 @@
 	TokenDelay time.Duration
 	// Tokens is the length of an answer; zero means 8.
 	Tokens int
+	// Slots is how many requests the engine says it runs at once; zero means it
+	// does not say.
+	Slots int
 	// ChecksFencing makes the engine refuse numbers below the highest it saw for a key.
 	ChecksFencing bool
 }
@@ -89,9 +92,11 @@
 	faults   Faults
 	runs     []Run
 	inFlight int
-	fencing  map[string]fencing
-	lastID   string
-	answers  answers
+	// maxInFlight is the highest that inFlight was.
+	maxInFlight int
+	fencing     map[string]fencing
+	lastID      string
+	answers     answers
 }
 
 // New returns a stand-in.
@@ -139,6 +144,7 @@
 	}
 	s.lastID = id
 	s.inFlight++
+	s.maxInFlight = max(s.maxInFlight, s.inFlight)
 	deadline, _ := strconv.ParseInt(r.Header.Get(HeaderDeadline), 10, 64)
 	s.runs = append(s.runs, Run{
 		RequestID:       id,
@@ -238,7 +244,7 @@
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, map[string]int{"inFlight": s.inFlight})
+	writeJSON(w, map[string]int{"inFlight": s.inFlight, "maxInFlight": s.maxInFlight, "slots": s.options.Slots})
 }
 
 func (s *Server) listRuns(w http.ResponseWriter, _ *http.Request) {
