End the claims writer at once, and refuse what still waits

Cause: Close waited until every held write had its own paced transaction, half a minute after TestWriterRefusesWhenTheQueueIsFull and for ever when more arrived.

Change: Close stops admission, lets the batch under way end, and refuses the rest, which were certainly not written.

--- a/fleet/request/claims/writer.go
+++ b/fleet/request/claims/writer.go
@@ -44,6 +44,9 @@
 	queue   chan pendingWrite
 	stop    chan struct{}
 	stopped sync.WaitGroup
+	// admission guards isClosed, so that no write is queued after Close began.
+	admission sync.RWMutex
+	isClosed  bool
 	// held are writes that wait for the next transaction because their row is
 	// in this one. Only the writer's goroutine uses it.
 	held []pendingWrite
@@ -57,8 +60,12 @@
 	return w
 }
 
-// Close ends the writer. No Do may be under way or follow.
+// Close ends the writer after the batch under way. Writes that still wait, and
+// those that follow, are refused.
 func (w *Writer) Close() {
+	w.admission.Lock()
+	w.isClosed = true
+	w.admission.Unlock()
 	close(w.stop)
 	w.stopped.Wait()
 }
@@ -83,18 +90,29 @@
 
 func (w *Writer) enqueue(write Write) <-chan claim.Event {
 	pending := pendingWrite{Write: write, result: make(chan claim.Event, 1)}
+	w.admission.RLock()
+	defer w.admission.RUnlock()
+	if w.isClosed {
+		pending.refuse()
+		return pending.result
+	}
 	select {
 	case w.queue <- pending:
 	default:
 		writesRefused.Add(1)
-		pending.result <- claim.WriteRefused{}
+		pending.refuse()
 	}
 	return pending.result
 }
 
+func (p pendingWrite) refuse() {
+	p.result <- claim.WriteRefused{}
+}
+
 func (w *Writer) loop() {
 	defer w.stopped.Done()
-	for {
+	defer w.refuseAll()
+	for !w.isStopping() {
 		batch, ok := w.collect()
 		if !ok {
 			return
@@ -107,6 +125,30 @@
 	}
 }
 
+func (w *Writer) isStopping() bool {
+	select {
+	case <-w.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// refuseAll refuses the writes that still wait when the writer ends.
+func (w *Writer) refuseAll() {
+	for _, pending := range w.held {
+		pending.refuse()
+	}
+	for {
+		select {
+		case pending := <-w.queue:
+			pending.refuse()
+		default:
+			return
+		}
+	}
+}
+
 // collect waits for a write and takes those that wait with it.
 func (w *Writer) collect() ([]pendingWrite, bool) {
 	if len(w.held) > 0 {
