Call idle routers to the observer that waits for them

Cause: an observer grants only once every live router has registered with it. A router that asks for nothing learns of a new observer only by the invitation of the former one, which is sent once and may be lost; then the new observer refused everything for ever. Seen on real processes: 7 routers, requests at one of them refused as load-bound for 30 s, in 2 of 3 runs of TestAnEndpointThatRefusesOneRouterIsLeftAloneByAll.

Ruled out: dead marks and isolation of the observer (all 7 in the view, list read); the endpoint's own refusal, which was never reached.

Change: an observer that waits invites the routers that it lacks every 2 s, and a router follows when its own view names that observer.

Real-process tests wait for what they mean: a paused router until it is ready, a router alone until it refuses as isolated, and a fleet until it places requests.

--- a/core/request/reservation/host.go
+++ b/core/request/reservation/host.go
@@ -161,6 +161,16 @@
 	return o
 }
 
+// Missing returns the routers that a pool's observer waits for, when that is
+// this router.
+func (h *Host) Missing(id PoolID) []string {
+	o, ok := h.observers[id]
+	if !ok || h.First(id).Instance != h.self {
+		return nil
+	}
+	return o.Missing()
+}
+
 // First returns the router that comes first as observer of the pool.
 func (h *Host) First(id PoolID) membership.Router {
 	return h.assignment.First(id)
--- a/core/request/reservation/message.go
+++ b/core/request/reservation/message.go
@@ -145,4 +145,7 @@
 	// Dead names the first observer, which does not run, or is empty when it
 	// sends the invitation itself because it comes first no more.
 	Dead string
+	// IsWaiting says that the observer itself sends the invitation: it comes
+	// first and grants nothing until the invited router has registered.
+	IsWaiting bool
 }
--- a/core/request/reservation/observer.go
+++ b/core/request/reservation/observer.go
@@ -1,6 +1,7 @@
 package reservation
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -227,6 +228,22 @@
 	return o.isIncumbent && !o.isIsolated
 }
 
+// Missing returns the live routers without which this observer does not serve,
+// sorted.
+func (o *Observer) Missing() []string {
+	if o.IsServing() {
+		return nil
+	}
+	var missing []string
+	for instance := range o.live {
+		if r, ok := o.routers[instance]; !ok || !r.isRegistered {
+			missing = append(missing, instance)
+		}
+	}
+	slices.Sort(missing)
+	return missing
+}
+
 // countRouters reports whether the observer may grant by what routers it knows.
 func (o *Observer) countRouters() bool {
 	isComplete := len(o.live) > 0
--- a/core/request/routing/calls.go
+++ b/core/request/routing/calls.go
@@ -105,8 +105,46 @@
 	}
 }
 
+// missingInterval is the time between two invitations to routers that an
+// observer waits for.
+const missingInterval = 2 * time.Second
+
+// inviteMissing invites the routers that the observers here wait for. An idle
+// router would not learn by asking that it is registered with a former observer.
+func (n *Node) inviteMissing(now time.Time) {
+	if now.Sub(n.invitedMissing) < missingInterval {
+		return
+	}
+	n.invitedMissing = now
+	for _, id := range n.ids {
+		for _, instance := range n.host.Missing(id) {
+			router, isLive := n.view.Find(instance)
+			if !isLive || instance == n.self {
+				continue
+			}
+			self := n.host.First(id)
+			n.send(now, router, &reservation.Invitation{Pool: id, Observer: self.Instance, Address: self.PeerAddress, IsWaiting: true}, nil)
+		}
+	}
+}
+
+// follow registers with an observer that waits for this router, unless this
+// router's view names another one.
+func (n *Node) follow(now time.Time, m *reservation.Invitation) {
+	if n.host.First(m.Pool).Instance != m.Observer {
+		return
+	}
+	n.ledger.Unregister(m.Pool, m.Observer)
+	n.ledger.Redirect(now, m.Pool, membership.Router{Instance: m.Observer, PeerAddress: m.Address})
+	n.register(now, m.Pool)
+}
+
 // invited follows an invitation.
 func (n *Node) invited(now time.Time, m *reservation.Invitation) {
+	if m.IsWaiting {
+		n.follow(now, m)
+		return
+	}
 	if m.Dead != "" {
 		n.abandon(now, m.Pool, m.Dead, true)
 		return
--- a/core/request/routing/cluster_test.go
+++ b/core/request/routing/cluster_test.go
@@ -76,6 +76,11 @@
 )
 
 func newCluster(seed uint64, routers, engines int, bound float64) *cluster {
+	return newClusterSeeing(seed, routers, engines, bound, nil)
+}
+
+// newClusterSeeing is newCluster with first views from which hide leaves out.
+func newClusterSeeing(seed uint64, routers, engines int, bound float64, hide func(from, to *fakeRouter) bool) *cluster {
 	c := &cluster{
 		rng:    rand.New(rand.NewPCG(seed, 7)),
 		now:    time.Unix(1e9, 0),
@@ -89,7 +94,7 @@
 	for i := range routers {
 		c.nodes = append(c.nodes, c.newRouter(fmt.Sprintf("router-%d", i), 1))
 	}
-	c.setViews(nil)
+	c.setViews(hide)
 	for _, r := range c.nodes {
 		c.every(reservation.TickInterval, func() { c.tick(r) })
 	}
--- a/core/request/routing/node.go
+++ b/core/request/routing/node.go
@@ -44,7 +44,9 @@
 	// releasing pools wait for the answer to a release before they send another.
 	releasing map[reservation.PoolID]bool
 	probed    map[reservation.PoolID]time.Time
-	ready     Ready
+	// invitedMissing is when routers that observers here wait for were last invited.
+	invitedMissing time.Time
+	ready          Ready
 }
 
 // request is one request between Place and Done.
@@ -268,6 +270,7 @@
 	}
 	n.askWaiting(now)
 	n.sendTotals(now)
+	n.inviteMissing(now)
 	for _, demand := range n.limiter.Demands(now, n.self) {
 		n.send(now, admission.HomeOf(n.view, demand.Account), &demand, nil)
 	}
--- a/core/request/routing/node_test.go
+++ b/core/request/routing/node_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"gentianhead/core/request/reservation"
 	"gentianhead/core/request/retry"
 )
 
@@ -153,3 +154,26 @@
 	}
 	assert.Assert(t, float64(allowed) <= retry.Ratio*requests+retry.RouterReserve, "%d retries", allowed)
 }
+
+// An idle router learns of no new observer by asking. When the invitation of the
+// former observer is lost, it stays registered there, and the new observer waits
+// for it.
+func TestIdleRouterIsCalledToTheObserverThatWaitsForIt(t *testing.T) {
+	first := newCluster(1, 7, 2, 1.25).observer().name
+	c := newClusterSeeing(1, 7, 2, 1.25, func(from, to *fakeRouter) bool { return to.name == first && from.name != first })
+	c.run(time.Second)
+	c.intercept = func(_, _ *fakeRouter, call Call) fate {
+		_, isInvitation := call.Message.(*reservation.Invitation)
+		return fate{isQuestionLost: isInvitation}
+	}
+	c.setViews(nil)
+	c.run(time.Second)
+	c.intercept = nil
+	c.run(5 * time.Second)
+	asking := c.nodes[0]
+	asking.Place(c.now, Ask{Model: "m", Account: "a", Chat: 1})
+	c.drain(asking)
+	c.run(5 * time.Second)
+	assert.Equal(t, c.admitted, 1, "%d refused", c.refused)
+	assert.Equal(t, c.violations, 0)
+}
--- a/fleet/e2e/claims_test.go
+++ b/fleet/e2e/claims_test.go
@@ -338,6 +338,8 @@
 		after := f.routers[1].again(t, to, key)
 		paused.signal(syscall.SIGCONT)
 		eventually(t, "the router is back", func() bool { return f.routers[1].vars(t).View == 2 })
+		// It refuses work as isolated until it has refreshed what it believed.
+		paused.awaitReady(t)
 		return []answer{during, after}
 	})
 }
--- a/fleet/e2e/members_test.go
+++ b/fleet/e2e/members_test.go
@@ -128,11 +128,15 @@
 func TestAnEndpointThatRefusesOneRouterIsLeftAloneByAll(t *testing.T) {
 	for _, size := range []int{3, 7} {
 		f := startFleet(t, size, 2)
+		askNewChat := func() int {
+			return f.routers[0].ask(t.Context(), http.MethodPost, "/v1/chat/completions", chatText(false), "X-Chat-Id", fmt.Sprint(time.Now().UnixNano())).status
+		}
+		eventually(t, "the router places requests", func() bool { return askNewChat() == http.StatusOK })
 		since := time.Now()
 		f.engines[0].setFaults(t, map[string]any{"withdrawn": true})
 		eventually(t, "one router is refused", func() bool {
-			answer := f.routers[0].ask(t.Context(), http.MethodPost, "/v1/chat/completions", chatText(false), "X-Chat-Id", fmt.Sprint(time.Now().UnixNano()))
-			return answer.status != http.StatusOK || f.routers[0].withdrawnCount(t) > 0
+			askNewChat()
+			return f.routers[0].withdrawnCount(t) > 0
 		})
 		eventually(t, "all routers know", func() bool {
 			for _, r := range f.routers {
@@ -192,16 +196,18 @@
 		r.signal(syscall.SIGSTOP)
 	}
 	since := time.Now()
-	var refused answer
-	eventually(t, "the router refuses work", func() bool {
-		refused = last.ask(t.Context(), http.MethodPost, "/v1/chat/completions", chatText(false))
-		return refused.status != http.StatusOK
+	// Before that it may refuse because the observer of the engines is silent.
+	eventually(t, "the router refuses work for its isolation", func() bool {
+		refused := last.ask(t.Context(), http.MethodPost, "/v1/chat/completions", chatText(false))
+		if refused.status == http.StatusOK {
+			return false
+		}
+		assert.Equal(t, refused.outcome(), "not-run", string(refused.body))
+		assert.Assert(t, refused.header.Get("Retry-After") != "")
+		return bytes.Contains(refused.body, []byte(`"isolated"`))
 	})
 	assert.Assert(t, time.Since(since) <= isolationTarget, "%v", time.Since(since))
-	t.Logf("refused work %v after it lost contact", time.Since(since))
-	assert.Equal(t, refused.outcome(), "not-run", string(refused.body))
-	assert.Assert(t, bytes.Contains(refused.body, []byte(`"isolated"`)), string(refused.body))
-	assert.Assert(t, refused.header.Get("Retry-After") != "")
+	t.Logf("refused work as isolated %v after it lost contact", time.Since(since))
 
 	for _, r := range f.routers[:2] {
 		r.signal(syscall.SIGCONT)
