Run the tests of real processes side by side, and never from the cache

Cause: make check took 5 m 15 s, most of it in fleet/e2e, whose tests wait for stores and leases one after the other at a load of 1 on 10 cores. The test cache could also pass fleet/e2e after a change under fleet/, since it does not see which programs the tests start.

Change: tests of configuration, membership and the path run in parallel, at most 6 at once and beside the other packages; fleet/e2e is never cached.

The three tests that measure load or bytes still run alone.

--- a/fleet/e2e/config_test.go
+++ b/fleet/e2e/config_test.go
@@ -96,6 +96,7 @@
 }
 
 func TestLostWriteAnswerNeitherDoublesNorRefuses(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 0)
 	r := f.routers[0]
 	before := r.ownRevision(t)
@@ -117,6 +118,7 @@
 }
 
 func TestAcceptedIsInForceOnSevenRouters(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 7, 0)
 	var took []time.Duration
 	for i := range 8 {
@@ -149,6 +151,7 @@
 }
 
 func TestStoreOutageKeepsTrafficAndNeverReverts(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3, 1)
 	stops := []func(){watchRevision(t, f.routers[0]), watchRevision(t, f.routers[1])}
 	before := f.routers[0].ownRevision(t)
@@ -183,6 +186,7 @@
 }
 
 func TestPausedRouterCatchesUpWithoutReverting(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3, 0)
 	paused := f.routers[2]
 	stop := watchRevision(t, paused)
@@ -210,6 +214,7 @@
 }
 
 func TestResourceInterfaceRefusesBadInputClearly(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 0)
 	r := f.routers[0]
 	account := `{"kind":"client-account","name":"b","clientAccount":{"tokenSha256":"` + accountDigest + `"}}`
@@ -253,6 +258,7 @@
 }
 
 func TestWatchSaysWhenItCannotResume(t *testing.T) {
+	t.Parallel()
 	platform := startStandin(t, "platform")
 	rows := []storedRow{
 		{"config/head", []byte(`{"revision":10,"digest":0}`)},
--- a/fleet/e2e/members_test.go
+++ b/fleet/e2e/members_test.go
@@ -93,20 +93,22 @@
 }
 
 func TestAWithdrawnEndpointGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{3, 7} {
 		for _, way := range []struct {
 			name     string
 			bound    time.Duration
-			withdraw func(f *fleet, name string, engine *standin)
+			withdraw func(t *testing.T, f *fleet, name string, engine *standin)
 		}{
-			{"operator", withdrawalTarget, func(f *fleet, name string, e *standin) { f.withdrawByOperator(t, name, e.url()) }},
-			{"list, leaving", listLag + withdrawalTarget, func(f *fleet, name string, e *standin) { f.list(t, name, e.url(), true) }},
-			{"list, gone", listLag + withdrawalTarget, func(f *fleet, name string, _ *standin) { f.unlist(t, name) }},
+			{"operator", withdrawalTarget, func(t *testing.T, f *fleet, name string, e *standin) { f.withdrawByOperator(t, name, e.url()) }},
+			{"list, leaving", listLag + withdrawalTarget, func(t *testing.T, f *fleet, name string, e *standin) { f.list(t, name, e.url(), true) }},
+			{"list, gone", listLag + withdrawalTarget, func(t *testing.T, f *fleet, name string, _ *standin) { f.unlist(t, name) }},
 		} {
 			if size == 7 && way.name == "list, gone" {
 				continue // The way from the list to the marks is that of "list, leaving".
 			}
 			t.Run(fmt.Sprintf("%d routers, %s", size, way.name), func(t *testing.T) {
+				t.Parallel()
 				f := startFleet(t, size, 3)
 				for i, engine := range f.engines {
 					f.list(t, fmt.Sprintf("engine-%d", i+1), engine.url(), false)
@@ -116,7 +118,7 @@
 				eventually(t, "the engine works", func() bool { return len(f.engines[0].runs(t)) > 10 })
 				<-time.After(listLag + time.Second)
 				since := time.Now()
-				way.withdraw(f, "engine-1", f.engines[0])
+				way.withdraw(t, f, "engine-1", f.engines[0])
 				took := lastRun(t, f.engines[0], since, 3*time.Second)
 				t.Logf("last new work %v after the withdrawal", took)
 				assert.Assert(t, took <= way.bound, "%v", took)
@@ -168,6 +170,7 @@
 }
 
 func TestAPausedRouterDoesNotSendToAnEndpointWithdrawnMeanwhile(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3, 2)
 	paused := f.routers[2]
 	traffic := f.startTraffic(t)
@@ -189,6 +192,7 @@
 }
 
 func TestARouterWithoutStoreAndPeersRefusesWork(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3, 1)
 	last := f.routers[2]
 	f.platform.setFaults(t, map[string]any{"down": true})
--- a/fleet/e2e/path_test.go
+++ b/fleet/e2e/path_test.go
@@ -10,6 +10,7 @@
 )
 
 func TestEveryRouterServesChatsAndServices(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3, 2)
 	for _, r := range f.routers {
 		whole := r.ask(t.Context(), http.MethodPost, "/v1/chat/completions", chatText(false), "X-Request-Id", "id-"+r.instance, "X-Chat-Id", "c")
@@ -28,6 +29,7 @@
 }
 
 func TestAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 1)
 	r := f.routers[0]
 	first := r.ask(t.Context(), http.MethodPost, "/v1/chat/completions", chatText(false))
@@ -40,6 +42,7 @@
 }
 
 func TestNonIdempotentCallWithoutKeyIsRefusedAsNotRun(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 1)
 	refused := f.routers[0].ask(t.Context(), http.MethodPost, "/v1/services/s/once", "{}")
 	assert.Equal(t, refused.outcome(), "not-run", string(refused.body))
@@ -47,6 +50,7 @@
 }
 
 func TestRouterStopsOnSIGTERM(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 1, 1)
 	f.routers[0].signal(syscall.SIGTERM)
 	assert.Equal(t, f.routers[0].exitCode(t), 0)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,9 +4,18 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 log=$(mktemp)
-trap 'rm -f "$log"' EXIT
+processes=$(mktemp)
+trap 'rm -f "$log" "$processes"' EXIT
 status=0
-go test -race -timeout 10m ./core/... ./fleet/... ./measure/... ./standin/... 2>&1 | tee "$log" || status=$?
+# The tests of real processes wait more than they work, so they run beside the
+# rest. The test cache does not know which programs they start: no cached result.
+go test -race -count=1 -parallel 6 -timeout 10m ./fleet/e2e >"$processes" 2>&1 &
+beside=$!
+packages=$(go list ./core/... ./fleet/... ./measure/... ./standin/... | grep -v /e2e)
+# shellcheck disable=SC2086
+go test -race -timeout 10m $packages 2>&1 | tee "$log" || status=$?
+wait "$beside" || status=$?
+tee -a "$log" <"$processes"
 known=$(sed -n 's/^test: //p' KNOWN-RED.txt)
 failed=$(sed -n 's/^ *--- FAIL: \([^ /]*\).*/\1/p' "$log" | sort -u)
 verdict=0
