Drop what placement no longer does

The routers also printed a warning of the schema library at each start.

Change: the picker serves plain services only; the resource body has no method, which the schema library could not embed. Behaviour is unchanged.

--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -1,8 +1,9 @@
-// Package placement decides which endpoint runs a request.
+// Package placement decides which server of a plain service runs a request.
+// Requests to models are placed by package routing, which keeps the load bound.
 //
-// A Picker is immutable but for its load counters and is replaced whole when
-// the configuration or the view changes. Pick is called from traffic
-// goroutines; Picker values are built by the control goroutine.
+// A Picker is immutable and is replaced whole when the configuration or the
+// view changes. Pick is called from traffic goroutines; Picker values are built
+// by the control goroutine.
 package placement
 
 import (
@@ -23,8 +24,6 @@
 	Service string
 	// Account is the client account that asks.
 	Account string
-	// PromptTokens estimates the length of the prompt.
-	PromptTokens int
 	// Excluded endpoints were tried already.
 	Excluded []string
 }
@@ -37,8 +36,7 @@
 	Done func()
 }
 
-// ErrNoEndpoint means that no endpoint serves the model or service. The request
-// was not run.
+// ErrNoEndpoint means that no endpoint serves the service. The request was not run.
 var ErrNoEndpoint = errors.New("no live endpoint")
 
 // Candidate is an endpoint that may be picked.
@@ -47,23 +45,19 @@
 	URL  string
 }
 
-// Picker picks one of the candidates of a model or service.
+// Picker picks one of the candidates of a service.
 type Picker struct {
-	byModel   map[string][]Candidate
 	byService map[string][]Candidate
 }
 
-// NewPicker returns a picker over these candidates.
-func NewPicker(byModel, byService map[string][]Candidate) *Picker {
-	return &Picker{byModel: byModel, byService: byService}
+// NewPicker returns a picker over the candidates of each service.
+func NewPicker(byService map[string][]Candidate) *Picker {
+	return &Picker{byService: byService}
 }
 
 // Pick returns the endpoint for a request, or ErrNoEndpoint.
 func (p *Picker) Pick(info PickInfo) (PickResult, error) {
-	candidates := p.byModel[info.Model]
-	if info.Service != "" {
-		candidates = p.byService[info.Service]
-	}
+	candidates := p.byService[info.Service]
 	best := -1
 	var bestScore uint64
 	for i, candidate := range candidates {
--- a/fleet/process/control/picker.go
+++ b/fleet/process/control/picker.go
@@ -6,22 +6,18 @@
 	"gentianhead/core/version/resource"
 )
 
-// newPicker builds the picker for the endpoints of a configuration that are not
+// newPicker builds the picker for the servers of plain services that are not
 // withdrawn.
 func newPicker(snapshot *resource.Snapshot, withdrawn *withdrawal.Set) *placement.Picker {
-	byModel := make(map[string][]placement.Candidate)
 	byService := make(map[string][]placement.Candidate)
 	for _, object := range snapshot.List(resource.KindEndpoint) {
 		if object.Endpoint.Withdrawn || withdrawn.Has(withdrawal.AddressOf(object.Endpoint.URL)) {
 			continue
 		}
 		candidate := placement.Candidate{Name: object.Name, URL: object.Endpoint.URL}
-		for _, model := range object.Endpoint.Models {
-			byModel[model] = append(byModel[model], candidate)
-		}
 		for _, service := range object.Endpoint.Services {
 			byService[service] = append(byService[service], candidate)
 		}
 	}
-	return placement.NewPicker(byModel, byService)
+	return placement.NewPicker(byService)
 }
--- a/fleet/request/admin/body.go
+++ b/fleet/request/admin/body.go
@@ -73,7 +73,7 @@
 }
 
 // object leaves the revision out: the system sets it.
-func (b ObjectBody) object() resource.Object {
+func objectOf(b ObjectBody) resource.Object {
 	return resource.Object{Kind: b.Kind, Name: b.Name, Endpoint: b.Endpoint, Account: b.Account, Model: b.Model, Service: b.Service}
 }
 
--- a/fleet/request/admin/write.go
+++ b/fleet/request/admin/write.go
@@ -45,7 +45,7 @@
 }
 
 func (a *api) put(ctx context.Context, in *putInput) (*acceptedOutput, error) {
-	object := in.Body.object()
+	object := objectOf(in.Body)
 	if object.Key() != in.key() {
 		return nil, huma.Error422UnprocessableEntity("kind and name of the body must be those of the path")
 	}
--- a/fleet/request/gateway/chat.go
+++ b/fleet/request/gateway/chat.go
@@ -11,9 +11,6 @@
 	"gentianhead/fleet/connection/engine"
 )
 
-// bytesPerToken estimates the tokens of a prompt from its length.
-const bytesPerToken = 4
-
 // chatRequest is the part of a chat request that the router reads.
 type chatRequest struct {
 	Model  string `json:"model"`
@@ -32,11 +29,10 @@
 		return notRun(http.StatusNotFound, outcome.CodeUnknownModel, "no model has this name").Problem
 	}
 	info := placement.PickInfo{
-		Chat:         x.chat,
-		Model:        request.Model,
-		Account:      x.account,
-		Prefix:       prefixKey(x.account, request.Messages),
-		PromptTokens: len(x.body) / bytesPerToken,
+		Chat:    x.chat,
+		Model:   request.Model,
+		Account: x.account,
+		Prefix:  prefixKey(x.account, request.Messages),
 	}
 	call := endpointCall{method: http.MethodPost, path: engine.ChatPath, isResumable: true}
 	return g.dispatch(ctx, x, info, call, func(response *http.Response) *outcome.Problem {
--- a/fleet/request/gateway/prefix.go
+++ b/fleet/request/gateway/prefix.go
@@ -10,7 +10,7 @@
 
 // minPrefixBytes is the shortest first message that is looked up as a prefix of
 // its own, such as a drawing file that several chats of an account share.
-const minPrefixBytes = 1024 * bytesPerToken
+const minPrefixBytes = 4096
 
 // prefixKey identifies the long first message of a chat within its account, or
 // is zero when there is none.
