Remove a callback that did nothing, and say once which endpoints are in service

Cause: placement's Done did nothing and was handed through the claims path, where it was called twice though documented as once. A counter of distrusted lists and a lookup of services were read by nobody.

Change: Done, the counter and the lookup are gone; isInService serves the gate, the picker and the routing.

--- a/core/process/withdrawal/withdrawal.go
+++ b/core/process/withdrawal/withdrawal.go
@@ -132,8 +132,6 @@
 	set        *Set
 	// hasNews says that the last event withdrew an endpoint.
 	hasNews bool
-	// distrusted counts lists from which most endpoints had vanished.
-	distrusted int
 }
 
 // New returns a core without marks.
@@ -151,11 +149,6 @@
 	return c.set
 }
 
-// Distrusted returns how many lists were not believed.
-func (c *Core) Distrusted() int {
-	return c.distrusted
-}
-
 // Step takes one event in and reports whether an endpoint was newly withdrawn,
 // which peers should hear at once.
 func (c *Core) Step(event Event) bool {
@@ -211,7 +204,6 @@
 		}
 	}
 	if c.isImplausible(listed) {
-		c.distrusted++
 		return
 	}
 	for address := range c.listed {
--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -32,8 +32,6 @@
 type PickResult struct {
 	Endpoint string
 	URL      string
-	// Done must be called once when the request has left the endpoint.
-	Done func()
 }
 
 // ErrNoEndpoint means that no endpoint serves the service. The request was not run.
@@ -71,7 +69,7 @@
 	if best < 0 {
 		return PickResult{}, ErrNoEndpoint
 	}
-	return PickResult{Endpoint: candidates[best].Name, URL: candidates[best].URL, Done: func() {}}, nil
+	return PickResult{Endpoint: candidates[best].Name, URL: candidates[best].URL}, nil
 }
 
 func isExcluded(excluded []string, name string) bool {
--- a/core/version/resource/snapshot.go
+++ b/core/version/resource/snapshot.go
@@ -110,11 +110,6 @@
 	return s.endpointsByModel[model]
 }
 
-// EndpointsOfService is EndpointsOfModel for plain services.
-func (s *Snapshot) EndpointsOfService(service string) []string {
-	return s.endpointsByService[service]
-}
-
 // AccountByToken returns the client account whose token has this SHA-256, in
 // lower-case hex. A map lookup on a digest does not leak the token by its timing.
 func (s *Snapshot) AccountByToken(tokenSHA256 string) (string, bool) {
--- a/fleet/process/control/gate.go
+++ b/fleet/process/control/gate.go
@@ -23,14 +23,19 @@
 	return addresses
 }
 
+// isInService reports whether an endpoint is withdrawn neither by the
+// configuration nor otherwise.
+func isInService(endpoint *resource.Endpoint, withdrawn *withdrawal.Set) bool {
+	return !endpoint.Withdrawn && !withdrawn.Has(withdrawal.AddressOf(endpoint.URL))
+}
+
 // admittedAddresses returns the addresses of endpoints that are configured and
 // not withdrawn.
 func admittedAddresses(snapshot *resource.Snapshot, withdrawn *withdrawal.Set) map[string]bool {
 	admitted := make(map[string]bool)
 	for _, object := range snapshot.List(resource.KindEndpoint) {
-		address := withdrawal.AddressOf(object.Endpoint.URL)
-		if !object.Endpoint.Withdrawn && !withdrawn.Has(address) {
-			admitted[address] = true
+		if isInService(object.Endpoint, withdrawn) {
+			admitted[withdrawal.AddressOf(object.Endpoint.URL)] = true
 		}
 	}
 	return admitted
--- a/fleet/process/control/picker.go
+++ b/fleet/process/control/picker.go
@@ -11,7 +11,7 @@
 func newPicker(snapshot *resource.Snapshot, withdrawn *withdrawal.Set) *placement.Picker {
 	byService := make(map[string][]placement.Candidate)
 	for _, object := range snapshot.List(resource.KindEndpoint) {
-		if object.Endpoint.Withdrawn || withdrawn.Has(withdrawal.AddressOf(object.Endpoint.URL)) {
+		if !isInService(object.Endpoint, withdrawn) {
 			continue
 		}
 		candidate := placement.Candidate{Name: object.Name, URL: object.Endpoint.URL}
--- a/fleet/process/control/reservation.go
+++ b/fleet/process/control/reservation.go
@@ -107,9 +107,9 @@
 
 // liveEngines returns the engines of a model that are not withdrawn.
 func liveEngines(snapshot *resource.Snapshot, withdrawn *withdrawal.Set, model string) []string {
-	return lo.Reject(snapshot.EndpointsOfModel(model), func(name string, _ int) bool {
+	return lo.Filter(snapshot.EndpointsOfModel(model), func(name string, _ int) bool {
 		object, _ := snapshot.Get(resource.KindEndpoint, name)
-		return withdrawn.Has(withdrawal.AddressOf(object.Endpoint.URL))
+		return isInService(object.Endpoint, withdrawn)
 	})
 }
 
--- a/fleet/request/claims/claims.go
+++ b/fleet/request/claims/claims.go
@@ -69,8 +69,6 @@
 	EndpointURL string
 	// IsFenced says that the endpoint checks fencing numbers.
 	IsFenced bool
-	// Done is called once, when the request has left the endpoint.
-	Done func()
 }
 
 // Manager answers asks. It is safe for concurrent use.
@@ -111,15 +109,12 @@
 // request goes on without its caller.
 func (m *Manager) Do(ctx context.Context, ask Ask) claim.Verdict {
 	if verdict := claim.CheckKeyTime(keyTime(ask.ID.Key, time.Now()), time.Now()); verdict != nil {
-		ask.Done()
 		return *verdict
 	}
 	if m.isFull() {
-		ask.Done()
 		return claim.Overloaded(ask.IsRepeat)
 	}
 	if !m.enter(ask.ID) {
-		ask.Done()
 		return claim.InProgress()
 	}
 	ask.IsRepeat = m.recent.add(ask.ID) || ask.IsRepeat
--- a/fleet/request/claims/endpoint.go
+++ b/fleet/request/claims/endpoint.go
@@ -47,7 +47,6 @@
 func (r *run) send(s claim.Send) claim.Event {
 	ctx, span := r.startSpan("endpoint " + r.ask.Endpoint)
 	defer span.End()
-	defer r.ask.Done()
 	ctx, cancel := context.WithTimeout(ctx, r.manager.options.SendTimeout)
 	defer cancel()
 	header := r.header(s.Fencing)
--- a/fleet/request/claims/run.go
+++ b/fleet/request/claims/run.go
@@ -50,7 +50,6 @@
 // loop steps the attempt until it is done. callerGone is closed when the
 // caller's time is over or it disconnected.
 func (r *run) loop(callerGone <-chan struct{}) {
-	defer r.ask.Done()
 	action := r.step(claim.Started{})
 	for action != nil {
 		events := make(chan claim.Event, 1)
--- a/fleet/request/claims/send_test.go
+++ b/fleet/request/claims/send_test.go
@@ -54,7 +54,7 @@
 func newAsk(method, url, key string, body []byte) Ask {
 	return Ask{
 		ID: claim.ID{Account: "a", Key: key}, RequestID: "id", Service: "s", Method: method, Target: "/once", Body: body,
-		Endpoint: "endpoint", EndpointURL: url, Done: func() {},
+		Endpoint: "endpoint", EndpointURL: url,
 	}
 }
 
--- a/fleet/request/gateway/atmostonce.go
+++ b/fleet/request/gateway/atmostonce.go
@@ -38,10 +38,9 @@
 		ContentType: x.r.Header.Get("Content-Type"),
 		Body:        x.body,
 		IsRepeat:    x.r.Header.Get(HeaderRepeat) == "true",
-		Done:        func() {},
 	}
 	if picked, err := x.state.Picker.Pick(info); err == nil {
-		ask.Endpoint, ask.EndpointURL, ask.Done = picked.Endpoint, picked.URL, picked.Done
+		ask.Endpoint, ask.EndpointURL = picked.Endpoint, picked.URL
 		ask.IsFenced = isFenced(x.state.Config, picked.Endpoint)
 	}
 	verdict := g.options.Claims.Do(ctx, ask)
--- a/measure/claims/load.go
+++ b/measure/claims/load.go
@@ -69,7 +69,7 @@
 	verdict := router.Do(context.Background(), claims.Ask{
 		ID: claim.ID{Account: "a", Key: fmt.Sprintf("key-%d-%d", l.rate, number)}, RequestID: "id", Service: "s",
 		Method: http.MethodPost, Target: "/once", Body: body,
-		Endpoint: "endpoint", EndpointURL: l.fleet.endpoint.URL, Done: func() {},
+		Endpoint: "endpoint", EndpointURL: l.fleet.endpoint.URL,
 	})
 	if verdict.Outcome != outcome.Completed {
 		l.wrong.Add(1)
