--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The daily commands. README.md explains them.
 GO ?= go
-MODULES = ./core/... ./fleet/... ./measure/... ./standin/...
-FORMATTED = core fleet measure standin
+MODULES = ./core/... ./fleet/... ./measure/... ./platform/... ./standin/...
+FORMATTED = core fleet measure platform standin
 SEED ?= 1
 N ?= 1000
 
--- /dev/null
+++ b/core/process/presence/presence.go
@@ -0,0 +1,182 @@
+// Package presence decides which routers take callers and how much work each of
+// them has sent to each endpoint. Every router sends a beacon to all others it
+// knows; a beacon carries its sender's state whole, so that a lost one costs
+// nothing but time.
+//
+// The interval of beacons grows with the fleet, which bounds what a router
+// sends and receives. Two routers may disagree for seconds; a promise to callers
+// never depends on their agreeing.
+//
+// The core has no I/O, clock or goroutine; one goroutine uses it. Times are
+// readings of a clock that counts suspension.
+package presence
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// MinInterval is the time between two beacons in a small fleet.
+	MinInterval = 250 * time.Millisecond
+	// perRouter is what each router of the fleet adds to the interval, which keeps
+	// a router below 100 beacons a second in either direction.
+	perRouter = 10 * time.Millisecond
+	// silentBeacons is how many beacons in a row have to be missing before a
+	// router is taken for gone. Single datagrams get lost.
+	silentBeacons = 4
+	// forgetAfter is how long a silent router is still sent beacons.
+	forgetAfter = 60 * time.Second
+	// maxMentions is how many other routers a beacon mentions.
+	maxMentions = 4
+	// maxMembers bounds the routers that are remembered.
+	maxMembers = 4096
+	// gapLimit is the time without a tick after which a router takes itself for
+	// paused. What it did not hear in that time says nothing about others.
+	gapLimit = time.Second
+)
+
+// Work is what a router has sent to an endpoint and is not finished.
+type Work struct {
+	Running int `msgpack:"r"`
+	// Prefill is the number of prompt tokens that the endpoint has yet to read.
+	Prefill int `msgpack:"p,omitempty"`
+}
+
+// Beacon is a router's state.
+type Beacon struct {
+	Instance string `msgpack:"i"`
+	Zone     string `msgpack:"z"`
+	// Address is where callers connect.
+	Address string `msgpack:"a"`
+	// Peer is where datagrams of other routers go to.
+	Peer string `msgpack:"p"`
+	// Start tells the processes of one instance apart; the newer has the higher.
+	Start int64 `msgpack:"s"`
+	// IsServing is false while the router should not be given callers.
+	IsServing bool `msgpack:"v,omitempty"`
+	// Version is the configuration's version in force on the sender.
+	Version int64           `msgpack:"c,omitempty"`
+	Work    map[string]Work `msgpack:"w,omitempty"`
+	// Mentions are the Peer addresses of a few other routers.
+	Mentions []string `msgpack:"m,omitempty"`
+}
+
+// Member is a router as this one knows it.
+type Member struct {
+	Beacon
+	heardAt time.Duration
+}
+
+// Core holds the presence of one router's peers.
+type Core struct {
+	random  *rand.Rand
+	self    string
+	members map[string]*Member
+	// unheard holds addresses that were learnt and have not answered, with the
+	// time until which they are tried.
+	unheard  map[string]time.Duration
+	nextSend time.Duration
+	lastTick time.Duration
+}
+
+// New returns a core that knows nobody but the address self.
+func New(self string, seed uint64) *Core {
+	return &Core{
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		self:    self,
+		members: make(map[string]*Member),
+		unheard: make(map[string]time.Duration),
+	}
+}
+
+// Learn adds an address at which a router may be found.
+func (c *Core) Learn(now time.Duration, peer string) {
+	if _, err := netip.ParseAddrPort(peer); err != nil || peer == c.self || c.isMember(peer) || len(c.unheard) >= maxMembers {
+		return
+	}
+	if _, known := c.unheard[peer]; !known {
+		c.unheard[peer] = now + forgetAfter
+	}
+}
+
+func (c *Core) isMember(peer string) bool {
+	_, known := c.members[peer]
+	return known
+}
+
+// Heard takes a beacon. It reports whether the sender was not known before and
+// should be sent one at once.
+func (c *Core) Heard(now time.Duration, beacon Beacon) (isNew bool) {
+	if beacon.Peer == c.self || beacon.Peer == "" {
+		return false
+	}
+	known, isMember := c.members[beacon.Peer]
+	if isMember && beacon.Start < known.Start {
+		return false
+	}
+	if !isMember && len(c.members) >= maxMembers {
+		return false
+	}
+	delete(c.unheard, beacon.Peer)
+	c.members[beacon.Peer] = &Member{Beacon: beacon, heardAt: now}
+	for _, peer := range beacon.Mentions {
+		c.Learn(now, peer)
+	}
+	return !isMember
+}
+
+// interval is the time between two beacons of a router.
+func (c *Core) interval() time.Duration {
+	return max(MinInterval, time.Duration(len(c.members))*perRouter)
+}
+
+// Tick lets time pass and returns the addresses to send a beacon to now.
+func (c *Core) Tick(now time.Duration) []string {
+	if c.lastTick != 0 && now-c.lastTick > gapLimit {
+		for _, member := range c.members {
+			member.heardAt += now - c.lastTick
+		}
+	}
+	c.lastTick = now
+	if now < c.nextSend {
+		return nil
+	}
+	c.nextSend = now + c.interval()
+	return c.recipients(now)
+}
+
+// Everyone returns the addresses to send news to out of turn.
+func (c *Core) Everyone() []string {
+	return slices.Sorted(maps.Keys(c.members))
+}
+
+func (c *Core) recipients(now time.Duration) []string {
+	maps.DeleteFunc(c.members, func(_ string, m *Member) bool { return now-m.heardAt > forgetAfter })
+	maps.DeleteFunc(c.unheard, func(_ string, until time.Duration) bool { return now > until })
+	return append(slices.Collect(maps.Keys(c.members)), slices.Collect(maps.Keys(c.unheard))...)
+}
+
+// Mentions returns a few random members for a beacon.
+func (c *Core) Mentions() []string {
+	peers := slices.Sorted(maps.Keys(c.members))
+	c.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(len(peers), maxMentions)]
+}
+
+// Live returns the members that were heard from lately, sorted by instance.
+func (c *Core) Live(now time.Duration) []Member {
+	silence := silentBeacons * c.interval()
+	var live []Member
+	for _, member := range c.members {
+		if now-member.heardAt <= silence {
+			live = append(live, *member)
+		}
+	}
+	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	return live
+}
--- /dev/null
+++ b/core/request/balance/balance.go
@@ -0,0 +1,355 @@
+// Package balance places requests on endpoints.
+//
+// Every router places by itself, over what it sent, what the other routers last
+// said that they sent, and what endpoints tell with their answers. No request
+// waits for another router.
+//
+// For a model engine the unit of load is the prompt token that it has yet to
+// read: prompts are read in turn, and a running stream slows others far less
+// than a long prompt does. A request goes where the tokens before it and its own
+// tokens that are not cached there are fewest. Parts of prompts that several
+// requests share have home engines by rendezvous hash, on which all routers
+// agree without talking, so that a part is read on few engines.
+//
+// The core has no I/O, clock or goroutine. The owner serializes calls. Times are
+// readings of a steady clock.
+package balance
+
+import (
+	"time"
+
+	"gentianhead/core/process/endpoints"
+	"gentianhead/core/process/entry"
+	"gentianhead/core/process/presence"
+	"gentianhead/core/request/breaker"
+	"gentianhead/core/request/exchange"
+	"gentianhead/core/version/routetable"
+)
+
+const (
+	// streamTokens is how many prompt tokens one running stream delays a new
+	// request by: each adds to every step of the engine.
+	streamTokens = 150
+	// homes is how many engines are expected to hold a shared part.
+	homes = 2
+	// boundShare keeps a router's own picture below the load bound, since it lags.
+	boundShare = 0.75
+	// boundSlack is the number of requests above the bound that small means allow.
+	boundSlack = 2
+	// reportLife is how long what a silent router said of its work counts.
+	reportLife = 3 * time.Second
+	// toldLife is how long the load that an endpoint told counts.
+	toldLife = 250 * time.Millisecond
+	// plainQueue is how many requests may wait at a plain server for each slot.
+	plainQueue = 1.0
+)
+
+// Job is a request to be placed.
+type Job struct {
+	Service string
+	Prompt  *exchange.Prompt
+	// Excluded endpoints were tried already.
+	Excluded []string
+}
+
+// Placement is where a request goes. It has to be ended with Done.
+type Placement struct {
+	Endpoint endpoints.Entry
+	// prefill is the number of prompt tokens that the endpoint is expected to read.
+	prefill   int
+	isPrefill bool
+	start     int64
+}
+
+// Refusal says why a request was not placed.
+type Refusal uint8
+
+const (
+	// Accepted requests were placed.
+	Accepted Refusal = iota
+	// NoEndpoint serves the service.
+	NoEndpoint
+	// Full endpoints can take no more.
+	Full
+)
+
+// endpointState is what is known of one endpoint.
+type endpointState struct {
+	entry   endpoints.Entry
+	own     presence.Work
+	peers   presence.Work
+	told    exchange.Load
+	toldAt  time.Duration
+	breaker breaker.Breaker
+	cache   *cache
+}
+
+// Core places the requests of one router.
+type Core struct {
+	loadFactor float64
+	prefixLife time.Duration
+	view       *endpoints.View
+	table      *routetable.Table
+	states     map[string]*endpointState
+	reports    map[string]report
+	random     func() float64
+}
+
+type report struct {
+	at   time.Duration
+	work map[string]presence.Work
+}
+
+// New returns a core without endpoints. No engine is to exceed loadFactor times
+// the mean load. Prompt parts that were not used for prefixLife are forgotten.
+// random returns points in [0, 1).
+func New(loadFactor float64, prefixLife time.Duration, random func() float64) *Core {
+	return &Core{
+		loadFactor: loadFactor,
+		prefixLife: prefixLife,
+		states:     make(map[string]*endpointState),
+		reports:    make(map[string]report),
+		random:     random,
+	}
+}
+
+// SetView replaces the endpoints that may be sent new work.
+func (c *Core) SetView(view *endpoints.View) { c.view = view }
+
+// SetTable replaces the version in force.
+func (c *Core) SetTable(table *routetable.Table) { c.table = table }
+
+// Report takes what another router has under way.
+func (c *Core) Report(now time.Duration, instance string, work map[string]presence.Work) {
+	c.reports[instance] = report{at: now, work: work}
+	for name, r := range c.reports {
+		if now-r.at > reportLife {
+			delete(c.reports, name)
+		}
+	}
+	for id, state := range c.states {
+		state.peers = presence.Work{}
+		for _, r := range c.reports {
+			state.peers.Running += r.work[id].Running
+			state.peers.Prefill += r.work[id].Prefill
+		}
+	}
+}
+
+// Work returns what this router has under way.
+func (c *Core) Work() map[string]presence.Work {
+	work := make(map[string]presence.Work)
+	for id, state := range c.states {
+		if state.own.Running > 0 {
+			work[id] = state.own
+		}
+	}
+	return work
+}
+
+// Place picks the endpoint for a request.
+func (c *Core) Place(now time.Duration, job Job) (Placement, Refusal) {
+	candidates := c.candidates(now, job)
+	if len(candidates) == 0 {
+		return Placement{}, NoEndpoint
+	}
+	service, _ := c.table.Service(job.Service)
+	var chosen *endpointState
+	var prefill int
+	if service != nil && service.Engine != nil {
+		chosen, prefill = c.pickEngine(now, job, candidates, service.Engine)
+	} else {
+		chosen = c.pickPlain(now, candidates)
+	}
+	if chosen == nil {
+		return Placement{}, Full
+	}
+	chosen.own.Running++
+	chosen.own.Prefill += prefill
+	chosen.breaker.Sent(now)
+	if job.Prompt != nil {
+		chosen.cache.add(now, job.Prompt.Parts)
+	}
+	return Placement{Endpoint: chosen.entry, prefill: prefill, isPrefill: prefill > 0, start: chosen.entry.StartedAt}, Accepted
+}
+
+// candidates returns the endpoints that may be used, the trusted ones only as
+// long as there are any.
+func (c *Core) candidates(now time.Duration, job Job) []*endpointState {
+	var trusted, all []*endpointState
+	for _, e := range c.view.Of(job.Service) {
+		state := c.state(e)
+		if isExcluded(job.Excluded, e.ID) {
+			continue
+		}
+		all = append(all, state)
+		if state.breaker.Allows(now) {
+			trusted = append(trusted, state)
+		}
+	}
+	if len(trusted) > 0 {
+		return trusted
+	}
+	return all
+}
+
+func isExcluded(excluded []string, id string) bool {
+	for _, e := range excluded {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
+
+// state returns what is known of an endpoint. A new start of an endpoint under
+// the same id begins anew.
+func (c *Core) state(e endpoints.Entry) *endpointState {
+	state, known := c.states[e.ID]
+	if !known || state.entry.StartedAt != e.StartedAt || state.entry.Address != e.Address {
+		state = &endpointState{cache: newCache(c.prefixLife)}
+		c.states[e.ID] = state
+	}
+	state.entry = e
+	return state
+}
+
+// running is the best guess of the requests at an endpoint.
+func (s *endpointState) running(now time.Duration) int {
+	running := s.own.Running + s.peers.Running
+	if s.toldAt != 0 && now-s.toldAt < toldLife {
+		running = max(running, s.told.Running+s.told.Waiting)
+	}
+	return running
+}
+
+// pickEngine returns the engine on which the request would begin first, among
+// those below the load bound, and the tokens that it would have to read.
+func (c *Core) pickEngine(now time.Duration, job Job, candidates []*endpointState, engine *routetable.Engine) (*endpointState, int) {
+	total := 0
+	for _, state := range candidates {
+		total += state.running(now)
+	}
+	bound := c.loadFactor*boundShare*float64(total+1)/float64(len(candidates)) + boundSlack
+	var best *endpointState
+	bestCost, bestPrefill := 0.0, 0
+	for _, state := range candidates {
+		running := state.running(now)
+		if running >= engine.Slots || float64(running) >= bound && len(candidates) > 1 {
+			continue
+		}
+		prefill := c.uncached(now, job.Prompt, state, candidates)
+		cost := float64(state.own.Prefill+state.peers.Prefill+prefill+running*streamTokens) + c.random()
+		if best == nil || cost < bestCost {
+			best, bestCost, bestPrefill = state, cost, prefill
+		}
+	}
+	return best, bestPrefill
+}
+
+// uncached returns the prompt tokens that the engine would have to read.
+func (c *Core) uncached(now time.Duration, prompt *exchange.Prompt, state *endpointState, candidates []*endpointState) int {
+	if prompt == nil {
+		return 0
+	}
+	held, count := state.cache.prefix(now, prompt.Parts)
+	tokens := 0
+	for _, part := range prompt.Parts[count:] {
+		tokens += part.Tokens
+	}
+	// The last part is the request's own; the one before is what requests share.
+	if shared := len(prompt.Parts) - 2; shared >= 0 && count <= shared && isHome(prompt.Parts[shared].ID, state, candidates) {
+		tokens -= (sum(prompt.Parts[:shared+1]) - held) / 2
+	}
+	return tokens
+}
+
+func sum(parts []exchange.Part) int {
+	tokens := 0
+	for _, part := range parts {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+// isHome reports whether an engine is one of the homes of a part.
+func isHome(part string, state *endpointState, candidates []*endpointState) bool {
+	own := entry.Score(part, state.entry.ID)
+	above := 0
+	for _, other := range candidates {
+		if other != state && entry.Score(part, other.entry.ID) > own {
+			above++
+		}
+	}
+	return above < homes
+}
+
+// pickPlain returns the server with the most room, or nil if none has any.
+func (c *Core) pickPlain(now time.Duration, candidates []*endpointState) *endpointState {
+	var best *endpointState
+	bestCost := 0.0
+	for _, state := range candidates {
+		share := float64(state.running(now)) / float64(state.entry.Slots)
+		if share >= 1+plainQueue {
+			continue
+		}
+		cost := share + c.random()/float64(state.entry.Slots)
+		if best == nil || cost < bestCost {
+			best, bestCost = state, cost
+		}
+	}
+	return best
+}
+
+// Begun notes that a stream's first event came: its prompt has been read.
+func (c *Core) Begun(p *Placement) {
+	if state := c.placed(p); state != nil && p.isPrefill {
+		state.own.Prefill -= p.prefill
+	}
+	p.isPrefill = false
+}
+
+// Done ends a placement. It reports whether the trust in the endpoint changed.
+func (c *Core) Done(now time.Duration, p *Placement, outcome breaker.Outcome) (isChanged bool) {
+	c.Begun(p)
+	state := c.placed(p)
+	if state == nil {
+		return false
+	}
+	state.own.Running--
+	return state.breaker.Report(now, outcome)
+}
+
+// Overdue notes that an endpoint has not answered in time, while the request
+// goes on.
+func (c *Core) Overdue(now time.Duration, p *Placement) (isChanged bool) {
+	if state := c.placed(p); state != nil {
+		return state.breaker.Report(now, breaker.Failed)
+	}
+	return false
+}
+
+// placed returns the endpoint of a placement, unless it has started anew since.
+func (c *Core) placed(p *Placement) *endpointState {
+	state := c.states[p.Endpoint.ID]
+	if state == nil || state.entry.StartedAt != p.start || state.entry.Address != p.Endpoint.Address {
+		return nil
+	}
+	return state
+}
+
+// Told takes the load that an endpoint told with an answer.
+func (c *Core) Told(now time.Duration, id string, load exchange.Load) {
+	if state, known := c.states[id]; known {
+		state.told, state.toldAt = load, now
+	}
+}
+
+// Tick forgets endpoints that are gone.
+func (c *Core) Tick() {
+	for id, state := range c.states {
+		if _, known := c.view.Find(id); !known && state.own.Running == 0 {
+			delete(c.states, id)
+		}
+	}
+}
--- a/fleet/cmd/gentianhead/main.go
+++ b/fleet/cmd/gentianhead/main.go
@@ -15,10 +15,12 @@
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 
+	"gentianhead/fleet/process/hosted"
 	"gentianhead/fleet/process/node"
 	"gentianhead/fleet/process/settings"
 	"gentianhead/fleet/process/telemetry"
 	"gentianhead/fleet/process/version"
+	"gentianhead/platform"
 )
 
 // Exit codes.
@@ -94,7 +96,7 @@
 				Name:      "serve",
 				Usage:     "gentianhead --settings FILE serve",
 				ShortHelp: "run the router until SIGTERM or SIGINT",
-				Exec:      func(ctx context.Context, _ []string) error { return serve(ctx, options, stderr) },
+				Exec:      func(ctx context.Context, _ []string) error { return serve(ctx, options, stdout, stderr) },
 			},
 			{
 				Name:      "check",
@@ -133,8 +135,11 @@
 	return s, nil
 }
 
-func serve(ctx context.Context, o *options, stderr io.Writer) error {
+func serve(ctx context.Context, o *options, stdout, stderr io.Writer) error {
 	stop, hurry := signalContexts(ctx)
+	if path := os.Getenv(platform.SettingsVariable); path != "" {
+		return serveHosted(stop, hurry, path, o, stdout)
+	}
 	s, err := o.load()
 	if err != nil {
 		return err
@@ -146,6 +151,29 @@
 	return n.Run(stop, hurry)
 }
 
+// serveHosted runs the router with the platform's settings file.
+func serveHosted(stop, hurry context.Context, path string, o *options, stdout io.Writer) error {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	logs := telemetry.NewQueue(stdout)
+	defer logs.Close()
+	logger := telemetry.NewLogger(logs, cmp.Or(*o.logLevel, "info"), cmp.Or(*o.logFormat, "json"))
+	r, err := hosted.New(s, logger)
+	if err != nil {
+		return err
+	}
+	ignoreHangup()
+	return r.Run(stop, hurry)
+}
+
+// ignoreHangup keeps SIGHUP, which tells of changed settings, from ending the
+// process. What the settings say now comes in force at the next start.
+func ignoreHangup() {
+	signal.Ignore(syscall.SIGHUP)
+}
+
 // signalContexts returns a context that ends with the first SIGTERM or SIGINT
 // and one that ends with the second. A third ends the process by the runtime's
 // default.
--- /dev/null
+++ b/fleet/connection/beacon/beacon.go
@@ -0,0 +1,76 @@
+// Package beacon carries the beacons of routers as datagrams with msgpack.
+// Datagrams suit them: each holds its sender's whole state, none is waited for,
+// and there is no connection that could fall silent.
+package beacon
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentianhead/core/process/presence"
+)
+
+// maxBytes is the largest datagram that is sent or accepted.
+const maxBytes = 32 << 10
+
+// Conn sends and receives beacons.
+type Conn struct {
+	conn *net.UDPConn
+}
+
+// Listen opens the socket at address.
+func Listen(address netip.AddrPort) (*Conn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, errors.Wrap(err, "beacon")
+	}
+	return &Conn{conn: conn}, nil
+}
+
+// Send sends a beacon to each address. Datagrams that can't be sent are counted.
+func (c *Conn) Send(beacon presence.Beacon, to []string) {
+	if len(to) == 0 {
+		return
+	}
+	encoded, err := msgpack.Marshal(beacon)
+	if err != nil || len(encoded) > maxBytes {
+		unsent.Add(int64(len(to)))
+		return
+	}
+	for _, address := range to {
+		peer, err := netip.ParseAddrPort(address)
+		if err == nil {
+			_, err = c.conn.WriteToUDPAddrPort(encoded, peer)
+		}
+		if err != nil {
+			unsent.Add(1)
+		}
+	}
+}
+
+// Receive hands each beacon to handle until the socket is closed.
+func (c *Conn) Receive(handle func(presence.Beacon)) {
+	buffer := make([]byte, maxBytes)
+	for {
+		n, _, err := c.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			unreadable.Add(1)
+			continue
+		}
+		var beacon presence.Beacon
+		if err := msgpack.Unmarshal(buffer[:n], &beacon); err != nil {
+			unreadable.Add(1)
+			continue
+		}
+		handle(beacon)
+	}
+}
+
+// Close closes the socket.
+func (c *Conn) Close() { _ = c.conn.Close() }
--- a/fleet/connection/engine/engine.go
+++ b/fleet/connection/engine/engine.go
@@ -21,6 +21,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"gentianhead/core/request/answer"
+	"gentianhead/fleet/connection/transport"
 )
 
 // Headers of requests and answers.
@@ -41,9 +42,9 @@
 
 var (
 	// ErrNotSent means that no byte of the request left this process.
-	ErrNotSent = errors.New("engine: request not sent")
+	ErrNotSent = transport.ErrNotSent
 	// ErrNoAnswer means that the request was sent and no answer came.
-	ErrNoAnswer = errors.New("engine: no answer")
+	ErrNoAnswer = transport.ErrNoAnswer
 	// ErrMismatched means that the answer carries another request's id.
 	ErrMismatched = errors.New("engine: answer to another request")
 	// ErrTruncated means that the answer ended before it was whole.
@@ -57,10 +58,9 @@
 
 // Connection limits of the client.
 const (
-	dialTimeout         = 2 * time.Second
-	idleConnTimeout     = 90 * time.Second
-	maxIdleConnsPerHost = 256
-	keepAliveInterval   = 15 * time.Second
+	dialTimeout       = 2 * time.Second
+	idleConnTimeout   = 90 * time.Second
+	keepAliveInterval = 15 * time.Second
 )
 
 // Request is one request to an endpoint.
@@ -91,21 +91,13 @@
 
 // NewClient returns a client that keeps connections to endpoints open.
 func NewClient() *Client {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
-	transport.DialContext = dialSealable(&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval})
-	transport.DisableCompression = true
-	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
-	transport.MaxIdleConns = 0
-	transport.IdleConnTimeout = idleConnTimeout
-	// HTTP/1.1 carries one request at a time on a connection, so that closing
-	// the connection of a crossed answer cuts off nobody else.
-	transport.ForceAttemptHTTP2 = false
-	transport.Protocols = new(http.Protocols)
-	transport.Protocols.SetHTTP1(true)
 	return &Client{
 		http: &http.Client{
-			Transport:     transport,
+			Transport: transport.New(transport.Options{
+				DialTimeout: dialTimeout,
+				IdleTimeout: idleConnTimeout,
+				KeepAlive:   net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval},
+			}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		cancels: make(chan struct{}, maxCancels),
@@ -171,20 +163,20 @@
 
 // send sends a request once and checks the head of its answer.
 func (c *Client) send(ctx context.Context, request Request, id string) (*http.Response, error) {
-	var used usage
-	httpRequest, err := newHTTPRequest(used.trace(ctx), request, id)
+	var used transport.Usage
+	httpRequest, err := newHTTPRequest(used.Trace(ctx), request, id)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	response, err := c.http.Do(httpRequest)
-	if err != nil && !used.giveUp() {
+	if err != nil && !used.GiveUp() {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
 	if err := checkHead(response, id); err != nil {
-		used.giveUp()
+		used.GiveUp()
 		_ = response.Body.Close()
 		c.noteRefusal(request.URL, err)
 		return nil, err
--- a/fleet/connection/engine/engine_test.go
+++ b/fleet/connection/engine/engine_test.go
@@ -122,16 +122,6 @@
 	assert.Equal(t, server.requests.Load(), int64(2))
 }
 
-func TestSealedConnectionSendsNothing(t *testing.T) {
-	near, far := net.Pipe()
-	defer far.Close()
-	conn := &sealableConn{Conn: near}
-	assert.Assert(t, !conn.seal(conn.mark()), "no byte was written")
-	n, err := conn.Write([]byte("late"))
-	assert.Equal(t, n, 0)
-	assert.ErrorIs(t, err, net.ErrClosed)
-}
-
 func TestUnreachableEndpointIsNotSent(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/fleet/connection/engine/conn.go
+++ b/fleet/connection/transport/conn.go
@@ -1,4 +1,4 @@
-package engine
+package transport
 
 import (
 	"context"
@@ -58,15 +58,16 @@
 	}
 }
 
-// usage follows the connection that one request gets.
-type usage struct {
+// Usage follows the connection that one request gets. The zero value is ready
+// for one request.
+type Usage struct {
 	mu   sync.Mutex
 	conn *sealableConn
 	mark int64
 }
 
-// trace returns ctx with a hook that tells u which connection the request got.
-func (u *usage) trace(ctx context.Context) context.Context {
+// Trace returns ctx with a hook that tells u which connection the request got.
+func (u *Usage) Trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn := info.Conn
 		if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
@@ -79,9 +80,9 @@
 	}})
 }
 
-// giveUp closes the request's connection, if it got one, and reports whether
+// GiveUp closes the request's connection, if it got one, and reports whether
 // any byte of the request may have left.
-func (u *usage) giveUp() bool {
+func (u *Usage) GiveUp() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.conn != nil && u.conn.seal(u.mark)
--- /dev/null
+++ b/fleet/connection/transport/conn_test.go
@@ -0,0 +1,18 @@
+package transport
+
+import (
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestSealedConnectionSendsNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	conn := &sealableConn{Conn: near}
+	assert.Assert(t, !conn.seal(conn.mark()), "no byte was written")
+	n, err := conn.Write([]byte("late"))
+	assert.Equal(t, n, 0)
+	assert.ErrorIs(t, err, net.ErrClosed)
+}
--- /dev/null
+++ b/fleet/process/hosted/control.go
@@ -0,0 +1,313 @@
+package hosted
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"gentianhead/core/process/endpoints"
+	"gentianhead/core/process/freshness"
+	"gentianhead/core/process/presence"
+	"gentianhead/core/version/routetable"
+	"gentianhead/fleet/connection/beacon"
+	"gentianhead/fleet/process/boottime"
+	"gentianhead/fleet/process/watch"
+	"gentianhead/fleet/request/relay"
+	"gentianhead/platform"
+)
+
+const (
+	// tickInterval is the time between two looks at what time alone changes.
+	tickInterval = 100 * time.Millisecond
+	// eventQueue is how many events may wait for the control goroutine.
+	eventQueue = 1024
+	// farewells is how often the beacon that says goodbye is sent, since single
+	// datagrams get lost.
+	farewells = 3
+)
+
+// state is what traffic reads. It is immutable.
+type state struct {
+	table *routetable.Table
+	lease freshness.Lease
+	// hasEndpoints says that the table of endpoints was read.
+	hasEndpoints bool
+	isLeaving    bool
+	// live are the other routers that were heard from lately.
+	live []presence.Member
+}
+
+// isReady reports whether this router should be given callers at now.
+func (s *state) isReady(now time.Duration) bool {
+	return s.table != nil && s.hasEndpoints && !s.isLeaving && s.lease.IsFresh(now)
+}
+
+// control owns the control state: one goroutine runs it and publishes states.
+type control struct {
+	settings *platform.Settings
+	balancer *relay.Balancer
+	beacons  *beacon.Conn
+	log      *slog.Logger
+	events   chan any
+	current  atomic.Pointer[state]
+	// dropped counts beacons that found the queue full.
+	dropped atomic.Int64
+
+	state     state
+	endpoints *endpoints.Core
+	presence  *presence.Core
+	start     int64
+	isAway    map[string]bool
+	isFresh   bool
+}
+
+// Events of the control goroutine.
+type (
+	beaconHeard  struct{ beacon presence.Beacon }
+	routersKnown struct{ peers []string }
+	leaveAsked   struct{ done chan struct{} }
+)
+
+func newControl(settings *platform.Settings, balancer *relay.Balancer, beacons *beacon.Conn, start int64, log *slog.Logger) *control {
+	c := &control{
+		settings:  settings,
+		balancer:  balancer,
+		beacons:   beacons,
+		log:       log,
+		events:    make(chan any, eventQueue),
+		state:     state{lease: freshness.NewLease(settings.SecretLife)},
+		endpoints: endpoints.New(),
+		presence:  presence.New(settings.Peers.String(), uint64(start)),
+		start:     start,
+		isAway:    make(map[string]bool),
+	}
+	for _, seed := range settings.Seeds {
+		c.presence.Learn(boottime.Now(), peerAddress(seed, settings))
+	}
+	c.publish()
+	return c
+}
+
+// run owns the control state until ctx ends.
+func (c *control) run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-c.events:
+			c.step(event)
+		case <-tick.C:
+			c.tick()
+		}
+	}
+}
+
+// heard hands a beacon to the control goroutine. A full queue drops it: the next
+// one carries the same.
+func (c *control) heard(received presence.Beacon) {
+	select {
+	case c.events <- beaconHeard{received}:
+	default:
+		c.dropped.Add(1)
+	}
+}
+
+// shown hands what a call to the store showed to the control goroutine.
+func (c *control) shown(update watch.Update) { c.events <- update }
+
+// leave makes this router not ready and tells the others. It returns once that
+// is in force here.
+func (c *control) leave() {
+	done := make(chan struct{})
+	c.events <- leaveAsked{done}
+	<-done
+}
+
+func (c *control) step(event any) {
+	now := boottime.Now()
+	switch e := event.(type) {
+	case watch.Update:
+		c.stepUpdate(now, e)
+	case beaconHeard:
+		c.stepBeacon(now, e.beacon)
+	case routersKnown:
+		for _, peer := range e.peers {
+			c.presence.Learn(now, peer)
+		}
+	case leaveAsked:
+		c.state.isLeaving = true
+		c.publish()
+		for range farewells {
+			c.beacons.Send(c.beacon(now), c.presence.Everyone())
+		}
+		close(e.done)
+	}
+}
+
+func (c *control) stepBeacon(now time.Duration, received presence.Beacon) {
+	isNew := c.presence.Heard(now, received)
+	c.balancer.Report(received.Instance, received.Work)
+	if isNew {
+		c.log.Info("A router is present.", "instance", received.Instance, "peer", received.Peer, "isServing", received.IsServing)
+		c.beacons.Send(c.beacon(now), []string{received.Peer})
+	}
+	c.publishLive(now)
+}
+
+// beacon is what this router tells the others.
+func (c *control) beacon(now time.Duration) presence.Beacon {
+	b := presence.Beacon{
+		Instance:  c.settings.Instance,
+		Zone:      c.settings.Zone,
+		Address:   c.settings.Callers,
+		Peer:      c.settings.Peers.String(),
+		Start:     c.start,
+		IsServing: c.state.isReady(now),
+		Work:      c.balancer.Work(),
+		Mentions:  c.presence.Mentions(),
+	}
+	if c.state.table != nil {
+		b.Version = c.state.table.Version
+	}
+	return b
+}
+
+func (c *control) tick() {
+	now := boottime.Now()
+	c.beacons.Send(c.beacon(now), c.presence.Tick(now))
+	if c.endpoints.Tick(now) {
+		c.endpointsChanged("a lapsed entry did not come back")
+	}
+	if fresh := c.state.lease.IsFresh(now); fresh != c.isFresh {
+		c.isFresh = fresh
+		age, _ := c.state.lease.Age(now)
+		c.log.Info("Freshness of the configuration changed.", "isFresh", fresh, "age", age)
+	}
+	c.publishLive(now)
+}
+
+func (c *control) stepUpdate(now time.Duration, update watch.Update) {
+	c.noteStore(now, update)
+	if update.Err != nil {
+		return
+	}
+	if update.Unreadable > 0 {
+		c.log.Warn("Rows could not be read.", "table", update.Table, "rows", update.Unreadable)
+	}
+	switch update.Table {
+	case platform.TableOperator:
+		c.stepConfiguration(update)
+	case platform.TableEndpoints:
+		c.stepEndpoints(now, update)
+	}
+}
+
+// noteStore follows whether the store answers.
+func (c *control) noteStore(now time.Duration, update watch.Update) {
+	wasAway, isAway := c.isAway[update.Table], update.Err != nil
+	c.isAway[update.Table] = isAway
+	if update.Table == platform.TableEndpoints {
+		if isAway {
+			c.endpoints.StoreAway()
+		} else {
+			c.endpoints.StoreBack(now)
+		}
+	}
+	if wasAway != isAway {
+		c.log.Info("Contact with the store changed.", "table", update.Table, "isAway", isAway, "error", update.Err)
+	}
+}
+
+// stepConfiguration puts a newer version in force and confirms the one in force.
+func (c *control) stepConfiguration(update watch.Update) {
+	isReadable := true
+	for _, row := range update.Rows {
+		if row.Key != platform.KeyConfiguration || row.IsRemoved {
+			continue
+		}
+		isReadable = c.putInForce(row.Value)
+	}
+	if isReadable && c.state.table != nil {
+		c.state.lease = c.state.lease.Confirm(update.StartedAt)
+		c.publish()
+	}
+}
+
+func (c *control) putInForce(value []byte) bool {
+	spec, err := platform.DecodeConfiguration(value)
+	if err != nil {
+		c.log.Error("The configuration can't be read.", "error", err)
+		return false
+	}
+	if c.state.table != nil && spec.Version <= c.state.table.Version {
+		return true
+	}
+	table, err := routetable.New(spec)
+	if err != nil {
+		c.log.Error("The configuration can't be used.", "version", spec.Version, "error", err)
+		return false
+	}
+	c.state.table = table
+	c.balancer.SetTable(table)
+	c.publish()
+	c.log.Info("Configuration in force.", "version", spec.Version, "routes", len(spec.Routes), "accounts", len(spec.Accounts))
+	return true
+}
+
+func (c *control) stepEndpoints(now time.Duration, update watch.Update) {
+	var entries []endpoints.Entry
+	for _, row := range update.Rows {
+		if row.IsRemoved {
+			c.endpoints.Removed(now, row.Key)
+			continue
+		}
+		entry, err := platform.DecodeEndpoint(row.Key, row.Value)
+		if err != nil {
+			c.log.Warn("An endpoint's entry can't be read.", "error", err)
+			c.endpoints.Removed(now, row.Key)
+			continue
+		}
+		entries = append(entries, entry)
+		if !update.IsWhole {
+			c.endpoints.Changed(entry)
+		}
+	}
+	if update.IsWhole {
+		c.endpoints.Listed(now, entries)
+	}
+	if len(update.Rows) > 0 || update.IsWhole {
+		c.state.hasEndpoints = true
+		c.endpointsChanged("entries changed")
+	}
+}
+
+func (c *control) endpointsChanged(reason string) {
+	view := c.endpoints.View()
+	c.balancer.SetView(view)
+	c.publish()
+	c.log.Info("Endpoints in service changed.", "reason", reason, "endpoints", view.Len())
+}
+
+// publishLive publishes the live routers if they changed.
+func (c *control) publishLive(now time.Duration) {
+	live := c.presence.Live(now)
+	isSame := slices.EqualFunc(live, c.state.live, func(a, b presence.Member) bool {
+		return a.Instance == b.Instance && a.Address == b.Address && a.IsServing == b.IsServing
+	})
+	if isSame {
+		return
+	}
+	c.log.Info("Live routers changed.", "live", len(live), "before", len(c.state.live))
+	c.state.live = live
+	c.balancer.SetRouters(len(live) + 1)
+	c.publish()
+}
+
+func (c *control) publish() {
+	published := c.state
+	c.current.Store(&published)
+}
--- /dev/null
+++ b/fleet/process/hosted/hosted.go
@@ -0,0 +1,166 @@
+// Package hosted runs a router on a platform that keeps the configuration and
+// the endpoints' entries in a store of its own. It puts the relay, the control
+// state and the listeners together.
+package hosted
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gentianhead/core/request/retry"
+	"gentianhead/fleet/connection/beacon"
+	"gentianhead/fleet/connection/upstream"
+	"gentianhead/fleet/process/serving"
+	"gentianhead/fleet/process/telemetry"
+	"gentianhead/fleet/process/watch"
+	"gentianhead/fleet/request/relay"
+	"gentianhead/platform"
+)
+
+const (
+	// heapShare is the part of the process's memory at which the garbage
+	// collector works against growth; the rest is stacks, buffers of the kernel
+	// and what is received and not yet read.
+	heapShare = 0.5
+	// bodyShare is the part of the memory that bodies of requests may take.
+	bodyShare = 0.2
+	// connectionShare is the part of the descriptors that one listener may use;
+	// connections to endpoints need the others.
+	connectionShare = 0.4
+	// maxHeaderBytes and headerTimeout bound the head of a request. They leave
+	// room above the limits that operators set.
+	maxHeaderBytes = 64 << 10
+	headerTimeout  = 10 * time.Second
+	// maxWatchWait bounds how long the store is asked to wait for changes. A
+	// connection that fell silent is noticed after that.
+	maxWatchWait = time.Second
+	// answerParts divides the grace time: callers may keep addresses for three
+	// times an answer's life, and requests need the rest to end.
+	answerParts = 8
+)
+
+// Router is a router on the platform.
+type Router struct {
+	settings  *platform.Settings
+	log       *slog.Logger
+	control   *control
+	relay     *relay.Relay
+	upstream  *upstream.Client
+	store     *platform.Store
+	beacons   *beacon.Conn
+	callers   *serving.Server
+	readiness *serving.Server
+	directory *serving.Server
+	// listener takes the callers' connections.
+	listener net.Listener
+}
+
+// New puts a router together and opens its socket for beacons.
+func New(settings *platform.Settings, logger *slog.Logger) (*Router, error) {
+	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryBytes)))
+	beacons, err := beacon.Listen(settings.Peers)
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{
+		settings: settings,
+		log:      telemetry.Part(logger, "hosted"),
+		upstream: upstream.New(),
+		store:    platform.NewStore(settings.Store),
+		beacons:  beacons,
+	}
+	balancer := relay.NewBalancer(settings.LoadFactor, settings.PrefixLife, retry.FleetLimits{
+		Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
+	}, telemetry.Part(logger, "balance"))
+	r.control = newControl(settings, balancer, beacons, time.Now().UnixNano(), telemetry.Part(logger, "control"))
+	r.relay = relay.New(relay.Options{
+		State:      r.relayState,
+		Dialect:    platform.Dialect{},
+		Balancer:   balancer,
+		Upstream:   r.upstream,
+		Log:        telemetry.Part(logger, "relay"),
+		BodyMemory: int64(bodyShare * float64(settings.MemoryBytes)),
+	})
+	options := serving.Options{
+		MaxConns:      int(connectionShare * float64(settings.Connections)),
+		HeaderBytes:   maxHeaderBytes,
+		HeaderTimeout: headerTimeout,
+		QuietTime:     quietTime,
+	}
+	r.callers = serving.New(r.relay, options)
+	r.readiness = serving.New(http.HandlerFunc(r.ready), options)
+	r.directory = serving.New(http.HandlerFunc(r.resolve), options)
+	return r, nil
+}
+
+func (r *Router) relayState() relay.State {
+	current := r.control.current.Load()
+	return relay.State{Table: current.table, Lease: current.lease}
+}
+
+// peerAddress is where a router on the machine at ip takes beacons: ports are the
+// same on all machines.
+func peerAddress(ip netip.Addr, settings *platform.Settings) string {
+	return netip.AddrPortFrom(ip, settings.Peers.Port()).String()
+}
+
+// Run serves until ctx ends and then stops without cutting off requests. When
+// hurry ends, it waits no longer for what is in flight.
+func (r *Router) Run(ctx, hurry context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go r.control.run(background)
+	go r.beacons.Receive(r.control.heard)
+	go r.register(background)
+	wait := min(maxWatchWait, r.settings.DrainTime/2)
+	for _, table := range []string{platform.TableOperator, platform.TableEndpoints} {
+		go watch.Follow(background, r.store, table, wait, r.control.shown)
+	}
+	failed := make(chan error, 3)
+	if err := r.listen(failed); err != nil {
+		return err
+	}
+	r.log.Info("Started.", "instance", r.settings.Instance, "zone", r.settings.Zone, "callers", r.settings.Callers, "store", r.settings.Store)
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return errors.Wrap(err, "hosted")
+	}
+	return r.shutdown(hurry)
+}
+
+// listen opens the listeners and serves on them. A server that fails before the
+// stop reports on failed.
+func (r *Router) listen(failed chan<- error) error {
+	for _, port := range []struct {
+		server  *serving.Server
+		address string
+	}{{r.callers, r.settings.Callers}, {r.readiness, r.settings.Readiness}, {r.directory, r.settings.Directory}} {
+		listener, err := net.Listen("tcp", port.address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		if port.server == r.callers {
+			r.listener = listener
+		}
+		go func() {
+			if err := port.server.Serve(listener); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	return nil
+}
+
+// answerLife is how long callers may keep the addresses that they were given.
+func (r *Router) answerLife() time.Duration {
+	life := (r.settings.Grace / answerParts).Truncate(time.Second)
+	return min(max(life, time.Second), r.settings.AnswerLife)
+}
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -16,6 +16,7 @@
 	"gentianhead/fleet/connection/engine"
 	"gentianhead/fleet/connection/peer"
 	"gentianhead/fleet/process/control"
+	"gentianhead/fleet/process/serving"
 	"gentianhead/fleet/process/settings"
 	"gentianhead/fleet/process/telemetry"
 	"gentianhead/fleet/request/admin"
@@ -33,8 +34,8 @@
 	engine    *engine.Client
 	claims    *claims.Manager
 	gateway   *gateway.Gateway
-	callers   *server
-	operators *server
+	callers   *serving.Server
+	operators *serving.Server
 	listeners listeners
 }
 
@@ -58,11 +59,20 @@
 		engine:    do.MustInvoke[*engine.Client](injector),
 		claims:    do.MustInvoke[*claims.Manager](injector),
 		gateway:   do.MustInvoke[*gateway.Gateway](injector),
-		callers:   newServer(do.MustInvoke[*gateway.Gateway](injector).Handler(), s.Limits.Connections),
-		operators: newServer(operatorsHandler(do.MustInvoke[admin.Options](injector)), s.Limits.Connections),
+		callers:   serving.New(do.MustInvoke[*gateway.Gateway](injector).Handler(), serverOptions(s)),
+		operators: serving.New(operatorsHandler(do.MustInvoke[admin.Options](injector)), serverOptions(s)),
 	}, nil
 }
 
+func serverOptions(s *settings.Settings) serving.Options {
+	return serving.Options{
+		MaxConns:      s.Limits.Connections,
+		HeaderBytes:   gateway.MaxHeaderBytes,
+		HeaderTimeout: gateway.ReadHeaderTimeout,
+		QuietTime:     quietTime,
+	}
+}
+
 // operatorsHandler serves metrics and health beside the resource API.
 func operatorsHandler(options admin.Options) http.Handler {
 	mux := http.NewServeMux()
--- a/fleet/process/node/shutdown.go
+++ b/fleet/process/node/shutdown.go
@@ -5,14 +5,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"gentianhead/fleet/request/gateway"
 )
 
 const (
 	// quietTime is how long a connection has to be idle before it is closed. A
 	// request that was sent before the entry answer expired has arrived by then.
 	quietTime = time.Second
-	// quietPoll is the time between two looks at the connections.
-	quietPoll = 20 * time.Millisecond
 	// recordTimeout bounds the wait for records after the last answer.
 	recordTimeout = 30 * time.Second
 	// endTimeout bounds the last answers of requests that are cut off.
@@ -36,10 +36,10 @@
 	n.gateway.Leave()
 	n.serveOn(hurry, life)
 	_ = n.listeners.callers.Close()
-	n.log.Info("Waiting for requests in flight.", "inFlight", n.callers.inFlight(), "atMost", n.settings.Shutdown.Grace)
+	n.log.Info("Waiting for requests in flight.", "inFlight", n.callers.InFlight(), "atMost", n.settings.Shutdown.Grace)
 	err := n.awaitRequests(hurry)
-	_ = n.callers.end(endTimeout)
-	_ = n.operators.end(endTimeout)
+	_ = n.callers.End(endTimeout, gateway.ErrStopping)
+	_ = n.operators.End(endTimeout, gateway.ErrStopping)
 	n.recordClaims(hurry)
 	_ = n.listeners.peers.Close()
 	n.peers.Close()
@@ -70,10 +70,10 @@
 func (n *Node) awaitRequests(hurry context.Context) error {
 	ctx, cancel := context.WithTimeout(hurry, n.settings.Shutdown.Grace)
 	defer cancel()
-	if n.callers.awaitQuiet(ctx, quietTime) {
+	if n.callers.AwaitQuiet(ctx) {
 		return nil
 	}
-	inFlight := n.callers.inFlight()
+	inFlight := n.callers.InFlight()
 	if inFlight == 0 {
 		return nil
 	}
--- a/fleet/process/node/server.go
+++ b/fleet/process/serving/serving.go
@@ -1,4 +1,6 @@
-package node
+// Package serving runs HTTP servers that know how long their connections have
+// been idle, so that a stop cuts off no request.
+package serving
 
 import (
 	"context"
@@ -6,20 +8,33 @@
 	"net/http"
 	"sync"
 	"time"
+)
 
-	"gentianhead/fleet/request/gateway"
+const (
+	// idleTimeout closes connections that stay idle.
+	idleTimeout = 2 * time.Minute
+	// quietPoll is the time between two looks at the connections.
+	quietPoll = 20 * time.Millisecond
 )
 
-// idleTimeout closes connections of callers and operators that stay idle.
-const idleTimeout = 2 * time.Minute
+// Options bound what a server takes. All fields are required.
+type Options struct {
+	// MaxConns bounds the open connections.
+	MaxConns int
+	// HeaderBytes bounds the head of a request, and HeaderTimeout its arrival.
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	// QuietTime is how long an idle connection is left alone after its last use,
+	// since a request may be under way on it.
+	QuietTime time.Duration
+}
 
-// server is an HTTP server that knows how long its connections have been idle
+// Server is an HTTP server that knows how long its connections have been idle
 // and can cancel the requests in flight.
-type server struct {
+type Server struct {
 	*http.Server
-	cancel context.CancelCauseFunc
-	// maxConns bounds the open connections.
-	maxConns int
+	cancel  context.CancelCauseFunc
+	options Options
 
 	mu sync.Mutex
 	// idleSince holds the connections that wait for a request.
@@ -30,20 +45,20 @@
 	busy map[net.Conn]struct{}
 }
 
-// newServer returns a server that holds at most maxConns connections.
-func newServer(handler http.Handler, maxConns int) *server {
+// New returns a server that does not listen yet.
+func New(handler http.Handler, options Options) *Server {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	s := &server{
+	s := &Server{
 		cancel:    cancel,
-		maxConns:  maxConns,
+		options:   options,
 		idleSince: make(map[net.Conn]time.Time),
 		openedAt:  make(map[net.Conn]time.Time),
 		busy:      make(map[net.Conn]struct{}),
 	}
 	s.Server = &http.Server{
 		Handler:           handler,
-		ReadHeaderTimeout: gateway.ReadHeaderTimeout,
-		MaxHeaderBytes:    gateway.MaxHeaderBytes,
+		ReadHeaderTimeout: options.HeaderTimeout,
+		MaxHeaderBytes:    options.HeaderBytes,
 		IdleTimeout:       idleTimeout,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 		ConnState:         s.track,
@@ -52,7 +67,7 @@
 }
 
 // track is called by net/http from the connection's goroutine.
-func (s *server) track(conn net.Conn, state http.ConnState) {
+func (s *Server) track(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.forget(conn)
@@ -67,7 +82,7 @@
 	}
 }
 
-func (s *server) forget(conn net.Conn) {
+func (s *Server) forget(conn net.Conn) {
 	delete(s.idleSince, conn)
 	delete(s.openedAt, conn)
 	delete(s.busy, conn)
@@ -75,13 +90,13 @@
 
 // makeRoom closes a connection when there are too many: the one that has been
 // idle longest, or else the one that has sent no whole request for longest. An
-// idle connection that was used within quietTime is left alone, since a request
+// idle connection that was used within QuietTime is left alone, since a request
 // may be under way on it.
-func (s *server) makeRoom() {
-	if len(s.busy)+len(s.openedAt)+len(s.idleSince) <= s.maxConns {
+func (s *Server) makeRoom() {
+	if len(s.busy)+len(s.openedAt)+len(s.idleSince) <= s.options.MaxConns {
 		return
 	}
-	victim := oldest(s.idleSince, time.Now().Add(-quietTime))
+	victim := oldest(s.idleSince, time.Now().Add(-s.options.QuietTime))
 	if victim == nil {
 		victim = oldest(s.openedAt, time.Now())
 	}
@@ -102,45 +117,45 @@
 	return found
 }
 
-// inFlight returns how many connections carry a request or have just opened.
-func (s *server) inFlight() int {
+// InFlight returns how many connections carry a request or have just opened.
+func (s *Server) InFlight() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.busy) + len(s.openedAt)
 }
 
-// isQuiet reports whether nothing is in flight and each idle connection has
-// been idle for quiet, so that no request can be under way on it any more.
-func (s *server) isQuiet(quiet time.Duration) bool {
+// isQuiet reports whether nothing is in flight and each idle connection has been
+// idle for QuietTime, so that no request can be under way on it any more.
+func (s *Server) isQuiet() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, since := range s.idleSince {
-		if time.Since(since) < quiet {
+		if time.Since(since) < s.options.QuietTime {
 			return false
 		}
 	}
 	return len(s.busy)+len(s.openedAt) == 0
 }
 
-// awaitQuiet waits until the server is quiet and reports whether it became so
+// AwaitQuiet waits until the server is quiet and reports whether it became so
 // before ctx ended.
-func (s *server) awaitQuiet(ctx context.Context, quiet time.Duration) bool {
+func (s *Server) AwaitQuiet(ctx context.Context) bool {
 	ticker := time.NewTicker(quietPoll)
 	defer ticker.Stop()
-	for !s.isQuiet(quiet) {
+	for !s.isQuiet() {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return s.isQuiet(quiet)
+			return s.isQuiet()
 		}
 	}
 	return true
 }
 
-// end closes the server within limit. Requests still in flight are cancelled
-// with the cause gateway.ErrStopping and may write a last answer.
-func (s *server) end(limit time.Duration) error {
-	s.cancel(gateway.ErrStopping)
+// End closes the server within limit. Requests still in flight are cancelled
+// with cause and may write a last answer.
+func (s *Server) End(limit time.Duration, cause error) error {
+	s.cancel(cause)
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	err := s.Shutdown(ctx)
--- a/fleet/process/node/server_test.go
+++ b/fleet/process/serving/serving_test.go
@@ -1,4 +1,4 @@
-package node
+package serving
 
 import (
 	"bufio"
@@ -17,6 +17,8 @@
 // travel is how long bytes are under way in these tests.
 const travel = 200 * time.Millisecond
 
+var testOptions = Options{MaxConns: 1, HeaderBytes: 1 << 10, HeaderTimeout: 5 * time.Second, QuietTime: time.Second}
+
 // slowConn delivers what it reads after travel.
 type slowConn struct{ net.Conn }
 
@@ -52,12 +54,12 @@
 // requestDuringStop uses a kept connection once, sends a second request on it
 // and stops the server while that is under way. It returns the error of the
 // second request.
-func requestDuringStop(t *testing.T, stop func(*server)) error {
+func requestDuringStop(t *testing.T, stop func(*Server)) error {
 	t.Helper()
 	near, far := net.Pipe()
 	listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
 	listener.conns <- slowConn{far}
-	s := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), 1)
+	s := New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), testOptions)
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
@@ -88,16 +90,16 @@
 
 func TestShutdownOfNetHTTPCutsARequestUnderWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		err := requestDuringStop(t, func(s *server) { _ = s.Shutdown(context.Background()) })
+		err := requestDuringStop(t, func(s *Server) { _ = s.Shutdown(context.Background()) })
 		assert.Assert(t, err != nil, "the request should have been cut")
 	})
 }
 
 func TestStopWaitsForARequestUnderWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		err := requestDuringStop(t, func(s *server) {
-			assert.Assert(t, s.awaitQuiet(t.Context(), quietTime))
-			_ = s.end(endTimeout)
+		err := requestDuringStop(t, func(s *Server) {
+			assert.Assert(t, s.AwaitQuiet(t.Context()))
+			_ = s.End(time.Second, context.Canceled)
 		})
 		assert.NilError(t, err)
 	})
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,7 +11,7 @@
 # rest. The test cache does not know which programs they start: no cached result.
 go test -race -count=1 -parallel 6 -timeout 10m ./fleet/e2e >"$processes" 2>&1 &
 beside=$!
-packages=$(go list ./core/... ./fleet/... ./measure/... ./standin/... | grep -v /e2e)
+packages=$(go list ./core/... ./fleet/... ./measure/... ./platform/... ./standin/... | grep -v /e2e)
 # shellcheck disable=SC2086
 go test -race -timeout 10m $packages 2>&1 | tee "$log" || status=$?
 wait "$beside" || status=$?
