Send each shared prompt part to one home engine

Cause: prices were mostly for shared parts read again: each part had two homes by design, and delay decided between them. Change: one home by rendezvous order, expected misses by rank, and shared tokens weigh four times the request's own.

--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -30,8 +30,16 @@
 	// streamTokens is how many prompt tokens one running stream delays a new
 	// request by: each adds to every step of the engine.
 	streamTokens = 150
-	// homes is how many engines are expected to hold a shared part.
-	homes = 2
+	// reuseWeight times the shared tokens that an engine would have to read again
+	// is what they count for. Reading them again takes the engine's time from
+	// every request behind, not only from this one.
+	reuseWeight = 4
+	// firstHomeMiss, secondHomeMiss and otherMiss are the shares of a shared part
+	// that engines are expected to lack, by their rank among the part's homes, as
+	// far as this router has not sent the part there itself.
+	firstHomeMiss  = 0.1
+	secondHomeMiss = 0.6
+	otherMiss      = 1.0
 	// boundShare keeps a router's own picture below the load bound, since it lags.
 	boundShare = 0.75
 	// boundSlack is the number of requests above the bound that small means allow.
@@ -238,8 +246,9 @@
 		if running >= engine.Slots || float64(running) >= bound && len(candidates) > 1 {
 			continue
 		}
-		prefill := c.uncached(now, job.Prompt, state, candidates)
-		cost := float64(state.own.Prefill+state.peers.Prefill+prefill+running*streamTokens) + c.random()
+		shared, own := c.uncached(now, job.Prompt, state, candidates)
+		prefill := shared + own
+		cost := float64(state.own.Prefill+state.peers.Prefill+reuseWeight*shared+own+running*streamTokens) + c.random()
 		if best == nil || cost < bestCost {
 			best, bestCost, bestPrefill = state, cost, prefill
 		}
@@ -247,21 +256,22 @@
 	return best, bestPrefill
 }
 
-// uncached returns the prompt tokens that the engine would have to read.
-func (c *Core) uncached(now time.Duration, prompt *exchange.Prompt, state *endpointState, candidates []*endpointState) int {
-	if prompt == nil {
-		return 0
+// uncached returns the prompt tokens that the engine is expected to read: those
+// of parts that other requests share, and the request's own.
+func (c *Core) uncached(now time.Duration, prompt *exchange.Prompt, state *endpointState, candidates []*endpointState) (shared, own int) {
+	if prompt == nil || len(prompt.Parts) == 0 {
+		return 0, 0
 	}
+	last := len(prompt.Parts) - 1
 	held, count := state.cache.prefix(now, prompt.Parts)
-	tokens := 0
-	for _, part := range prompt.Parts[count:] {
-		tokens += part.Tokens
+	if count <= last {
+		own = prompt.Parts[last].Tokens
 	}
-	// The last part is the request's own; the one before is what requests share.
-	if shared := len(prompt.Parts) - 2; shared >= 0 && count <= shared && isHome(prompt.Parts[shared].ID, state, candidates) {
-		tokens -= (sum(prompt.Parts[:shared+1]) - held) / 2
+	if count >= last {
+		return 0, own
 	}
-	return tokens
+	miss := missShare(prompt.Parts[last-1].ID, state, candidates)
+	return int(miss * float64(sum(prompt.Parts[:last])-held)), own
 }
 
 func sum(parts []exchange.Part) int {
@@ -272,16 +282,23 @@
 	return tokens
 }
 
-// isHome reports whether an engine is one of the homes of a part.
-func isHome(part string, state *endpointState, candidates []*endpointState) bool {
+// missShare is the share of a part that an engine is expected to lack, by its
+// rank in the rendezvous order of the part.
+func missShare(part string, state *endpointState, candidates []*endpointState) float64 {
 	own := entry.Score(part, state.entry.ID)
-	above := 0
+	rank := 0
 	for _, other := range candidates {
 		if other != state && entry.Score(part, other.entry.ID) > own {
-			above++
+			rank++
 		}
 	}
-	return above < homes
+	switch rank {
+	case 0:
+		return firstHomeMiss
+	case 1:
+		return secondHomeMiss
+	}
+	return otherMiss
 }
 
 // pickPlain returns the server with the most room, or nil if none has any.
