Test the relay against endpoints that misbehave; mend what that showed

Causes found: an event waited in the buffer while half of the next one had arrived, and was lost when the stream broke; a message of HTTP/1.0 with a length and chunks could hide a second request on a kept connection. Change: events are flushed unless the next has arrived whole; HTTP/1.0 and chunked requests are the last on their connection. Each has a test that failed first.

--- /dev/null
+++ b/core/process/freshness/freshness_test.go
@@ -0,0 +1,57 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestLeaseIsNeverFreshBeforeAConfirmation(t *testing.T) {
+	assert.Assert(t, !NewLease(5*time.Second).IsFresh(0))
+	assert.Assert(t, !NewLease(0).IsFresh(time.Hour))
+}
+
+func TestLeaseWithoutBoundLastsForEver(t *testing.T) {
+	assert.Assert(t, NewLease(0).Confirm(0).IsFresh(1000*time.Hour))
+}
+
+func TestAgeCountsFromTheStartOfTheCall(t *testing.T) {
+	// The call began at 1 s and was answered at 4 s; the answer's time plays no part.
+	lease := NewLease(5 * time.Second).Confirm(time.Second)
+	assert.Assert(t, lease.IsFresh(5400*time.Millisecond))
+	assert.Assert(t, !lease.IsFresh(5500*time.Millisecond))
+}
+
+func TestLateAnswerOfAnEarlierCallShortensNothing(t *testing.T) {
+	lease := NewLease(5 * time.Second).Confirm(10 * time.Second).Confirm(7 * time.Second)
+	age, _ := lease.Age(12 * time.Second)
+	assert.Equal(t, age, 2*time.Second)
+}
+
+// A secret is removed at a random moment and the router's calls see the store as
+// of any moment between their start and their end, with suspensions in between.
+// Nothing may be sent with the secret later than the bound after the removal.
+func TestNoSecretOutlivesTheBound(t *testing.T) {
+	const bound = 5 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		removedAt := rapid.Int64Range(0, int64(30*time.Second)).Draw(t, "removedAt")
+		lease := NewLease(bound)
+		knowsRemoval := false
+		now := int64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "calls") {
+			start := now
+			end := start + rapid.Int64Range(1, int64(4*time.Second)).Draw(t, "took")
+			seenAt := rapid.Int64Range(start, end).Draw(t, "seenAt")
+			now = end + rapid.Int64Range(0, int64(8*time.Second)).Draw(t, "suspended")
+			if rapid.Bool().Draw(t, "isAnswered") {
+				knowsRemoval = knowsRemoval || seenAt >= removedAt
+				lease = lease.Confirm(time.Duration(start))
+			}
+			if honored := !knowsRemoval && lease.IsFresh(time.Duration(now)); honored && now > removedAt+int64(bound) {
+				t.Fatalf("honored %v after the removal", time.Duration(now-removedAt))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/process/presence/presence_test.go
@@ -0,0 +1,87 @@
+package presence
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func beaconOf(number int) Beacon {
+	return Beacon{Instance: fmt.Sprintf("r%03d", number), Peer: fmt.Sprintf("10.0.%d.%d:7000", number/200, number%200+1), Start: 1, IsServing: true}
+}
+
+func TestSilentRouterLeavesTheLiveOnes(t *testing.T) {
+	c := New("10.9.9.9:1", 1)
+	assert.Assert(t, c.Heard(0, beaconOf(1)), "the first beacon is answered at once")
+	assert.Assert(t, !c.Heard(time.Millisecond, beaconOf(1)))
+	for now := time.Duration(0); now < 900*time.Millisecond; now += 100 * time.Millisecond {
+		c.Tick(now)
+	}
+	assert.Equal(t, len(c.Live(900*time.Millisecond)), 1, "three beacons may be lost")
+	assert.Equal(t, len(c.Live(1100*time.Millisecond)), 0)
+}
+
+func TestPausedRouterDoesNotTakeOthersForGone(t *testing.T) {
+	c := New("10.9.9.9:1", 1)
+	c.Heard(0, beaconOf(1))
+	c.Tick(100 * time.Millisecond)
+	c.Tick(20 * time.Second)
+	assert.Equal(t, len(c.Live(20*time.Second)), 1)
+}
+
+func TestBeaconOfAnEarlierProcessIsIgnored(t *testing.T) {
+	c := New("10.9.9.9:1", 1)
+	newer := beaconOf(1)
+	newer.Start = 5
+	c.Heard(0, newer)
+	old := beaconOf(1)
+	old.IsServing = false
+	c.Heard(time.Millisecond, old)
+	assert.Assert(t, c.Live(time.Millisecond)[0].IsServing)
+}
+
+func TestOwnBeaconAndMalformedAddressesAreIgnored(t *testing.T) {
+	c := New("10.9.9.9:1", 1)
+	self := beaconOf(1)
+	self.Peer = "10.9.9.9:1"
+	assert.Assert(t, !c.Heard(0, self))
+	c.Learn(0, "nowhere")
+	c.Learn(0, "10.9.9.9:1")
+	assert.Equal(t, len(c.Tick(0)), 0)
+}
+
+func TestLearntAddressIsTriedForAWhile(t *testing.T) {
+	c := New("10.9.9.9:1", 1)
+	c.Learn(0, "10.0.0.1:1")
+	assert.DeepEqual(t, c.Tick(0), []string{"10.0.0.1:1"})
+	assert.Equal(t, len(c.Tick(2*forgetAfter)), 0)
+}
+
+func TestMentionsSpreadTheFleet(t *testing.T) {
+	c := New("10.9.9.9:1", 1)
+	b := beaconOf(1)
+	b.Mentions = []string{"10.0.7.7:7000"}
+	c.Heard(0, b)
+	assert.Equal(t, len(c.Tick(0)), 2)
+}
+
+// The load pattern: fleets of any size. What a router sends stays below a bound.
+func TestBeaconsASecondAreBounded(t *testing.T) {
+	for _, size := range []int{7, 30, 91, 300, 415} {
+		c := New("10.9.9.9:1", 1)
+		for number := range size - 1 {
+			c.Heard(0, beaconOf(number))
+		}
+		sent := 0
+		for now := time.Duration(0); now < time.Minute; now += 50 * time.Millisecond {
+			for number := range size - 1 {
+				c.Heard(now, beaconOf(number))
+			}
+			sent += len(c.Tick(now))
+		}
+		t.Logf("%d routers: %d beacons a second", size, sent/60)
+		assert.Assert(t, sent/60 <= 110, "%d routers: %d", size, sent/60)
+	}
+}
--- /dev/null
+++ b/core/request/balance/balance_test.go
@@ -0,0 +1,178 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/process/endpoints"
+	"gentianhead/core/process/presence"
+	"gentianhead/core/request/breaker"
+	"gentianhead/core/request/exchange"
+	"gentianhead/core/version/routetable"
+)
+
+const (
+	engines    = 12
+	slots      = 64
+	loadFactor = 2.0
+)
+
+func newCore(t *testing.T, seed uint64, servers int) *Core {
+	t.Helper()
+	table, err := routetable.New(routetable.Spec{
+		Version: 1,
+		Services: []routetable.Service{
+			{Name: "pool", Engine: &routetable.Engine{Slots: slots, CacheTokens: 500000, TokensPerEvent: 5}},
+			{Name: "plain"},
+		},
+	})
+	assert.NilError(t, err)
+	view := endpoints.New()
+	var entries []endpoints.Entry
+	for number := range engines {
+		entries = append(entries, endpoints.Entry{ID: fmt.Sprintf("engine-%02d", number), Service: "pool", Address: fmt.Sprintf("e%d", number), Slots: slots})
+	}
+	for number := range servers {
+		entries = append(entries, endpoints.Entry{ID: fmt.Sprintf("server-%02d", number), Service: "plain", Address: fmt.Sprintf("s%d", number), Slots: 6})
+	}
+	view.Listed(0, entries)
+	c := New(loadFactor, 10*time.Second, rand.New(rand.NewPCG(seed, 1)).Float64)
+	c.SetTable(table)
+	c.SetView(view.View())
+	return c
+}
+
+func prompt(shared string, own string) *exchange.Prompt {
+	return &exchange.Prompt{Parts: []exchange.Part{{ID: "base", Tokens: 500}, {ID: shared, Tokens: 10000}, {ID: own, Tokens: 1300}}}
+}
+
+// The load pattern: several routers get requests about the same long documents.
+// They must read a document on one engine without talking to each other.
+func TestRoutersAgreeOnTheEngineOfASharedPart(t *testing.T) {
+	homeOf := make(map[string]string)
+	for router := range 7 {
+		c := newCore(t, uint64(router), 0)
+		for number := range 46 {
+			document := fmt.Sprintf("doc-%d", number)
+			placed, refusal := c.Place(0, Job{Service: "pool", Prompt: prompt(document, fmt.Sprint(router, number))})
+			assert.Equal(t, refusal, Accepted)
+			c.Done(0, &placed, breaker.Succeeded)
+			if homeOf[document] == "" {
+				homeOf[document] = placed.Endpoint.ID
+			}
+			assert.Equal(t, placed.Endpoint.ID, homeOf[document])
+		}
+	}
+}
+
+// The load pattern: most requests are about one document. Its engine must not
+// exceed the load bound, however much the cached part saves.
+func TestHotDocumentKeepsTheLoadBound(t *testing.T) {
+	c := newCore(t, 1, 0)
+	running := make(map[string]int)
+	for number := range 200 {
+		document := "hot"
+		if number%4 == 0 {
+			document = fmt.Sprintf("doc-%d", number)
+		}
+		placed, refusal := c.Place(0, Job{Service: "pool", Prompt: prompt(document, fmt.Sprint(number))})
+		assert.Equal(t, refusal, Accepted)
+		c.Begun(&placed)
+		running[placed.Endpoint.ID]++
+		mean := float64(number+1) / engines
+		assert.Assert(t, float64(running[placed.Endpoint.ID]) <= loadFactor*mean+3, "request %d: %d on %s", number, running[placed.Endpoint.ID], placed.Endpoint.ID)
+	}
+}
+
+// The load pattern: a short question arrives while its engine reads long prompts.
+func TestShortRequestGoesAroundLongPrompts(t *testing.T) {
+	c := newCore(t, 1, 0)
+	long, _ := c.Place(0, Job{Service: "pool", Prompt: prompt("doc", "first")})
+	c.Report(0, "router-2", map[string]presence.Work{long.Endpoint.ID: {Running: 3, Prefill: 60000}})
+	short := &exchange.Prompt{Parts: []exchange.Part{{ID: "x", Tokens: 100}}}
+	for range engines - 1 {
+		placed, _ := c.Place(0, Job{Service: "pool", Prompt: short})
+		assert.Assert(t, placed.Endpoint.ID != long.Endpoint.ID)
+	}
+}
+
+func TestReportOfASilentRouterIsForgotten(t *testing.T) {
+	c := newCore(t, 1, 0)
+	c.Report(0, "router-2", map[string]presence.Work{"engine-00": {Running: 60}})
+	c.Report(reportLife+time.Second, "router-3", nil)
+	placed, _ := c.Place(reportLife+time.Second, Job{Service: "pool", Prompt: prompt("d", "o")})
+	state := c.states["engine-00"]
+	assert.Assert(t, state == nil || state.peers.Running == 0, "%v", placed)
+}
+
+func TestTriedEndpointsAreNotPickedAgain(t *testing.T) {
+	c := newCore(t, 1, 3)
+	var tried []string
+	for range 3 {
+		placed, refusal := c.Place(0, Job{Service: "plain", Excluded: tried})
+		assert.Equal(t, refusal, Accepted)
+		tried = append(tried, placed.Endpoint.ID)
+	}
+	_, refusal := c.Place(0, Job{Service: "plain", Excluded: tried})
+	assert.Equal(t, refusal, NoEndpoint)
+}
+
+func TestFullServersRefuseUntilOneIsDone(t *testing.T) {
+	c := newCore(t, 1, 1)
+	var placed []Placement
+	for {
+		p, refusal := c.Place(0, Job{Service: "plain"})
+		if refusal == Full {
+			break
+		}
+		placed = append(placed, p)
+	}
+	assert.Equal(t, len(placed), 12, "six slots and as many that wait")
+	c.Done(0, &placed[0], breaker.Succeeded)
+	_, refusal := c.Place(0, Job{Service: "plain"})
+	assert.Equal(t, refusal, Accepted)
+}
+
+// The load pattern: one of three servers fails everything while it says it is healthy.
+func TestDistrustedServerIsLeftOutAsLongAsOthersAreTrusted(t *testing.T) {
+	c := newCore(t, 1, 3)
+	failures := 0
+	for number := range 200 {
+		now := time.Duration(number) * 10 * time.Millisecond
+		placed, _ := c.Place(now, Job{Service: "plain"})
+		result := breaker.Succeeded
+		if placed.Endpoint.ID == "server-00" {
+			result = breaker.Failed
+			failures++
+		}
+		c.Done(now, &placed, result)
+	}
+	assert.Assert(t, failures < 20, "%d requests failed", failures)
+	for _, id := range []string{"server-00", "server-01", "server-02"} {
+		state := c.states[id]
+		for range 5 {
+			state.breaker.Report(2*time.Second, breaker.Unreachable)
+		}
+	}
+	_, refusal := c.Place(2*time.Second, Job{Service: "plain"})
+	assert.Equal(t, refusal, Accepted, "a service is never emptied by distrust")
+}
+
+func TestRestartedEndpointHoldsNothingOfBefore(t *testing.T) {
+	c := newCore(t, 1, 0)
+	old, _ := c.Place(0, Job{Service: "pool", Prompt: prompt("doc", "o")})
+	again := old.Endpoint
+	again.StartedAt = 99
+	view := endpoints.New()
+	view.Listed(0, []endpoints.Entry{again})
+	c.SetView(view.View())
+	placed, _ := c.Place(0, Job{Service: "pool", Prompt: prompt("doc", "p")})
+	c.Done(0, &old, breaker.Failed)
+	assert.Equal(t, c.Work()[placed.Endpoint.ID].Running, 1, "the old placement must not be taken off the new process")
+	_, held := c.states[again.ID].cache.prefix(0, prompt("doc", "p").Parts)
+	assert.Equal(t, held, 3)
+}
--- /dev/null
+++ b/core/request/retry/fleet_test.go
@@ -0,0 +1,62 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var fleetLimits = FleetLimits{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+
+// The load pattern: every request fails everywhere, for a minute, at seven
+// routers. In no span of the window may the fleet send more again than its limit.
+func TestFleetBudgetHoldsInEveryWindow(t *testing.T) {
+	const seed, routers = 3, 7
+	random := rand.New(rand.NewPCG(seed, 0))
+	budgets := make([]*Fleet, routers)
+	for i := range budgets {
+		budgets[i] = NewFleet(fleetLimits)
+	}
+	type sent struct {
+		at       time.Duration
+		isRepeat bool
+	}
+	var all []sent
+	for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
+		b := budgets[random.IntN(routers)]
+		b.First(now)
+		all = append(all, sent{at: now})
+		for range 3 {
+			if b.Repeat(now, routers) {
+				all = append(all, sent{now, true})
+			}
+		}
+	}
+	for from := time.Duration(0); from < time.Minute; from += 100 * time.Millisecond {
+		first, repeats := 0, 0
+		for _, s := range all {
+			if s.at < from || s.at >= from+fleetLimits.Window {
+				continue
+			}
+			if s.isRepeat {
+				repeats++
+			} else {
+				first++
+			}
+		}
+		limit := fleetLimits.Ratio*float64(first) + fleetLimits.Slack
+		assert.Assert(t, float64(repeats) <= limit, "seed %d from %v: %d repeats, limit %.0f", seed, from, repeats, limit)
+	}
+}
+
+func TestUnusedBudgetAllowsARouterItsShareOfTheSlack(t *testing.T) {
+	b := NewFleet(fleetLimits)
+	allowed := 0
+	for b.Repeat(time.Second, 7) {
+		allowed++
+	}
+	assert.Equal(t, allowed, 4)
+	assert.Assert(t, b.Repeat(time.Minute, 7), "an old window is forgotten")
+}
--- /dev/null
+++ b/core/version/routetable/routetable_test.go
@@ -0,0 +1,65 @@
+package routetable
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func spec() Spec {
+	return Spec{
+		Version: 3,
+		Routes: []Route{
+			{Name: "root", Host: "a.example", Prefix: "/", Targets: []Target{{"one", 1}}},
+			{Name: "deep", Host: "A.example", Prefix: "/x/y/", Targets: []Target{{"one", 9}, {"two", 1}}},
+			{Name: "mid", Host: "a.example", Prefix: "/x/", Targets: []Target{{"one", 1}}},
+		},
+		Accounts: []Credentials{{Account: Account{Name: "mill"}, Secrets: []string{"k1", "k2"}}},
+	}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	table, err := New(spec())
+	assert.NilError(t, err)
+	for path, want := range map[string]string{"/x/y/z": "deep", "/x/yy": "mid", "/x": "root", "/x/y": "mid"} {
+		route, ok := table.Match("a.EXAMPLE:80", path)
+		assert.Assert(t, ok)
+		assert.Equal(t, route.Name, want, path)
+	}
+	_, ok := table.Match("b.example", "/x/")
+	assert.Assert(t, !ok)
+}
+
+func TestAccountsByAnyOfTheirSecrets(t *testing.T) {
+	table, err := New(spec())
+	assert.NilError(t, err)
+	for _, secret := range []string{"k1", "k2"} {
+		account, ok := table.Account(secret)
+		assert.Assert(t, ok)
+		assert.Equal(t, account.Name, "mill")
+	}
+	_, ok := table.Account("")
+	assert.Assert(t, !ok)
+}
+
+func TestSplitFollowsTheWeights(t *testing.T) {
+	table, err := New(spec())
+	assert.NilError(t, err)
+	route, _ := table.Match("a.example", "/x/y/z")
+	assert.Equal(t, route.Pick(0.89), "one")
+	assert.Equal(t, route.Pick(0.91), "two")
+	assert.Equal(t, route.Pick(0.9999999), "two")
+}
+
+func TestRoutesThatCannotBeServedAreErrors(t *testing.T) {
+	for _, route := range []Route{
+		{Prefix: "x/", Targets: []Target{{"s", 1}}},
+		{Prefix: "/x", Targets: []Target{{"s", 1}}},
+		{Prefix: "/x/"},
+		{Prefix: "/x/", Targets: []Target{{"s", 0}}},
+		{Prefix: "/x/", Targets: []Target{{"s", 2}, {"r", -1}}},
+	} {
+		_, err := New(Spec{Routes: []Route{route}})
+		assert.Assert(t, err != nil, "%+v", route)
+	}
+}
--- a/fleet/connection/sse/sse.go
+++ b/fleet/connection/sse/sse.go
@@ -42,8 +42,12 @@
 	return &Reader{buffered: bufio.NewReaderSize(r, bufferBytes)}
 }
 
-// HasMore reports whether bytes of a further event have arrived.
-func (r *Reader) HasMore() bool { return r.buffered.Buffered() > 0 }
+// HasWhole reports whether a further event has arrived whole, so that Next will
+// not wait.
+func (r *Reader) HasWhole() bool {
+	arrived, err := r.buffered.Peek(r.buffered.Buffered())
+	return err == nil && (bytes.Contains(arrived, []byte("\n\n")) || bytes.Contains(arrived, []byte("\n\r\n")))
+}
 
 // Next returns the next whole event. It returns io.EOF at the stream's end,
 // ErrPartial if that comes amid an event, and the stream's own error otherwise.
--- /dev/null
+++ b/fleet/connection/sse/sse_test.go
@@ -0,0 +1,75 @@
+package sse
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestEventsKeepTheirBytes(t *testing.T) {
+	text := "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\n"
+	reader := NewReader(strings.NewReader(text))
+	var got strings.Builder
+	var ids []string
+	for {
+		event, err := reader.Next()
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(t, err)
+		got.Write(event.Raw)
+		ids = append(ids, event.ID)
+	}
+	assert.Equal(t, got.String(), text)
+	assert.DeepEqual(t, ids, []string{"1", "2", ""})
+}
+
+func TestHalfAnEventIsNeverReturned(t *testing.T) {
+	reader := NewReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata:"))
+	_, err := reader.Next()
+	assert.NilError(t, err)
+	_, err = reader.Next()
+	assert.ErrorIs(t, err, ErrPartial)
+}
+
+func TestEventAboveTheLimitIsAnError(t *testing.T) {
+	reader := NewReader(io.MultiReader(strings.NewReader("data: "), strings.NewReader(strings.Repeat("x", MaxEventBytes+1))))
+	_, err := reader.Next()
+	assert.ErrorIs(t, err, ErrTooLarge)
+}
+
+// An event is handed on before the rest of the next one arrives.
+func TestHalfAnEventIsNotWaitedFor(t *testing.T) {
+	reader := NewReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda"))
+	for _, hasWhole := range []bool{true, false} {
+		_, err := reader.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, reader.HasWhole(), hasWhole)
+	}
+}
+
+func TestOrderOfIds(t *testing.T) {
+	assert.Assert(t, IsAfter("", "1"))
+	assert.Assert(t, IsAfter("9", "10"))
+	assert.Assert(t, !IsAfter("10", "9"))
+	assert.Assert(t, !IsAfter("10", "10"))
+	assert.Assert(t, IsAfter("10", ""))
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n\n\nid:")
+	f.Fuzz(func(t *testing.T, text string) {
+		reader := NewReader(strings.NewReader(text))
+		read := 0
+		for {
+			event, err := reader.Next()
+			if err != nil {
+				return
+			}
+			read += len(event.Raw)
+			assert.Assert(t, read <= len(text))
+		}
+	})
+}
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -115,11 +115,12 @@
 	r.finish(c, failure)
 }
 
-// isAmbiguous reports whether a request's length was told by chunks. A message
-// that also tells a length may hide a second request behind its end, and net/http
-// does not show whether it did; nothing after such a message is read.
+// isAmbiguous reports whether a request's length may have been told twice: by
+// chunks and a length, or by chunks to a receiver of HTTP/1.0, which knows none.
+// Such a message may hide a second request behind its end, and net/http does not
+// show whether it did; nothing after it is read.
 func isAmbiguous(request *http.Request) bool {
-	return len(request.TransferEncoding) > 0 || request.Header.Get("Transfer-Encoding") != ""
+	return len(request.TransferEncoding) > 0 || !request.ProtoAtLeast(1, 1)
 }
 
 // timeLimit is how long the request may take: the caller's deadline or the
--- /dev/null
+++ b/fleet/request/relay/relay_test.go
@@ -0,0 +1,408 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"gentianhead/core/process/endpoints"
+	"gentianhead/core/process/freshness"
+	"gentianhead/core/request/retry"
+	"gentianhead/core/version/routetable"
+	"gentianhead/fleet/connection/upstream"
+	"gentianhead/fleet/process/boottime"
+	"gentianhead/fleet/request/relay"
+	"gentianhead/platform"
+	"gentianhead/platform/platformtest"
+)
+
+// fixture is a relay before stand-ins of endpoints.
+type fixture struct {
+	t         *testing.T
+	url       string
+	relay     *relay.Relay
+	state     relay.State
+	endpoints []*platformtest.Endpoint
+	balancer  *relay.Balancer
+	view      *endpoints.Core
+}
+
+// Routes of the fixture, by their path prefix.
+const (
+	pathSafe     = "/safe/"
+	pathUnsafe   = "/unsafe/"
+	pathStream   = "/stream/"
+	pathResume   = "/resume/"
+	pathShort    = "/short/"
+	secret       = "secret-of-mill"
+	routeTimeout = 5 * time.Second
+)
+
+func newFixture(t *testing.T, count int) *fixture {
+	t.Helper()
+	f := &fixture{t: t, view: endpoints.New()}
+	f.balancer = relay.NewBalancer(2, 10*time.Second, retry.FleetLimits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, slog.New(slog.DiscardHandler))
+	var entries []endpoints.Entry
+	for number := range count {
+		endpoint := platformtest.NewEndpoint(fmt.Sprintf("e-%d", number))
+		t.Cleanup(endpoint.Close)
+		f.endpoints = append(f.endpoints, endpoint)
+		entries = append(entries, endpoints.Entry{ID: endpoint.ID, Service: "pool", Address: endpoint.Address, Slots: 8})
+	}
+	f.view.StoreBack(0)
+	f.view.Listed(0, entries)
+	f.balancer.SetView(f.view.View())
+	f.configure(secret)
+	client := upstream.New()
+	t.Cleanup(client.Close)
+	f.relay = relay.New(relay.Options{
+		State: func() relay.State { return f.state }, Dialect: platform.Dialect{}, Balancer: f.balancer,
+		Upstream: client, Log: slog.New(slog.DiscardHandler), BodyMemory: 1 << 20,
+	})
+	server := httptest.NewServer(f.relay)
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	return f
+}
+
+// configure puts a table in force in which one account holds a secret.
+func (f *fixture) configure(secret string) {
+	f.t.Helper()
+	targets := []routetable.Target{{Service: "pool", Weight: 1}}
+	route := func(prefix string, kind routetable.Kind, attempts int) routetable.Route {
+		return routetable.Route{
+			Name: prefix, Host: "a.example", Prefix: prefix, Kind: kind, Targets: targets,
+			Timeout: routeTimeout, TargetLatency: 2 * time.Second, MaxAttempts: attempts,
+		}
+	}
+	resumable := route(pathResume, routetable.Stream, 3)
+	resumable.IsResumable = true
+	short := route(pathShort, routetable.AtMostOnce, 1)
+	short.Timeout = 100 * time.Millisecond
+	table, err := routetable.New(routetable.Spec{
+		Version: 1,
+		Routes: []routetable.Route{
+			route(pathSafe, routetable.Idempotent, 3), route(pathUnsafe, routetable.AtMostOnce, 3),
+			route(pathStream, routetable.Stream, 1), resumable, short,
+		},
+		Services: []routetable.Service{{Name: "pool"}},
+		Accounts: []routetable.Credentials{{Account: routetable.Account{Name: "mill"}, Secrets: []string{secret}}},
+		Limits:   routetable.Limits{BodyBytes: 1000},
+	})
+	assert.NilError(f.t, err)
+	f.state = relay.State{Table: table, Lease: freshness.NewLease(time.Hour).Confirm(boottime.Now())}
+	f.balancer.SetTable(table)
+}
+
+func (f *fixture) faults(faults ...platformtest.Fault) {
+	for number, fault := range faults {
+		f.endpoints[number].SetFault(fault)
+	}
+}
+
+func (f *fixture) arrivals() int {
+	sum := 0
+	for _, endpoint := range f.endpoints {
+		sum += endpoint.Arrivals()
+	}
+	return sum
+}
+
+func (f *fixture) runs() []platformtest.Run {
+	var runs []platformtest.Run
+	for _, endpoint := range f.endpoints {
+		runs = append(runs, endpoint.Runs()...)
+	}
+	return runs
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err says that the answer broke off.
+	err error
+}
+
+func (f *fixture) ask(method, path, body string, headers ...string) answer {
+	f.t.Helper()
+	request, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	request.Host = "a.example"
+	request.Header.Set("Authorization", "Token "+secret)
+	request.Header.Set("Gentianhead-Attempt-Id", "attempt-1")
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(text), err: err}
+}
+
+func (f *fixture) askStream(path string, headers ...string) answer {
+	return f.ask(http.MethodPost, path, "prompt", append([]string{"Gentianhead-Model", "m", "Gentianhead-Token-Usage", "10,5", "Gentianhead-Prompt-Prefix", "aa:5,bb:5"}, headers...)...)
+}
+
+func pieces(from, to int) string {
+	var b strings.Builder
+	for number := from; number <= to; number++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece-%d\n\n", number, number)
+	}
+	return b.String()
+}
+
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	f := newFixture(t, 1)
+	got := f.ask(http.MethodPost, pathUnsafe+"x%2Fy//z?q=1&r=%20", "the body", "X-Own", "kept", "Gentianhead-Deadline-Ms", "2000")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "answer of e-0")
+	assert.Equal(t, got.header.Get("Gentianhead-Server-Signature"), "signed-by-e-0")
+	assert.Equal(t, got.header.Get("Gentianhead-Attempt-Id"), "attempt-1")
+	run := f.runs()[0]
+	assert.Equal(t, run.Target, pathUnsafe+"x%2Fy//z?q=1&r=%20")
+	assert.Equal(t, run.Host, "a.example")
+	assert.Equal(t, run.Body, "the body")
+	assert.Equal(t, run.Header.Get("X-Own"), "kept")
+	assert.Equal(t, run.Header.Get("Gentianhead-Tenant"), "mill")
+	assert.Equal(t, run.Header.Get("Authorization"), "")
+	left, err := strconv.Atoi(run.Header.Get("Gentianhead-Deadline-Ms"))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 2000)
+}
+
+// A row of the table of faults: what an endpoint does, and what a caller is told
+// and how often the request is sent, by kind of request.
+func TestEndpointFaults(t *testing.T) {
+	for _, c := range []struct {
+		fault        platformtest.Fault
+		unsafeStatus int
+		unsafeSends  int
+		safeStatus   int
+	}{
+		{platformtest.Refused, 200, 2, 200},
+		{platformtest.Misdirected, 200, 2, 200},
+		{platformtest.Failing, 500, 1, 200},
+		{platformtest.Lost, 502, 1, 200},
+		{platformtest.Crossed, 502, 1, 200},
+		{platformtest.Truncated, 502, 1, 200},
+		{platformtest.Unsigned, 502, 1, 200},
+		{platformtest.Garbage, 502, 1, 200},
+		{platformtest.Doubled, 200, 1, 200},
+		{platformtest.Unframed, 200, 1, 200},
+	} {
+		t.Run(string(c.fault), func(t *testing.T) {
+			for _, path := range []string{pathUnsafe, pathSafe} {
+				f := newFixture(t, 2)
+				// The fault hits the endpoint that is asked first, whichever it is.
+				f.faults(c.fault, c.fault)
+				done := make(chan answer, 1)
+				stop := make(chan struct{})
+				go f.mendSecond(stop)
+				done <- f.ask(http.MethodPost, path, "b")
+				close(stop)
+				got := <-done
+				want, sends := c.safeStatus, f.arrivals()
+				if path == pathUnsafe {
+					want = c.unsafeStatus
+					assert.Equal(t, sends, c.unsafeSends, "at-most-once request")
+				}
+				assert.Equal(t, got.status, want, path)
+				assert.NilError(t, got.err)
+				if got.status == http.StatusOK {
+					assert.Assert(t, strings.HasPrefix(got.body, "answer of e-"), got.body)
+				}
+			}
+		})
+	}
+}
+
+// mendSecond ends the fault of an endpoint as soon as the other had a request.
+func (f *fixture) mendSecond(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		for number, endpoint := range f.endpoints {
+			if endpoint.Arrivals() > 0 {
+				f.endpoints[1-number].SetFault("")
+			}
+		}
+		time.Sleep(50 * time.Microsecond)
+	}
+}
+
+func TestRefusalPromisesOnlyWhatIsTrue(t *testing.T) {
+	f := newFixture(t, 2)
+	f.faults(platformtest.Refused, platformtest.Refused)
+	got := f.ask(http.MethodPost, pathUnsafe, "b")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, len(f.runs()), 0)
+}
+
+func TestFailureOfEveryServerIsHandedOnAsItCame(t *testing.T) {
+	f := newFixture(t, 2)
+	f.faults(platformtest.Failing, platformtest.Failing)
+	got := f.ask(http.MethodGet, pathSafe, "")
+	assert.Equal(t, got.status, http.StatusInternalServerError)
+	assert.Equal(t, got.body, "failed")
+	assert.Assert(t, strings.HasPrefix(got.header.Get("Gentianhead-Server-Signature"), "signed-by-"))
+	assert.Equal(t, f.arrivals(), 2)
+}
+
+func TestUnreachableEndpointCostsNoAttempt(t *testing.T) {
+	f := newFixture(t, 2)
+	f.endpoints[0].Close()
+	for range 8 {
+		assert.Equal(t, f.ask(http.MethodPost, pathUnsafe, "b").status, http.StatusOK)
+	}
+}
+
+func TestStreamPassesWhole(t *testing.T) {
+	f := newFixture(t, 1)
+	got := f.askStream(pathStream)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, pieces(1, 3))
+}
+
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	f := newFixture(t, 2)
+	f.faults(platformtest.Truncated, platformtest.Truncated)
+	got := f.askStream(pathStream)
+	assert.Assert(t, got.err != nil, "the end must not look like a whole answer's")
+	assert.Equal(t, got.body, pieces(1, 2), "half an event must not be handed on")
+	assert.Equal(t, f.arrivals(), 1)
+}
+
+func TestResumableStreamGoesOnAtAnotherEndpoint(t *testing.T) {
+	f := newFixture(t, 2)
+	f.faults(platformtest.Truncated, platformtest.Truncated)
+	stop := make(chan struct{})
+	go f.mendSecond(stop)
+	got := f.askStream(pathResume)
+	close(stop)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, pieces(1, 3))
+	runs := f.runs()
+	assert.Equal(t, len(runs), 2)
+}
+
+func TestCallerThatLeavesEndsTheRun(t *testing.T) {
+	f := newFixture(t, 1)
+	f.endpoints[0].Pause = time.Hour
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+pathStream, strings.NewReader("b"))
+	assert.NilError(t, err)
+	request.Host = "a.example"
+	request.Header.Set("Authorization", "Token "+secret)
+	request.Header.Set("Gentianhead-Attempt-Id", "attempt-1")
+	request.Header.Set("Gentianhead-Model", "m")
+	go func() { _, _ = http.DefaultClient.Do(request) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(f.runs()) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("not sent yet")
+	})
+	cancel()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.runs()[0].IsCut {
+			return poll.Success()
+		}
+		return poll.Continue("the endpoint still works")
+	})
+}
+
+func TestTimeLimitOfTheRouteEndsTheRequest(t *testing.T) {
+	f := newFixture(t, 1)
+	f.faults(platformtest.Mute)
+	got := f.ask(http.MethodPost, pathShort, "b", "Gentianhead-Deadline-Ms", "60000")
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+}
+
+func TestWhatARouterCannotServe(t *testing.T) {
+	f := newFixture(t, 1)
+	assert.Equal(t, f.ask(http.MethodGet, "/nowhere/", "").status, http.StatusNotFound)
+	assert.Equal(t, f.ask(http.MethodGet, pathSafe, "", "Authorization", "Token guess").status, http.StatusUnauthorized)
+	assert.Equal(t, f.ask(http.MethodGet, pathSafe, "", "Gentianhead-Deadline-Ms", "soon").status, http.StatusBadRequest)
+	assert.Equal(t, f.ask(http.MethodPost, pathSafe, strings.Repeat("x", 1001)).status, http.StatusRequestEntityTooLarge)
+	f.state.Lease = freshness.NewLease(time.Hour)
+	assert.Equal(t, f.ask(http.MethodGet, pathSafe, "").status, http.StatusServiceUnavailable)
+	f.state.Table = nil
+	assert.Equal(t, f.ask(http.MethodGet, pathSafe, "").status, http.StatusServiceUnavailable)
+	assert.Equal(t, f.arrivals(), 0)
+}
+
+func TestNoEndpointIsRefusedAtOnce(t *testing.T) {
+	f := newFixture(t, 0)
+	got := f.ask(http.MethodPost, pathUnsafe, "b")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+}
+
+// smuggled are messages that hide a second request where their ends are told in
+// two ways.
+var smuggled = map[string]string{
+	"length and chunks": "POST /unsafe/a HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token " + secret + "\r\nGentianhead-Attempt-Id: outer\r\nContent-Length: 300\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"two lengths":       "POST /unsafe/a HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token " + secret + "\r\nGentianhead-Attempt-Id: outer\r\nContent-Length: 0\r\nContent-Length: 300\r\n\r\n",
+	"folded coding":     "POST /unsafe/a HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token " + secret + "\r\nGentianhead-Attempt-Id: outer\r\nTransfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n",
+	"old version":       "POST /unsafe/a HTTP/1.0\r\nHost: a.example\r\nAuthorization: Token " + secret + "\r\nGentianhead-Attempt-Id: outer\r\nConnection: keep-alive\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"space in a name":   "POST /unsafe/a HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token " + secret + "\r\nGentianhead-Attempt-Id: outer\r\nTransfer-Encoding : chunked\r\nContent-Length: 0\r\n\r\n",
+}
+
+func TestHiddenRequestNeverRuns(t *testing.T) {
+	hidden := "POST /unsafe/hidden HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token " + secret + "\r\nGentianhead-Attempt-Id: hidden\r\nContent-Length: 0\r\n\r\n"
+	for name, outer := range smuggled {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, outer+hidden)
+			assert.NilError(t, err)
+			reader := bufio.NewReader(conn)
+			_, err = http.ReadResponse(reader, nil)
+			assert.NilError(t, err)
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+			_, err = io.Copy(io.Discard, reader)
+			assert.NilError(t, err, "the connection must end after the message")
+			for _, run := range f.runs() {
+				assert.Assert(t, run.Header.Get("Gentianhead-Attempt-Id") != "hidden")
+			}
+		})
+	}
+}
+
+func TestLeavingRelayAsksCallersToGo(t *testing.T) {
+	f := newFixture(t, 1)
+	f.relay.Leave()
+	request, err := http.NewRequest(http.MethodGet, f.url+pathSafe, nil)
+	assert.NilError(t, err)
+	request.Host = "a.example"
+	request.Header.Set("Authorization", "Token "+secret)
+	request.Header.Set("Gentianhead-Attempt-Id", "attempt-1")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Assert(t, response.Close)
+}
--- a/fleet/request/relay/stream.go
+++ b/fleet/request/relay/stream.go
@@ -44,7 +44,7 @@
 			if event.ID != "" {
 				c.lastEvent = event.ID
 			}
-			if !events.HasMore() {
+			if !events.HasWhole() {
 				if err := controller.Flush(); err != nil {
 					return result{failure: fail(kindCallerGone, "the caller does not read").because(err), mayHaveRun: true, isFinal: true, trust: breaker.Neutral}
 				}
