Let two routers ask the store often and pass their confirmations on

Cause: on the grown deployments calls to the store cost more than anything else: two a second for each of 61 routers. Change: two watchers ask every second, the others wait 15 s for changes. A confirmation passes between routers as an echo of a time that the receiver itself stamped, so it needs neither common clocks nor a bound on the delay. A router that hears another know more, or no confirmation, asks at once.

--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -18,6 +18,10 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianhead/core/process/freshness"
 )
 
 const (
@@ -42,11 +46,20 @@
 
 // Work is what a router has sent to an endpoint and is not finished.
 type Work struct {
-	Running int `msgpack:"r"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // tells the codec to leave out names
+
+	Running int
 	// Prefill is the number of prompt tokens that the endpoint has yet to read.
-	Prefill int `msgpack:"p,omitempty"`
+	Prefill int
 }
 
+// Key names an endpoint in beacons, in fewer bytes than its id. Two endpoints
+// with the same key add up to a wrong picture of the load and to nothing worse.
+type Key uint32
+
+// KeyOf returns the key of an endpoint's id.
+func KeyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
+
 // Beacon is a router's state.
 type Beacon struct {
 	Instance string `msgpack:"i"`
@@ -59,9 +72,20 @@
 	Start int64 `msgpack:"s"`
 	// IsServing is false while the router should not be given callers.
 	IsServing bool `msgpack:"v,omitempty"`
+	// HasStore says that the store answers the sender.
+	HasStore bool `msgpack:"h,omitempty"`
 	// Version is the configuration's version in force on the sender.
-	Version int64           `msgpack:"c,omitempty"`
-	Work    map[string]Work `msgpack:"w,omitempty"`
+	Version int64 `msgpack:"c,omitempty"`
+	// EndpointsVersion is the version of the newest change of endpoints' entries
+	// that the sender has seen.
+	EndpointsVersion int64        `msgpack:"e,omitempty"`
+	Work             map[Key]Work `msgpack:"w,omitempty"`
+	// Stamp is the sender's clock, to be echoed.
+	Stamp time.Duration `msgpack:"t"`
+	// Echo passes the sender's confirmation of Version on to the one router that
+	// had EchoStart as its Start. EchoStart is zero when there is none.
+	Echo      freshness.Echo `msgpack:"o"`
+	EchoStart int64          `msgpack:"f,omitempty"`
 	// Mentions are the Peer addresses of a few other routers.
 	Mentions []string `msgpack:"m,omitempty"`
 }
@@ -69,6 +93,9 @@
 // Member is a router as this one knows it.
 type Member struct {
 	Beacon
+	// ArrivedAt is when the newest beacon arrived.
+	ArrivedAt time.Duration
+	// heardAt is ArrivedAt, moved on by pauses of this router.
 	heardAt time.Duration
 }
 
@@ -123,7 +150,7 @@
 		return false
 	}
 	delete(c.unheard, beacon.Peer)
-	c.members[beacon.Peer] = &Member{Beacon: beacon, heardAt: now}
+	c.members[beacon.Peer] = &Member{Beacon: beacon, ArrivedAt: now, heardAt: now}
 	for _, peer := range beacon.Mentions {
 		c.Learn(now, peer)
 	}
@@ -150,6 +177,15 @@
 	return c.recipients(now)
 }
 
+// Member returns what is known of the router at a peer address.
+func (c *Core) Member(peer string) (Member, bool) {
+	member, known := c.members[peer]
+	if !known {
+		return Member{}, false
+	}
+	return *member, true
+}
+
 // Everyone returns the addresses to send news to out of turn.
 func (c *Core) Everyone() []string {
 	return slices.Sorted(maps.Keys(c.members))
--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -105,7 +105,7 @@
 
 type report struct {
 	at   time.Duration
-	work map[string]presence.Work
+	work map[presence.Key]presence.Work
 }
 
 // New returns a core without endpoints. No engine is to exceed loadFactor times
@@ -128,7 +128,7 @@
 func (c *Core) SetTable(table *routetable.Table) { c.table = table }
 
 // Report takes what another router has under way.
-func (c *Core) Report(now time.Duration, instance string, work map[string]presence.Work) {
+func (c *Core) Report(now time.Duration, instance string, work map[presence.Key]presence.Work) {
 	c.reports[instance] = report{at: now, work: work}
 	for name, r := range c.reports {
 		if now-r.at > reportLife {
@@ -138,18 +138,19 @@
 	for id, state := range c.states {
 		state.peers = presence.Work{}
 		for _, r := range c.reports {
-			state.peers.Running += r.work[id].Running
-			state.peers.Prefill += r.work[id].Prefill
+			work := r.work[presence.KeyOf(id)]
+			state.peers.Running += work.Running
+			state.peers.Prefill += work.Prefill
 		}
 	}
 }
 
 // Work returns what this router has under way.
-func (c *Core) Work() map[string]presence.Work {
-	work := make(map[string]presence.Work)
+func (c *Core) Work() map[presence.Key]presence.Work {
+	work := make(map[presence.Key]presence.Work)
 	for id, state := range c.states {
 		if state.own.Running > 0 {
-			work[id] = state.own
+			work[presence.KeyOf(id)] = state.own
 		}
 	}
 	return work
--- a/core/request/balance/balance_test.go
+++ b/core/request/balance/balance_test.go
@@ -92,7 +92,7 @@
 func TestShortRequestGoesAroundLongPrompts(t *testing.T) {
 	c := newCore(t, 1, 0)
 	long, _ := c.Place(0, Job{Service: "pool", Prompt: prompt("doc", "first")})
-	c.Report(0, "router-2", map[string]presence.Work{long.Endpoint.ID: {Running: 3, Prefill: 60000}})
+	c.Report(0, "router-2", map[presence.Key]presence.Work{presence.KeyOf(long.Endpoint.ID): {Running: 3, Prefill: 60000}})
 	short := &exchange.Prompt{Parts: []exchange.Part{{ID: "x", Tokens: 100}}}
 	for range engines - 1 {
 		placed, _ := c.Place(0, Job{Service: "pool", Prompt: short})
@@ -102,7 +102,7 @@
 
 func TestReportOfASilentRouterIsForgotten(t *testing.T) {
 	c := newCore(t, 1, 0)
-	c.Report(0, "router-2", map[string]presence.Work{"engine-00": {Running: 60}})
+	c.Report(0, "router-2", map[presence.Key]presence.Work{presence.KeyOf("engine-00"): {Running: 60}})
 	c.Report(reportLife+time.Second, "router-3", nil)
 	placed, _ := c.Place(reportLife+time.Second, Job{Service: "pool", Prompt: prompt("d", "o")})
 	state := c.states["engine-00"]
@@ -172,7 +172,7 @@
 	c.SetView(view.View())
 	placed, _ := c.Place(0, Job{Service: "pool", Prompt: prompt("doc", "p")})
 	c.Done(0, &old, breaker.Failed)
-	assert.Equal(t, c.Work()[placed.Endpoint.ID].Running, 1, "the old placement must not be taken off the new process")
+	assert.Equal(t, c.Work()[presence.KeyOf(placed.Endpoint.ID)].Running, 1, "the old placement must not be taken off the new process")
 	_, held := c.states[again.ID].cache.prefix(0, prompt("doc", "p").Parts)
 	assert.Equal(t, held, 3)
 }
--- a/fleet/connection/beacon/beacon.go
+++ b/fleet/connection/beacon/beacon.go
@@ -30,24 +30,19 @@
 	return &Conn{conn: conn}, nil
 }
 
-// Send sends a beacon to each address. Datagrams that can't be sent are counted.
-func (c *Conn) Send(beacon presence.Beacon, to []string) {
-	if len(to) == 0 {
-		return
-	}
+// Send sends a beacon to a router. One that can't be sent is counted.
+func (c *Conn) Send(beacon presence.Beacon, to string) {
 	encoded, err := msgpack.Marshal(beacon)
 	if err != nil || len(encoded) > maxBytes {
-		unsent.Add(int64(len(to)))
+		unsent.Add(1)
 		return
 	}
-	for _, address := range to {
-		peer, err := netip.ParseAddrPort(address)
-		if err == nil {
-			_, err = c.conn.WriteToUDPAddrPort(encoded, peer)
-		}
-		if err != nil {
-			unsent.Add(1)
-		}
+	peer, err := netip.ParseAddrPort(to)
+	if err == nil {
+		_, err = c.conn.WriteToUDPAddrPort(encoded, peer)
+	}
+	if err != nil {
+		unsent.Add(1)
 	}
 }
 
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -10,6 +10,7 @@
 	"gentianhead/core/process/endpoints"
 	"gentianhead/core/process/freshness"
 	"gentianhead/core/process/presence"
+	"gentianhead/core/process/table"
 	"gentianhead/core/version/routetable"
 	"gentianhead/fleet/connection/beacon"
 	"gentianhead/fleet/process/boottime"
@@ -61,6 +62,8 @@
 	start     int64
 	isAway    map[string]bool
 	isFresh   bool
+
+	sync syncState
 }
 
 // Events of the control goroutine.
@@ -70,7 +73,8 @@
 	leaveAsked   struct{ done chan struct{} }
 )
 
-func newControl(settings *platform.Settings, balancer *relay.Balancer, beacons *beacon.Conn, start int64, log *slog.Logger) *control {
+func newControl(settings *platform.Settings, balancer *relay.Balancer, beacons *beacon.Conn, store table.Table, log *slog.Logger) *control {
+	start := time.Now().UnixNano()
 	c := &control{
 		settings:  settings,
 		balancer:  balancer,
@@ -83,6 +87,7 @@
 		start:     start,
 		isAway:    make(map[string]bool),
 	}
+	c.sync.init(store)
 	for _, seed := range settings.Seeds {
 		c.presence.Learn(boottime.Now(), peerAddress(seed, settings))
 	}
@@ -142,7 +147,7 @@
 		c.state.isLeaving = true
 		c.publish()
 		for range farewells {
-			c.beacons.Send(c.beacon(now), c.presence.Everyone())
+			c.sendBeacons(now, c.presence.Everyone())
 		}
 		close(e.done)
 	}
@@ -151,13 +156,40 @@
 func (c *control) stepBeacon(now time.Duration, received presence.Beacon) {
 	isNew := c.presence.Heard(now, received)
 	c.balancer.Report(received.Instance, received.Work)
+	c.confirmByPeer(now, received)
 	if isNew {
 		c.log.Info("A router is present.", "instance", received.Instance, "peer", received.Peer, "isServing", received.IsServing)
-		c.beacons.Send(c.beacon(now), []string{received.Peer})
+		c.sendBeacons(now, []string{received.Peer})
 	}
 	c.publishLive(now)
 }
 
+// confirmByPeer takes another router's confirmation over, if what it confirms is
+// in force here too.
+func (c *control) confirmByPeer(now time.Duration, received presence.Beacon) {
+	if received.EchoStart != c.start || c.state.table == nil || received.Version > c.state.table.Version {
+		return
+	}
+	if confirmedAt := received.Echo.ConfirmedAt(); confirmedAt <= now {
+		c.state.lease = c.state.lease.Confirm(confirmedAt)
+		c.publish()
+	}
+}
+
+// sendBeacons sends each router its beacon: they differ in what they echo.
+func (c *control) sendBeacons(now time.Duration, to []string) {
+	base := c.beacon(now)
+	for _, peer := range to {
+		b := base
+		if member, known := c.presence.Member(peer); known {
+			if echo, ok := c.state.lease.EchoTo(member.Stamp, member.ArrivedAt); ok {
+				b.Echo, b.EchoStart = echo, member.Start
+			}
+		}
+		c.beacons.Send(b, peer)
+	}
+}
+
 // beacon is what this router tells the others.
 func (c *control) beacon(now time.Duration) presence.Beacon {
 	b := presence.Beacon{
@@ -167,8 +199,12 @@
 		Peer:      c.settings.Peers.String(),
 		Start:     c.start,
 		IsServing: c.state.isReady(now),
+		HasStore:  c.hasStore(),
 		Work:      c.balancer.Work(),
 		Mentions:  c.presence.Mentions(),
+		Stamp:     now,
+
+		EndpointsVersion: c.sync.endpointsVersion,
 	}
 	if c.state.table != nil {
 		b.Version = c.state.table.Version
@@ -178,7 +214,7 @@
 
 func (c *control) tick() {
 	now := boottime.Now()
-	c.beacons.Send(c.beacon(now), c.presence.Tick(now))
+	c.sendBeacons(now, c.presence.Tick(now))
 	if c.endpoints.Tick(now) {
 		c.endpointsChanged("a lapsed entry did not come back")
 	}
@@ -188,6 +224,7 @@
 		c.log.Info("Freshness of the configuration changed.", "isFresh", fresh, "age", age)
 	}
 	c.publishLive(now)
+	c.keepInSync(now)
 }
 
 func (c *control) stepUpdate(now time.Duration, update watch.Update) {
@@ -261,6 +298,9 @@
 func (c *control) stepEndpoints(now time.Duration, update watch.Update) {
 	var entries []endpoints.Entry
 	for _, row := range update.Rows {
+		if !c.sync.isNewer(row) {
+			continue
+		}
 		if row.IsRemoved {
 			c.endpoints.Removed(now, row.Key)
 			continue
@@ -279,6 +319,7 @@
 	if update.IsWhole {
 		c.endpoints.Listed(now, entries)
 	}
+	c.sync.endpointsKnown = max(c.sync.endpointsKnown, update.Version)
 	if len(update.Rows) > 0 || update.IsWhole {
 		c.state.hasEndpoints = true
 		c.endpointsChanged("entries changed")
--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -19,7 +19,6 @@
 	"gentianhead/fleet/connection/upstream"
 	"gentianhead/fleet/process/serving"
 	"gentianhead/fleet/process/telemetry"
-	"gentianhead/fleet/process/watch"
 	"gentianhead/fleet/request/relay"
 	"gentianhead/platform"
 )
@@ -38,9 +37,6 @@
 	// room above the limits that operators set.
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
-	// maxWatchWait bounds how long the store is asked to wait for changes. A
-	// connection that fell silent is noticed after that.
-	maxWatchWait = time.Second
 	// answerParts divides the grace time: callers may keep addresses for three
 	// times an answer's life, and requests need the rest to end.
 	answerParts = 8
@@ -79,7 +75,7 @@
 	balancer := relay.NewBalancer(settings.LoadFactor, settings.PrefixLife, retry.FleetLimits{
 		Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
 	}, telemetry.Part(logger, "balance"))
-	r.control = newControl(settings, balancer, beacons, time.Now().UnixNano(), telemetry.Part(logger, "control"))
+	r.control = newControl(settings, balancer, beacons, r.store, telemetry.Part(logger, "control"))
 	r.relay = relay.New(relay.Options{
 		State:      r.relayState,
 		Dialect:    platform.Dialect{},
@@ -119,9 +115,8 @@
 	go r.control.run(background)
 	go r.beacons.Receive(r.control.heard)
 	go r.register(background)
-	wait := min(maxWatchWait, r.settings.DrainTime/2)
-	for _, table := range []string{platform.TableOperator, platform.TableEndpoints} {
-		go watch.Follow(background, r.store, table, wait, r.control.shown)
+	for _, follower := range r.control.sync.followers {
+		go follower.Run(background, r.control.shown)
 	}
 	failed := make(chan error, 3)
 	if err := r.listen(failed); err != nil {
--- a/fleet/process/watch/watch.go
+++ b/fleet/process/watch/watch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,8 @@
 	// IsWhole says that Rows is the whole table and not what changed.
 	IsWhole bool
 	Rows    []table.Row
+	// Version is the service's version that the table is known up to.
+	Version int64
 	// Unreadable counts rows that were left out.
 	Unreadable int
 	// StartedAt is when the call was begun, by the clock of package boottime.
@@ -33,18 +36,50 @@
 	Err error
 }
 
-// Follow calls handle with each update until ctx ends. The service is asked to
-// wait for changes for at most wait; that also bounds how long a connection that
-// fell silent goes unnoticed.
-func Follow(ctx context.Context, service table.Table, name string, wait time.Duration, handle func(Update)) {
-	f := follower{service: service, name: name, wait: wait, isStale: true}
+// Follower follows one table. Run is its owner; Refresh may be called from any
+// goroutine.
+type Follower struct {
+	service table.Table
+	name    string
+	// wait returns how long the service is asked to wait for changes.
+	wait    func() time.Duration
+	version int64
+	// isStale says that the table has to be read whole.
+	isStale bool
+
+	mu sync.Mutex
+	// isUrgent asks for a call that does not wait.
+	isUrgent bool
+	// cancel ends the call that waits; nil while none does.
+	cancel context.CancelFunc
+}
+
+// New returns a follower of the table name. The service is asked to wait for
+// changes for as long as wait says before each call.
+func New(service table.Table, name string, wait func() time.Duration) *Follower {
+	return &Follower{service: service, name: name, wait: wait, isStale: true}
+}
+
+// Refresh ends a call that waits and makes one that does not. The follower's
+// connection may have fallen silent, which looks like no change.
+func (f *Follower) Refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isUrgent = true
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+// Run calls handle with each update until ctx ends.
+func (f *Follower) Run(ctx context.Context, handle func(Update)) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		update := f.next(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(update.Err, table.ErrHistoryGone) {
+		if errors.IsAny(update.Err, table.ErrHistoryGone, errRefreshed) {
 			continue
 		}
 		handle(update)
@@ -57,6 +92,9 @@
 	}
 }
 
+// errRefreshed ends a call in favor of one that does not wait.
+var errRefreshed = errors.New("watch: refreshed")
+
 // pause waits between half of d and d, so that routers do not ask in step.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d/2 + rand.N(d/2))
@@ -67,22 +105,42 @@
 	}
 }
 
-type follower struct {
-	service table.Table
-	name    string
-	wait    time.Duration
-	version int64
-	// isStale says that the table has to be read whole.
-	isStale bool
+// begin returns the context of a call for changes and how long it is to wait.
+func (f *Follower) begin(ctx context.Context) (context.Context, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isUrgent {
+		// The call is short and ends by its own time limit.
+		f.isUrgent = false
+		return ctx, 0
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	f.cancel = cancel
+	return ctx, f.wait()
+}
+
+// end forgets the call and reports whether it was refreshed.
+func (f *Follower) end() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+		f.cancel = nil
+	}
+	return f.isUrgent
 }
 
-func (f *follower) next(ctx context.Context) Update {
+func (f *Follower) next(ctx context.Context) Update {
 	update := Update{Table: f.name, IsWhole: f.isStale, StartedAt: boottime.Now()}
 	var rows table.Rows
 	if f.isStale {
 		rows, update.Err = f.service.Rows(ctx, f.name)
 	} else {
-		rows, update.Err = f.service.Changes(ctx, f.name, f.version, f.wait)
+		callCtx, wait := f.begin(ctx)
+		rows, update.Err = f.service.Changes(callCtx, f.name, f.version, wait)
+		if isRefreshed := f.end(); isRefreshed && update.Err != nil {
+			update.Err = errRefreshed
+		}
 	}
 	if update.Err != nil {
 		f.isStale = f.isStale || errors.Is(update.Err, table.ErrHistoryGone)
@@ -90,6 +148,6 @@
 	}
 	f.isStale = false
 	f.version = max(f.version, rows.Version)
-	update.Rows, update.Unreadable = rows.Rows, rows.Unreadable
+	update.Rows, update.Version, update.Unreadable = rows.Rows, f.version, rows.Unreadable
 	return update
 }
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -64,14 +64,14 @@
 }
 
 // Report takes what another router has under way.
-func (b *Balancer) Report(instance string, work map[string]presence.Work) {
+func (b *Balancer) Report(instance string, work map[presence.Key]presence.Work) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.core.Report(boottime.Now(), instance, work)
 }
 
 // Work returns what this router has under way.
-func (b *Balancer) Work() map[string]presence.Work {
+func (b *Balancer) Work() map[presence.Key]presence.Work {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.core.Work()
