--- /dev/null
+++ b/fleet/process/hosted/hosted_test.go
@@ -0,0 +1,247 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"gentianhead/fleet/process/boottime"
+	"gentianhead/platform"
+	"gentianhead/platform/platformtest"
+)
+
+// fleet is routers of one process on addresses of the loopback range, before
+// stand-ins of the store and one endpoint.
+type fleet struct {
+	t        *testing.T
+	store    *platformtest.Store
+	endpoint *platformtest.Endpoint
+	routers  []*Router
+	stops    []context.CancelFunc
+	ended    []chan error
+	port     uint16
+}
+
+const hostName = "a.example"
+
+func configuration(version int, secret string) map[string]any {
+	return map[string]any{
+		"Version": version,
+		"RouteTable": []map[string]any{{
+			"Name": "orders", "Hostname": hostName, "Prefix": "/orders/", "RouteType": "unsafe",
+			"TimeoutMs": 5000, "TargetLatencyMs": 300, "Service": "plain", "MaxAttempts": 1,
+		}},
+		"Services": []map[string]any{{"Name": "plain", "MaxConnections": 100}},
+		"Limits":   map[string]any{"MaxBodyBytes": 10000},
+		"Tenants":  []map[string]any{{"Name": "mill", "ApiKeys": []string{secret}}},
+	}
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: platformtest.NewStore(), endpoint: platformtest.NewEndpoint("e-1")}
+	t.Cleanup(f.store.Close)
+	t.Cleanup(f.endpoint.Close)
+	f.store.Put(platform.TableOperator, platform.KeyConfiguration, configuration(1, "first"))
+	f.store.Put(platform.TableEndpoints, f.endpoint.ID, f.endpoint.Entry("plain", "ready"))
+	f.port = freePort(t)
+	for number := range size {
+		f.start(number)
+	}
+	return f
+}
+
+// freePort returns a port for datagrams that is free on the loopback addresses.
+func freePort(t *testing.T) uint16 {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer conn.Close()
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+}
+
+func freeAddress(t *testing.T, ip netip.Addr) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (f *fleet) start(number int) {
+	f.t.Helper()
+	ip := netip.AddrFrom4([4]byte{127, 0, 0, byte(number + 1)})
+	settings := &platform.Settings{
+		Instance: fmt.Sprintf("router-%d", number), Zone: "zone-1", Region: "region-1",
+		Callers: freeAddress(f.t, ip), Readiness: freeAddress(f.t, ip), Directory: freeAddress(f.t, ip),
+		Peers: netip.AddrPortFrom(ip, f.port), Store: f.store.Address,
+		MemoryBytes: 1 << 30, Connections: 1000, SecretLife: 5 * time.Second, DrainTime: 2 * time.Second,
+		Grace: 8 * time.Second, AnswerLife: 5 * time.Second, LoadFactor: 2, RetryRatio: 0.2, RetrySlack: 50,
+		RetryWindow: 10 * time.Second, PrefixLife: 10 * time.Second,
+	}
+	router, err := New(settings, slog.New(slog.DiscardHandler))
+	assert.NilError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	hurry, endAtOnce := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- router.Run(ctx, hurry)
+		close(ended)
+	}()
+	f.routers, f.stops, f.ended = append(f.routers, router), append(f.stops, cancel), append(f.ended, ended)
+	f.t.Cleanup(func() {
+		endAtOnce()
+		cancel()
+		<-ended
+	})
+}
+
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func (f *fleet) status(number int, secret, id string) int {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.routers[number].settings.Callers+"/orders/1", strings.NewReader("order"))
+	assert.NilError(f.t, err)
+	request.Host = hostName
+	request.Header.Set("Authorization", "Token "+secret)
+	request.Header.Set("Gentianhead-Attempt-Id", id)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+func (f *fleet) resolve(number int) []string {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.routers[number].settings.Directory + platform.ResolvePath + "?Name=" + hostName)
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var answer struct{ Addresses []string }
+	assert.NilError(f.t, json.NewDecoder(response.Body).Decode(&answer))
+	return answer.Addresses
+}
+
+func TestFleetServesAndFindsItself(t *testing.T) {
+	f := newFleet(t, 3)
+	for number := range 3 {
+		f.eventually("request served", func() bool { return f.status(number, "first", fmt.Sprintf("a-%d", number)) == http.StatusOK })
+		f.eventually("all routers named", func() bool { return len(f.resolve(number)) == 3 })
+	}
+	assert.Equal(t, f.status(0, "wrong", "b"), http.StatusUnauthorized)
+}
+
+func TestChangesReachEveryRouter(t *testing.T) {
+	f := newFleet(t, 3)
+	for number := range 3 {
+		f.eventually("request served", func() bool { return f.status(number, "first", fmt.Sprintf("a-%d", number)) == http.StatusOK })
+	}
+	f.store.Put(platform.TableOperator, platform.KeyConfiguration, configuration(2, "second"))
+	for number := range 3 {
+		f.eventually("new secret honored", func() bool { return f.status(number, "second", fmt.Sprintf("b-%d", number)) == http.StatusOK })
+		assert.Equal(t, f.status(number, "first", "c"), http.StatusUnauthorized)
+	}
+	f.store.Put(platform.TableEndpoints, f.endpoint.ID, f.endpoint.Entry("plain", "draining"))
+	for number := range 3 {
+		f.eventually("endpoint left alone", func() bool {
+			return f.status(number, "second", fmt.Sprintf("d-%d", number)) == http.StatusServiceUnavailable
+		})
+	}
+}
+
+func TestOlderVersionNeverComesBack(t *testing.T) {
+	f := newFleet(t, 1)
+	f.store.Put(platform.TableOperator, platform.KeyConfiguration, configuration(5, "fifth"))
+	f.eventually("version in force", func() bool { return f.status(0, "fifth", "a") == http.StatusOK })
+	f.store.Put(platform.TableOperator, platform.KeyConfiguration, configuration(4, "fourth"))
+	f.store.Put(platform.TableOperator, platform.KeyConfiguration, []byte("{ no configuration"))
+	f.store.Put(platform.TableEndpoints, "other", []byte("no entry"))
+	f.store.Compact()
+	f.store.Put(platform.TableEndpoints, "marker", f.endpoint.Entry("marked", "ready"))
+	f.eventually("all of it seen", func() bool {
+		return f.routers[0].control.current.Load().table != nil && f.store.Calls("rows-get") >= 5
+	})
+	assert.Equal(t, f.status(0, "fifth", "b"), http.StatusOK)
+	assert.Equal(t, f.status(0, "fourth", "c"), http.StatusUnauthorized)
+}
+
+// While the store answers nobody, no router may honor secrets for longer than the
+// bound, however often routers confirm each other.
+func TestSecretsAreNotHonoredWithoutTheStore(t *testing.T) {
+	f := newFleet(t, 3)
+	for number := range 3 {
+		f.eventually("request served", func() bool { return f.status(number, "first", fmt.Sprintf("a-%d", number)) == http.StatusOK })
+	}
+	f.store.SetFault(platformtest.Refusing)
+	away := boottime.Now()
+	for number := range 3 {
+		f.eventually("secret refused", func() bool {
+			return f.status(number, "first", fmt.Sprintf("b-%d", number)) == http.StatusServiceUnavailable
+		})
+	}
+	for number := range 3 {
+		age, _ := f.routers[number].control.current.Load().lease.Age(boottime.Now())
+		assert.Assert(t, age >= boottime.Now()-away, "a confirmation is younger than the store's last answer")
+	}
+	f.store.SetFault("")
+	for number := range 3 {
+		f.eventually("served again", func() bool { return f.status(number, "first", fmt.Sprintf("c-%d", number)) == http.StatusOK })
+	}
+}
+
+func TestStopIsAnnouncedAndCutsNothing(t *testing.T) {
+	f := newFleet(t, 3)
+	for number := range 3 {
+		f.eventually("all routers named", func() bool { return len(f.resolve(number)) == 3 })
+	}
+	f.endpoint.Pause = 500 * time.Millisecond
+	inFlight := make(chan int, 1)
+	go func() { inFlight <- f.status(0, "first", "slow") }()
+	f.eventually("request under way", func() bool { return len(f.endpoint.Runs()) == 1 })
+	f.stops[0]()
+	for number := 1; number < 3; number++ {
+		f.eventually("not named any more", func() bool { return len(f.resolve(number)) == 2 })
+	}
+	assert.Equal(t, f.status(0, "first", "with-an-old-address"), http.StatusOK)
+	assert.Equal(t, <-inFlight, http.StatusOK)
+	assert.NilError(t, <-f.ended[0])
+	assert.Assert(t, len(f.store.Keys(tableRouters)) <= 2)
+}
+
+// In a fleet of any size two routers ask the store often.
+func TestFewRoutersWatch(t *testing.T) {
+	f := newFleet(t, 6)
+	f.eventually("two watchers", func() bool {
+		watching := 0
+		for number, router := range f.routers {
+			if len(f.resolve(number)) == 6 && router.control.sync.isWatcher.Load() {
+				watching++
+			}
+		}
+		return watching == watchers
+	})
+}
--- /dev/null
+++ b/fleet/process/watch/watch_test.go
@@ -0,0 +1,119 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/process/table"
+)
+
+// fakeTable answers with what the test puts in.
+type fakeTable struct {
+	table.Table
+	whole   []table.Rows
+	changes []func(ctx context.Context, after int64, wait time.Duration) (table.Rows, error)
+	waits   []time.Duration
+}
+
+func (f *fakeTable) Rows(context.Context, string) (table.Rows, error) {
+	rows := f.whole[0]
+	f.whole = f.whole[1:]
+	return rows, nil
+}
+
+func (f *fakeTable) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (table.Rows, error) {
+	f.waits = append(f.waits, wait)
+	if len(f.changes) == 0 {
+		<-ctx.Done()
+		return table.Rows{}, ctx.Err()
+	}
+	next := f.changes[0]
+	f.changes = f.changes[1:]
+	return next(ctx, after, wait)
+}
+
+func fails(err error) func(context.Context, int64, time.Duration) (table.Rows, error) {
+	return func(context.Context, int64, time.Duration) (table.Rows, error) { return table.Rows{}, err }
+}
+
+// collect runs a follower until its table has nothing more to say.
+func collect(t *testing.T, f *fakeTable, during func(*Follower)) []Update {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var updates []Update
+	follower := New(f, "things", func() time.Duration { return time.Minute })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.Run(ctx, func(u Update) { updates = append(updates, u) })
+	}()
+	synctest.Wait()
+	if during != nil {
+		during(follower)
+		synctest.Wait()
+	}
+	<-time.After(10 * time.Second)
+	cancel()
+	<-done
+	return updates
+}
+
+func TestFollowerReadsWholeAndThenChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeTable{whole: []table.Rows{{Version: 7}}}
+		f.changes = append(f.changes, func(_ context.Context, after int64, _ time.Duration) (table.Rows, error) {
+			assert.Equal(t, after, int64(7))
+			return table.Rows{Rows: []table.Row{{Key: "a"}}, Version: 9}, nil
+		})
+		updates := collect(t, f, nil)
+		assert.Equal(t, len(updates), 2)
+		assert.Assert(t, updates[0].IsWhole)
+		assert.Equal(t, updates[1].Version, int64(9))
+	})
+}
+
+func TestFollowerReadsWholeAgainWhenHistoryIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeTable{whole: []table.Rows{{Version: 7}, {Version: 30}}}
+		f.changes = append(f.changes, fails(table.ErrHistoryGone))
+		updates := collect(t, f, nil)
+		assert.Equal(t, len(updates), 2)
+		assert.Assert(t, updates[1].IsWhole)
+	})
+}
+
+func TestFollowerReportsFailuresAndGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeTable{whole: []table.Rows{{Version: 7}}}
+		f.changes = append(f.changes, fails(errors.New("away")), func(context.Context, int64, time.Duration) (table.Rows, error) {
+			return table.Rows{Version: 8}, nil
+		})
+		updates := collect(t, f, nil)
+		assert.Equal(t, len(updates), 3)
+		assert.ErrorContains(t, updates[1].Err, "away")
+		assert.NilError(t, updates[2].Err)
+	})
+}
+
+// A connection that fell silent looks like no change: Refresh gives it up.
+func TestRefreshGivesUpASilentCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeTable{whole: []table.Rows{{Version: 7}}}
+		silent := func(ctx context.Context, _ int64, _ time.Duration) (table.Rows, error) {
+			<-ctx.Done()
+			return table.Rows{}, ctx.Err()
+		}
+		f.changes = append(f.changes, silent, func(context.Context, int64, time.Duration) (table.Rows, error) {
+			return table.Rows{Rows: []table.Row{{Key: "late"}}, Version: 8}, nil
+		})
+		updates := collect(t, f, func(follower *Follower) { follower.Refresh() })
+		assert.Equal(t, len(updates), 2)
+		assert.Equal(t, updates[1].Rows[0].Key, "late")
+		assert.DeepEqual(t, f.waits[:3], []time.Duration{time.Minute, 0, time.Minute})
+	})
+}
--- a/fleet/request/relay/relay_test.go
+++ b/fleet/request/relay/relay_test.go
@@ -246,7 +246,7 @@
 				f.endpoints[1-number].SetFault("")
 			}
 		}
-		time.Sleep(50 * time.Microsecond)
+		<-time.After(50 * time.Microsecond)
 	}
 }
 
