Tell other routers where prompt parts went

Cause: each router knew only its own placements, so a part that had spilled or whose home had changed was read again elsewhere. Change: beacons carry the newest placements of shared parts, twice each.

--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -53,11 +53,21 @@
 	Prefill int
 }
 
-// Key names an endpoint in beacons, in fewer bytes than its id. Two endpoints
-// with the same key add up to a wrong picture of the load and to nothing worse.
+// Placed tells that a request with a prompt part went to an endpoint, which is
+// likely to hold the part now.
+type Placed struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // tells the codec to leave out names
+
+	Part     Key
+	Endpoint Key
+}
+
+// Key names an endpoint or a prompt part in beacons, in fewer bytes than its id.
+// Two with the same key make for a wrong picture of the load or of the caches and
+// for nothing worse.
 type Key uint32
 
-// KeyOf returns the key of an endpoint's id.
+// KeyOf returns the key of an id.
 func KeyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
 
 // Beacon is a router's state.
@@ -80,6 +90,8 @@
 	// that the sender has seen.
 	EndpointsVersion int64        `msgpack:"e,omitempty"`
 	Work             map[Key]Work `msgpack:"w,omitempty"`
+	// Placed are the sender's placements since its last beacons.
+	Placed []Placed `msgpack:"l,omitempty"`
 	// Stamp is the sender's clock, to be echoed.
 	Stamp time.Duration `msgpack:"t"`
 	// Echo passes the sender's confirmation of Version on to the one router that
@@ -157,8 +169,8 @@
 	return !isMember
 }
 
-// interval is the time between two beacons of a router.
-func (c *Core) interval() time.Duration {
+// Interval is the time between two beacons of a router.
+func (c *Core) Interval() time.Duration {
 	return max(MinInterval, time.Duration(len(c.members))*perRouter)
 }
 
@@ -173,7 +185,7 @@
 	if now < c.nextSend {
 		return nil
 	}
-	c.nextSend = now + c.interval()
+	c.nextSend = now + c.Interval()
 	return c.recipients(now)
 }
 
@@ -206,7 +218,7 @@
 
 // Live returns the members that were heard from lately, sorted by instance.
 func (c *Core) Live(now time.Duration) []Member {
-	silence := silentBeacons * c.interval()
+	silence := silentBeacons * c.Interval()
 	var live []Member
 	for _, member := range c.members {
 		if now-member.heardAt <= silence {
--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -99,7 +99,9 @@
 	view       *endpoints.View
 	table      *routetable.Table
 	states     map[string]*endpointState
+	byKey      map[presence.Key]*endpointState
 	reports    map[string]report
+	recent     recentPlacements
 	random     func() float64
 }
 
@@ -116,6 +118,7 @@
 		loadFactor: loadFactor,
 		prefixLife: prefixLife,
 		states:     make(map[string]*endpointState),
+		byKey:      make(map[presence.Key]*endpointState),
 		reports:    make(map[string]report),
 		random:     random,
 	}
@@ -127,8 +130,13 @@
 // SetTable replaces the version in force.
 func (c *Core) SetTable(table *routetable.Table) { c.table = table }
 
-// Report takes what another router has under way.
-func (c *Core) Report(now time.Duration, instance string, work map[presence.Key]presence.Work) {
+// Report takes what another router has under way and what it has placed lately.
+func (c *Core) Report(now time.Duration, instance string, work map[presence.Key]presence.Work, placed []presence.Placed) {
+	for _, p := range placed {
+		if state, known := c.byKey[p.Endpoint]; known {
+			state.cache.add(now, p.Part)
+		}
+	}
 	c.reports[instance] = report{at: now, work: work}
 	for name, r := range c.reports {
 		if now-r.at > reportLife {
@@ -156,6 +164,9 @@
 	return work
 }
 
+// Placed returns what this router has placed since a time.
+func (c *Core) Placed(since time.Duration) []presence.Placed { return c.recent.since(since) }
+
 // Place picks the endpoint for a request.
 func (c *Core) Place(now time.Duration, job Job) (Placement, Refusal) {
 	candidates := c.candidates(now, job)
@@ -176,12 +187,23 @@
 	chosen.own.Running++
 	chosen.own.Prefill += prefill
 	chosen.breaker.Sent(now)
-	if job.Prompt != nil {
-		chosen.cache.add(now, job.Prompt.Parts)
-	}
+	c.noteParts(now, chosen, job.Prompt)
 	return Placement{Endpoint: chosen.entry, prefill: prefill, isPrefill: prefill > 0, start: chosen.entry.StartedAt}, Accepted
 }
 
+// noteParts notes that the prompt's parts will be cached on an engine.
+func (c *Core) noteParts(now time.Duration, state *endpointState, prompt *exchange.Prompt) {
+	if prompt == nil || len(prompt.Parts) == 0 {
+		return
+	}
+	state.cache.add(now, presence.KeyOf(prompt.Parts[len(prompt.Parts)-1].ID))
+	if shared, ok := sharedPart(prompt); ok {
+		key := presence.KeyOf(shared.ID)
+		state.cache.add(now, key)
+		c.recent.add(now, presence.Placed{Part: key, Endpoint: presence.KeyOf(state.entry.ID)})
+	}
+}
+
 // candidates returns the endpoints that may be used, the trusted ones only as
 // long as there are any.
 func (c *Core) candidates(now time.Duration, job Job) []*endpointState {
@@ -218,6 +240,7 @@
 	if !known || state.entry.StartedAt != e.StartedAt || state.entry.Address != e.Address {
 		state = &endpointState{cache: newCache(c.prefixLife)}
 		c.states[e.ID] = state
+		c.byKey[presence.KeyOf(e.ID)] = state
 	}
 	state.entry = e
 	return state
@@ -368,6 +391,7 @@
 	for id, state := range c.states {
 		if _, known := c.view.Find(id); !known && state.own.Running == 0 {
 			delete(c.states, id)
+			delete(c.byKey, presence.KeyOf(id))
 		}
 	}
 }
--- a/core/request/balance/balance_test.go
+++ b/core/request/balance/balance_test.go
@@ -92,7 +92,7 @@
 func TestShortRequestGoesAroundLongPrompts(t *testing.T) {
 	c := newCore(t, 1, 0)
 	long, _ := c.Place(0, Job{Service: "pool", Prompt: prompt("doc", "first")})
-	c.Report(0, "router-2", map[presence.Key]presence.Work{presence.KeyOf(long.Endpoint.ID): {Running: 3, Prefill: 60000}})
+	c.Report(0, "router-2", map[presence.Key]presence.Work{presence.KeyOf(long.Endpoint.ID): {Running: 3, Prefill: 60000}}, nil)
 	short := &exchange.Prompt{Parts: []exchange.Part{{ID: "x", Tokens: 100}}}
 	for range engines - 1 {
 		placed, _ := c.Place(0, Job{Service: "pool", Prompt: short})
@@ -100,10 +100,29 @@
 	}
 }
 
+// The load pattern: an engine joins and becomes the home of a document that
+// another engine holds. Routers that heard of the holder go on using it.
+func TestPartStaysWhereOtherRoutersSentIt(t *testing.T) {
+	first, second := newCore(t, 1, 0), newCore(t, 2, 0)
+	engineIDs := first.view.Of("pool")
+	for number := range 20 {
+		document := fmt.Sprintf("doc-%d", number)
+		placed, _ := first.Place(0, Job{Service: "pool", Prompt: prompt(document, "o"), Excluded: []string{engineIDs[number%engines].ID}})
+		first.Done(0, &placed, breaker.Succeeded)
+		for _, e := range engineIDs {
+			second.state(e)
+		}
+		second.Report(0, "router-1", nil, first.Placed(0))
+		again, _ := second.Place(0, Job{Service: "pool", Prompt: prompt(document, "p")})
+		assert.Equal(t, again.Endpoint.ID, placed.Endpoint.ID)
+		second.Done(0, &again, breaker.Succeeded)
+	}
+}
+
 func TestReportOfASilentRouterIsForgotten(t *testing.T) {
 	c := newCore(t, 1, 0)
-	c.Report(0, "router-2", map[presence.Key]presence.Work{presence.KeyOf("engine-00"): {Running: 60}})
-	c.Report(reportLife+time.Second, "router-3", nil)
+	c.Report(0, "router-2", map[presence.Key]presence.Work{presence.KeyOf("engine-00"): {Running: 60}}, nil)
+	c.Report(reportLife+time.Second, "router-3", nil, nil)
 	placed, _ := c.Place(reportLife+time.Second, Job{Service: "pool", Prompt: prompt("d", "o")})
 	state := c.states["engine-00"]
 	assert.Assert(t, state == nil || state.peers.Running == 0, "%v", placed)
--- a/core/request/balance/cache.go
+++ b/core/request/balance/cache.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gentianhead/core/process/presence"
 	"gentianhead/core/request/exchange"
 )
 
@@ -12,46 +13,81 @@
 	cacheLifeFactor = 3
 	// maxCachedParts bounds what is remembered of one engine.
 	maxCachedParts = 4096
+	// maxRecent bounds the placements that are told to other routers.
+	maxRecent = 256
 )
 
 // cache is what a router takes to be cached on one engine. A wrong entry costs
 // time, never correctness.
 type cache struct {
 	life  time.Duration
-	parts map[string]time.Duration
+	parts map[presence.Key]time.Duration
 }
 
 func newCache(life time.Duration) *cache {
-	return &cache{life: cacheLifeFactor * life, parts: make(map[string]time.Duration)}
+	return &cache{life: cacheLifeFactor * life, parts: make(map[presence.Key]time.Duration)}
 }
 
-// add notes that a request with these parts went to the engine.
-func (c *cache) add(now time.Duration, parts []exchange.Part) {
-	if len(c.parts)+len(parts) > maxCachedParts {
-		for id, used := range c.parts {
+// add notes that a request with this part went to the engine.
+func (c *cache) add(now time.Duration, part presence.Key) {
+	if len(c.parts) >= maxCachedParts {
+		for key, used := range c.parts {
 			if now-used > c.life {
-				delete(c.parts, id)
+				delete(c.parts, key)
 			}
 		}
 	}
-	if len(c.parts)+len(parts) > maxCachedParts {
+	if len(c.parts) >= maxCachedParts {
 		clear(c.parts)
 	}
-	for _, part := range parts {
-		c.parts[part.ID] = now
-	}
+	c.parts[part] = now
 }
 
 // prefix returns the tokens and the number of the leading parts that are held. A
-// part is of use only if all parts before it are held too.
+// part is read after all parts before it, so they are held with it.
 func (c *cache) prefix(now time.Duration, parts []exchange.Part) (tokens, count int) {
-	for _, part := range parts {
-		used, held := c.parts[part.ID]
-		if !held || now-used > c.life {
+	for count = len(parts); count > 0; count-- {
+		used, held := c.parts[presence.KeyOf(parts[count-1].ID)]
+		if held && now-used <= c.life {
 			break
 		}
-		tokens += part.Tokens
-		count++
 	}
-	return tokens, count
+	return sum(parts[:count]), count
+}
+
+// sharedPart returns the last part of a prompt that other requests share.
+func sharedPart(prompt *exchange.Prompt) (exchange.Part, bool) {
+	if prompt == nil || len(prompt.Parts) < 2 {
+		return exchange.Part{}, false
+	}
+	return prompt.Parts[len(prompt.Parts)-2], true
+}
+
+type placement struct {
+	at     time.Duration
+	placed presence.Placed
+}
+
+// recentPlacements holds the newest placements of shared parts.
+type recentPlacements struct {
+	ring [maxRecent]placement
+	next int
+}
+
+func (r *recentPlacements) add(now time.Duration, placed presence.Placed) {
+	r.ring[r.next] = placement{at: now, placed: placed}
+	r.next = (r.next + 1) % maxRecent
+}
+
+// since returns the placements from a time on, each once.
+func (r *recentPlacements) since(from time.Duration) []presence.Placed {
+	var found []presence.Placed
+	seen := make(map[presence.Placed]bool)
+	for _, p := range r.ring {
+		if p.at >= from && p.placed != (presence.Placed{}) && !seen[p.placed] {
+			seen[p.placed] = true
+			found = append(found, p.placed)
+		}
+	}
+	return found
 }
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -155,7 +155,7 @@
 
 func (c *control) stepBeacon(now time.Duration, received presence.Beacon) {
 	isNew := c.presence.Heard(now, received)
-	c.balancer.Report(received.Instance, received.Work)
+	c.balancer.Report(received.Instance, received.Work, received.Placed)
 	c.confirmByPeer(now, received)
 	if isNew {
 		c.log.Info("A router is present.", "instance", received.Instance, "peer", received.Peer, "isServing", received.IsServing)
@@ -192,6 +192,8 @@
 
 // beacon is what this router tells the others.
 func (c *control) beacon(now time.Duration) presence.Beacon {
+	// Placements are told twice, since single datagrams get lost.
+	work, placed := c.balancer.Work(now - 2*c.presence.Interval())
 	b := presence.Beacon{
 		Instance:  c.settings.Instance,
 		Zone:      c.settings.Zone,
@@ -200,7 +202,8 @@
 		Start:     c.start,
 		IsServing: c.state.isReady(now),
 		HasStore:  c.hasStore(),
-		Work:      c.balancer.Work(),
+		Work:      work,
+		Placed:    placed,
 		Mentions:  c.presence.Mentions(),
 		Stamp:     now,
 
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -63,18 +63,18 @@
 	b.routers = routers
 }
 
-// Report takes what another router has under way.
-func (b *Balancer) Report(instance string, work map[presence.Key]presence.Work) {
+// Report takes what another router has under way and what it has placed lately.
+func (b *Balancer) Report(instance string, work map[presence.Key]presence.Work, placed []presence.Placed) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.core.Report(boottime.Now(), instance, work)
+	b.core.Report(boottime.Now(), instance, work, placed)
 }
 
-// Work returns what this router has under way.
-func (b *Balancer) Work() map[presence.Key]presence.Work {
+// Work returns what this router has under way, and what it has placed since a time.
+func (b *Balancer) Work(since time.Duration) (map[presence.Key]presence.Work, []presence.Placed) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.core.Work()
+	return b.core.Work(), b.core.Placed(since)
 }
 
 func (b *Balancer) place(job balance.Job) (balance.Placement, balance.Refusal) {
