--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 N ?= 1000
 
-.PHONY: build check format lint test demo faults measure model bench
+.PHONY: build check format lint test demo faults measure model bench soak
 
 build:
 	$(GO) build -o bin/ ./fleet/cmd/... ./standin/cmd/...
@@ -33,3 +33,7 @@
 faults: export N := $(N)
 faults measure model bench: build
 	bash scripts/$@.sh
+
+# soak runs N seeds from SEED on.
+soak: build
+	SOAK_SEEDS=$(SEED)-$$(($(SEED) + $(N) - 1)) $(GO) test -count=1 -timeout 60m -parallel 6 -run TestSoak -v ./fleet/soak
--- a/fleet/cmd/gentianhead/main.go
+++ b/fleet/cmd/gentianhead/main.go
@@ -136,10 +136,10 @@
 }
 
 func serve(ctx context.Context, o *options, stdout, stderr io.Writer) error {
-	stop, hurry := signalContexts(ctx)
 	if path := os.Getenv(platform.SettingsVariable); path != "" {
-		return serveHosted(stop, hurry, path, o, stdout)
+		return serveHosted(ctx, path, o, stdout)
 	}
+	stop, hurry := signalContexts(ctx)
 	s, err := o.load()
 	if err != nil {
 		return err
@@ -151,8 +151,12 @@
 	return n.Run(stop, hurry)
 }
 
-// serveHosted runs the router with the platform's settings file.
-func serveHosted(stop, hurry context.Context, path string, o *options, stdout io.Writer) error {
+// serveHosted runs the router with the platform's settings file. The platform may
+// ask for a stop again while one is under way; it ends the process itself after
+// the grace time, so that only the first signal counts.
+func serveHosted(ctx context.Context, path string, o *options, stdout io.Writer) error {
+	stop, release := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer release()
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -165,7 +169,7 @@
 		return err
 	}
 	ignoreHangup()
-	return r.Run(stop, hurry)
+	return r.Run(stop, ctx)
 }
 
 // ignoreHangup keeps SIGHUP, which tells of changed settings, from ending the
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -34,8 +34,8 @@
 	table *routetable.Table
 	lease freshness.Lease
 	// hasEndpoints says that the table of endpoints was read.
-	hasEndpoints bool
-	isLeaving    bool
+	hasEndpoints  bool
+	isLeaving     bool
 	endpointCount int
 	// live are the other routers that were heard from lately.
 	live []presence.Member
--- a/fleet/request/relay/relay_test.go
+++ b/fleet/request/relay/relay_test.go
@@ -182,7 +182,7 @@
 	f := newFixture(t, 1)
 	got := f.ask(http.MethodPost, pathUnsafe+"x%2Fy//z?q=1&r=%20", "the body", "X-Own", "kept", "Gentianhead-Deadline-Ms", "2000")
 	assert.Equal(t, got.status, http.StatusOK)
-	assert.Equal(t, got.body, "answer of e-0")
+	assert.Equal(t, got.body, platformtest.AnswerOf("e-0", "attempt-1"))
 	assert.Equal(t, got.header.Get("Gentianhead-Server-Signature"), "signed-by-e-0")
 	assert.Equal(t, got.header.Get("Gentianhead-Attempt-Id"), "attempt-1")
 	run := f.runs()[0]
--- /dev/null
+++ b/fleet/soak/caller_test.go
@@ -0,0 +1,141 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"gentianhead/platform"
+)
+
+// kind is a kind of request.
+type kind string
+
+const (
+	kindUnsafe kind = "unsafe"
+	kindSafe   kind = "safe"
+	kindStream kind = "stream"
+	kindResume kind = "resume"
+)
+
+var kinds = []kind{kindUnsafe, kindSafe, kindStream, kindResume}
+
+// attempt is one request with what its caller saw.
+type attempt struct {
+	id     string
+	kind   kind
+	secret string
+	router *process
+	sentAt time.Time
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ledger holds what all callers saw.
+type ledger struct {
+	mu       sync.Mutex
+	attempts []*attempt
+}
+
+func (l *ledger) add(a *attempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempts = append(l.attempts, a)
+}
+
+// caller asks which routers to use, keeps the answer, and sends one request after
+// the other, mostly on connections that it keeps.
+type caller struct {
+	world     *world
+	number    int
+	random    *rand.Rand
+	client    *http.Client
+	addresses []string
+	until     time.Time
+}
+
+// deadline is how long a caller waits.
+const deadline = 3 * time.Second
+
+func (c *caller) run(stop <-chan struct{}) {
+	c.client = &http.Client{Timeout: deadline, Transport: &http.Transport{DisableCompression: true}}
+	defer c.client.CloseIdleConnections()
+	for number := 0; ; number++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(c.random.IntN(20)) * time.Millisecond):
+		}
+		if address := c.pick(); address != "" {
+			c.world.ledger.add(c.ask(address, fmt.Sprintf("a-%d-%d", c.number, number)))
+		}
+	}
+}
+
+// pick returns one of the addresses that were resolved, for up to three times
+// as long as the answer says.
+func (c *caller) pick() string {
+	if time.Now().After(c.until) {
+		if addresses, life := c.resolve(); len(addresses) > 0 {
+			c.addresses = addresses
+			c.until = time.Now().Add(life * time.Duration(1+c.random.IntN(3)))
+		}
+	}
+	if len(c.addresses) == 0 {
+		return ""
+	}
+	return c.addresses[c.random.IntN(len(c.addresses))]
+}
+
+func (c *caller) resolve() ([]string, time.Duration) {
+	router := c.world.routers[c.random.IntN(len(c.world.routers))]
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + router.directory + platform.ResolvePath + "?Name=a.example")
+	if err != nil {
+		return nil, 0
+	}
+	defer response.Body.Close()
+	var answer struct {
+		Addresses []string
+		TtlS      int
+	}
+	if json.NewDecoder(response.Body).Decode(&answer) != nil {
+		return nil, 0
+	}
+	return answer.Addresses, time.Duration(answer.TtlS) * time.Second
+}
+
+func (c *caller) ask(address, id string) *attempt {
+	a := &attempt{id: id, kind: kinds[c.random.IntN(len(kinds))], secret: c.world.secret(), router: c.world.byAddress[address], sentAt: time.Now()}
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/"+string(a.kind)+"/1", strings.NewReader("body of "+id))
+	if err != nil {
+		panic(err)
+	}
+	request.Host = "a.example"
+	request.Header.Set("Authorization", "Token "+a.secret)
+	request.Header.Set("Gentianhead-Attempt-Id", id)
+	request.Header.Set("Gentianhead-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	if a.kind == kindStream || a.kind == kindResume {
+		request.Header.Set("Gentianhead-Model", "m")
+		request.Header.Set("Gentianhead-Token-Usage", "100,20")
+		request.Header.Set("Gentianhead-Prompt-Prefix", fmt.Sprintf("base:50,doc-%d:40,%s:10", c.random.IntN(5), id))
+	}
+	// A body that can't be rewound keeps net/http from sending again by itself.
+	request.GetBody = nil
+	response, err := c.client.Do(request)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	a.status, a.header, a.body, a.err = response.StatusCode, response.Header, string(body), err
+	return a
+}
--- /dev/null
+++ b/fleet/soak/process_test.go
@@ -0,0 +1,146 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	program = "../../bin/gentianhead"
+	// restartDelay is how long a process that ended stays away.
+	restartDelay = 200 * time.Millisecond
+	// grace is the time from SIGTERM to SIGKILL, secretLife how long a removed
+	// secret may work, and touchTime how long a router has to be undisturbed for
+	// the checks that need that. All are settings of the routers.
+	grace      = 8 * time.Second
+	secretLife = 5 * time.Second
+	touchTime  = 3 * time.Second
+)
+
+// process is a router that is started again whenever it ends.
+type process struct {
+	name                string
+	callers, directory  string
+	settings, logs      string
+	mu                  sync.Mutex
+	command             *exec.Cmd
+	isDone              bool
+	ended               chan struct{}
+	disturbed, stopping time.Time
+}
+
+// newProcess writes the settings of a router and starts it. Each router has an
+// address of its own in the loopback range.
+func newProcess(t *testing.T, directory string, ip netip.Addr, seeds, store string, port uint16) *process {
+	name := "router-" + ip.String()
+	p := &process{
+		name: name, callers: freeAddress(t, ip), directory: freeAddress(t, ip),
+		settings: filepath.Join(directory, name+".conf"), logs: filepath.Join(directory, name+".log"), ended: make(chan struct{}),
+	}
+	text := fmt.Sprintf(`NodeName=%s
+Ip=%s
+Zone=zone-1
+Region=region-1
+Listen.Frontend=%s
+Listen.Readiness=%s
+Listen.Directory=%s
+PortRange=%d,%d
+SeedNodes=%s
+Limits.MemoryMb=256
+Limits.MaxFds=2048
+Bounds.DrainMs=2000
+Bounds.GraceS=%d
+Bounds.ttl_max_s=5
+Bounds.CapFactor=2
+Bounds.RetryRatio=0.2
+Bounds.RetrySlack=50
+Bounds.RetryWindowS=10
+Bounds.ReuseWindowS=10
+Bounds.RevokeStrict=true
+Bounds.RevokeMs=%d
+Platform.Address=%s
+`, name, ip, p.callers, freeAddress(t, ip), p.directory, port, port, seeds, int(grace.Seconds()), secretLife.Milliseconds(), store)
+	assert.NilError(t, os.WriteFile(p.settings, []byte(text), 0o600))
+	go p.run()
+	t.Cleanup(p.end)
+	return p
+}
+
+func freeAddress(t *testing.T, ip netip.Addr) string {
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (p *process) run() {
+	defer close(p.ended)
+	logs, err := os.Create(p.logs)
+	if err != nil {
+		return
+	}
+	defer logs.Close()
+	for {
+		command := exec.Command(program, "serve")
+		command.Env = append(os.Environ(), "GENTIANHEAD_BOOT="+p.settings)
+		command.Stdout, command.Stderr = logs, logs
+		p.mu.Lock()
+		if p.isDone {
+			p.mu.Unlock()
+			return
+		}
+		err := command.Start()
+		p.command = command
+		p.mu.Unlock()
+		if err == nil {
+			_ = command.Wait()
+		}
+		<-time.After(restartDelay)
+	}
+}
+
+// signal sends a signal to the running process and notes the disturbance.
+func (p *process) signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil && p.command.Process != nil {
+		_ = p.command.Process.Signal(signal)
+	}
+	if signal == syscall.SIGTERM {
+		p.stopping = time.Now()
+		time.AfterFunc(grace, func(command *exec.Cmd) func() {
+			return func() { _ = command.Process.Kill() }
+		}(p.command))
+		return
+	}
+	p.disturbed = time.Now()
+}
+
+// isOnlyStopping reports whether the last thing that happened to the router
+// around at was a planned stop.
+func (p *process) isOnlyStopping(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return at.After(p.stopping.Add(-touchTime)) && at.Before(p.stopping.Add(grace)) && at.Sub(p.disturbed) > 2*touchTime
+}
+
+func (p *process) end() {
+	p.mu.Lock()
+	p.isDone = true
+	command := p.command
+	p.mu.Unlock()
+	if command != nil && command.Process != nil {
+		_ = command.Process.Kill()
+	}
+	<-p.ended
+}
