--- a/fleet/cmd/gentianhead/main.go
+++ b/fleet/cmd/gentianhead/main.go
@@ -38,6 +38,9 @@
   gentianhead --settings router.yaml check     says which line is wrong, if any
   gentianhead --settings router.yaml serve     runs until SIGTERM or SIGINT
 
+On the users' platform the variable GENTIANHEAD_BOOT names the platform's own
+settings file, and serve and check use that one.
+
 Every flag may be given as an environment variable: GENTIANHEAD_SETTINGS,
 GENTIANHEAD_LOG_LEVEL, GENTIANHEAD_LOG_FORMAT. Flags go before the environment,
 and both go before the settings file. docs/settings.example.yaml has every key.
@@ -197,6 +200,13 @@
 }
 
 func check(o *options, stdout io.Writer) error {
+	if path := os.Getenv(platform.SettingsVariable); path != "" {
+		if _, err := platform.LoadSettings(path); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintln(stdout, path+": ok")
+		return err
+	}
 	if _, err := o.load(); err != nil {
 		return err
 	}
