--- a/fleet/cmd/gentianhead/main.go
+++ b/fleet/cmd/gentianhead/main.go
@@ -38,7 +38,7 @@
   gentianhead --settings router.yaml check     says which line is wrong, if any
   gentianhead --settings router.yaml serve     runs until SIGTERM or SIGINT
 
-On the users' platform the variable GENTIANHEAD_BOOT names the platform's own
+On the users' platform the variable ` + platform.SettingsVariable + ` names the platform's own
 settings file, and serve and check use that one.
 
 Every flag may be given as an environment variable: GENTIANHEAD_SETTINGS,
