Ask without waiting after a call to the store has failed

After an outage the follower's first call waited for changes, so the store's return was noticed only with the removal of an entry, which then counted as lapsed with the store. Ruled out: a silent feed; the removal arrived 5 ms after it was made. Change: the call after a failure does not wait. The test failed first.

--- a/fleet/process/watch/watch.go
+++ b/fleet/process/watch/watch.go
@@ -89,6 +89,9 @@
 		}
 		pause(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
+		// The next call does not wait, so that the service's return shows at once
+		// and not with the next change.
+		f.Refresh()
 	}
 }
 
--- a/fleet/process/watch/watch_test.go
+++ b/fleet/process/watch/watch_test.go
@@ -97,6 +97,7 @@
 		assert.Equal(t, len(updates), 3)
 		assert.ErrorContains(t, updates[1].Err, "away")
 		assert.NilError(t, updates[2].Err)
+		assert.DeepEqual(t, f.waits[:2], []time.Duration{time.Minute, 0})
 	})
 }
 
