Do not take a peer's word that has been cut off itself

That peer had just been cut off from the others and had missed the withdrawal too. Ruled out: lost marks; the third router had them. Change: a heartbeat says whether its sender has reached most of its peers lately; one that has not does not inform a router that starts. A test on the isolation core failed first.

--- a/core/process/gossip/gossip.go
+++ b/core/process/gossip/gossip.go
@@ -123,6 +123,7 @@
 		return event
 	}
 	event.IsAnswered = true
+	event.IsOutOfTouch = e.Answer.IsOutOfTouch
 	event.Revision = e.Answer.Revision
 	if e.Answer.StoreAgeMillis > 0 {
 		event.StoreAge = time.Duration(e.Answer.StoreAgeMillis) * time.Millisecond
@@ -193,6 +194,7 @@
 			Revision:      c.inForce,
 			Rumors:        c.members.Message(),
 			WithdrawnHash: c.withdrawal.Set().Hash(),
+			IsOutOfTouch:  c.isolation.IsOutOfTouch(c.now),
 		},
 		marks: c.withdrawal.Marks(c.now),
 	}
--- a/core/process/gossip/heartbeat.go
+++ b/core/process/gossip/heartbeat.go
@@ -24,6 +24,8 @@
 	// Revision is in force on the sender.
 	Revision resource.Revision  `msgpack:"r"`
 	Rumors   []membership.Rumor `msgpack:"u,omitempty"`
+	// IsOutOfTouch says that the sender has not reached most of its peers lately.
+	IsOutOfTouch bool `msgpack:"k,omitempty"`
 	// StoreAgeMillis is how many milliseconds before this heartbeat the store is
 	// known to have been read, plus one; zero means that it is not known.
 	StoreAgeMillis int64 `msgpack:"a,omitempty"`
--- a/core/process/isolation/isolation.go
+++ b/core/process/isolation/isolation.go
@@ -11,8 +11,9 @@
 // not come back by the luck of its draws.
 //
 // A router that starts, or comes back from a pause or from isolation, first hears
-// one peer, as peers tell which endpoints refused work; PeerWait bounds the wait
-// of a router that reads the store and finds no peer.
+// one peer, as peers tell which endpoints refused work. A peer that has itself been
+// out of touch with its peers does not count, since it may have missed them too.
+// PeerWait bounds the wait of a router that reads the store and finds no peer.
 //
 // Only round trips count: what a paused router finds in its receive buffers may
 // be old. The core has no I/O and no clock and belongs to one goroutine.
@@ -54,6 +55,8 @@
 type ProbeEnded struct {
 	SentAt     time.Time
 	IsAnswered bool
+	// IsOutOfTouch says that the peer has not reached most of its own peers lately.
+	IsOutOfTouch bool
 	// Revision is in force on the peer.
 	Revision resource.Revision
 	// StoreAge is how long before its answer the peer last had contact with the
@@ -136,7 +139,7 @@
 		if !e.IsAnswered {
 			return
 		}
-		c.isInformed = c.isInformed || !e.SentAt.Before(c.refreshFrom)
+		c.isInformed = c.isInformed || !e.IsOutOfTouch && !e.SentAt.Before(c.refreshFrom)
 		c.known = max(c.known, e.Revision)
 		if e.StoreAge >= 0 {
 			c.learnStore(e.SentAt.Add(-e.StoreAge))
@@ -200,10 +203,25 @@
 	return !c.storeAt.IsZero() && !c.storeAt.Before(c.refreshFrom) && at.Sub(c.storeAt) <= Window
 }
 
+// IsOutOfTouch reports whether this router has not reached most of its peers
+// lately, so that it may have missed what only peers tell.
+func (c *Core) IsOutOfTouch(at time.Time) bool {
+	sent, answered := c.recentProbes(at)
+	return sent < MinProbes || 2*answered < sent
+}
+
 // hasPeers reports whether at least half of the recent probes were answered, or
 // two thirds of many on a router that is isolated.
 func (c *Core) hasPeers(at time.Time) bool {
-	sent, answered := 0, 0
+	sent, answered := c.recentProbes(at)
+	if c.isIsolated {
+		return sent >= MinProbesToReturn && 3*answered >= 2*sent
+	}
+	return sent >= MinProbes && 2*answered >= sent
+}
+
+// recentProbes counts the probes within Window and those that were answered.
+func (c *Core) recentProbes(at time.Time) (sent, answered int) {
 	for _, p := range c.probes {
 		if p.sentAt.Before(c.refreshFrom) || at.Sub(p.sentAt) > Window {
 			continue
@@ -213,8 +231,5 @@
 			answered++
 		}
 	}
-	if c.isIsolated {
-		return sent >= MinProbesToReturn && 3*answered >= 2*sent
-	}
-	return sent >= MinProbes && 2*answered >= sent
+	return sent, answered
 }
--- a/core/process/isolation/isolation_test.go
+++ b/core/process/isolation/isolation_test.go
@@ -178,3 +178,18 @@
 	c.Step(Tick{At: start.Add(time.Second), InForce: 1})
 	assert.Assert(t, !c.IsIsolated())
 }
+
+// A router that has just started must not take its first peer's word for all that
+// was withdrawn if that peer was cut off itself.
+func TestPeerOutOfTouchDoesNotInform(t *testing.T) {
+	start := time.Unix(1000, 0)
+	core := New()
+	core.Step(Tick{At: start})
+	core.Step(StoreRead{SentAt: start.Add(100 * time.Millisecond)})
+	core.Step(ProbeEnded{SentAt: start.Add(100 * time.Millisecond), IsAnswered: true, IsOutOfTouch: true, StoreAge: -1})
+	core.Step(Tick{At: start.Add(200 * time.Millisecond)})
+	assert.Assert(t, core.IsIsolated())
+	core.Step(ProbeEnded{SentAt: start.Add(300 * time.Millisecond), IsAnswered: true, StoreAge: -1})
+	core.Step(Tick{At: start.Add(400 * time.Millisecond)})
+	assert.Assert(t, !core.IsIsolated())
+}
