Pass changes of endpoints' entries on as news

Change: three watchers ask the store; they send what they read to all others with a beacon. A hash over all entries in each beacon shows lost news; who has none for long, or hears no confirmation, asks the store.

--- a/core/process/endpoints/endpoints.go
+++ b/core/process/endpoints/endpoints.go
@@ -96,41 +96,17 @@
 	return !c.isAway && (c.returnedAt == 0 || now-c.returnedAt >= ReturnGrace)
 }
 
-// Listed takes the whole list. Entries that are missing from it are removed.
-func (c *Core) Listed(now time.Duration, entries []Entry) {
-	present := make(map[string]bool, len(entries))
-	for _, entry := range entries {
-		present[entry.ID] = true
+// Apply takes entries that were written and the ids of those that were removed.
+func (c *Core) Apply(now time.Duration, written []Entry, removed []string) {
+	for _, entry := range written {
 		c.put(entry)
 	}
-	for id := range c.entries {
-		if !present[id] {
-			c.remove(now, id)
-		}
+	for _, id := range removed {
+		c.remove(now, id)
 	}
 	c.rebuild()
 }
 
-// Changed takes one entry that was written.
-func (c *Core) Changed(entry Entry) {
-	c.put(entry)
-	c.rebuild()
-}
-
-// Removed takes the removal of the entry with this id.
-func (c *Core) Removed(now time.Duration, id string) {
-	c.remove(now, id)
-	c.rebuild()
-}
-
-// Withdrawn takes the word of the address itself that the endpoint is not there
-// any more.
-func (c *Core) Withdrawn(id string) {
-	delete(c.entries, id)
-	delete(c.lapsed, id)
-	c.rebuild()
-}
-
 // Tick drops what was kept over an outage and did not come back.
 func (c *Core) Tick(now time.Duration) (isChanged bool) {
 	if len(c.lapsed) == 0 || !c.isSettled(now) {
--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -22,6 +22,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gentianhead/core/process/freshness"
+	"gentianhead/core/process/table"
 )
 
 const (
@@ -89,9 +90,13 @@
 	// Version is the configuration's version in force on the sender.
 	Version int64 `msgpack:"c,omitempty"`
 	// EndpointsVersion is the version of the newest change of endpoints' entries
-	// that the sender has seen.
-	EndpointsVersion int64        `msgpack:"e,omitempty"`
-	Work             map[Key]Work `msgpack:"w,omitempty"`
+	// that the sender has seen, and EndpointsHash a hash over all entries that it
+	// knows and their versions.
+	EndpointsVersion int64  `msgpack:"e,omitempty"`
+	EndpointsHash    uint64 `msgpack:"x,omitempty"`
+	// News are changes of endpoints' entries that the sender has just read.
+	News []table.Row  `msgpack:"n,omitempty"`
+	Work map[Key]Work `msgpack:"w,omitempty"`
 	// Placed are the sender's placements since its last beacons.
 	Placed []Placed `msgpack:"l,omitempty"`
 	// Stamp is the sender's clock, to be echoed.
--- a/core/process/table/table.go
+++ b/core/process/table/table.go
@@ -14,11 +14,11 @@
 
 // Row is a row, or the removal of one.
 type Row struct {
-	Key     string
-	Value   []byte
-	Version int64
+	Key     string `msgpack:"k"`
+	Value   []byte `msgpack:"v,omitempty"`
+	Version int64  `msgpack:"n"`
 	// IsRemoved rows carry no value.
-	IsRemoved bool
+	IsRemoved bool `msgpack:"r,omitempty"`
 }
 
 // Rows is an answer about rows of one table.
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -27,6 +27,9 @@
 	// farewells is how often the beacon that says goodbye is sent, since single
 	// datagrams get lost.
 	farewells = 3
+	// maxNews is how many entries one beacon carries; an entry takes some hundred
+	// bytes of a datagram.
+	maxNews = 40
 )
 
 // state is what traffic reads. It is immutable.
@@ -148,7 +151,7 @@
 		c.state.isLeaving = true
 		c.publish()
 		for range farewells {
-			c.sendBeacons(now, c.presence.Everyone())
+			c.sendBeacons(now, c.presence.Everyone(), nil)
 		}
 		close(e.done)
 	}
@@ -158,9 +161,10 @@
 	isNew := c.presence.Heard(now, received)
 	c.balancer.Report(received.Instance, received.Work, received.Placed)
 	c.confirmByPeer(now, received)
+	c.stepNews(now, received.News)
 	if isNew {
 		c.log.Info("A router is present.", "instance", received.Instance, "peer", received.Peer, "isServing", received.IsServing)
-		c.sendBeacons(now, []string{received.Peer})
+		c.sendBeacons(now, []string{received.Peer}, nil)
 	}
 	c.publishLive(now)
 }
@@ -178,8 +182,9 @@
 }
 
 // sendBeacons sends each router its beacon: they differ in what they echo.
-func (c *control) sendBeacons(now time.Duration, to []string) {
+func (c *control) sendBeacons(now time.Duration, to []string, news []table.Row) {
 	base := c.beacon(now)
+	base.News = news
 	for _, peer := range to {
 		b := base
 		if member, known := c.presence.Member(peer); known {
@@ -208,7 +213,8 @@
 		Mentions:  c.presence.Mentions(),
 		Stamp:     now,
 
-		EndpointsVersion: c.sync.endpointsVersion,
+		EndpointsVersion: c.sync.version,
+		EndpointsHash:    c.sync.hash,
 	}
 	if c.state.table != nil {
 		b.Version = c.state.table.Version
@@ -218,7 +224,7 @@
 
 func (c *control) tick() {
 	now := boottime.Now()
-	c.sendBeacons(now, c.presence.Tick(now))
+	c.sendBeacons(now, c.presence.Tick(now), nil)
 	if c.endpoints.Tick(now) {
 		c.endpointsChanged("a lapsed entry did not come back")
 	}
@@ -296,43 +302,66 @@
 	c.balancer.SetTable(table)
 	c.publish()
 	c.log.Info("Configuration in force.", "version", spec.Version, "routes", len(spec.Routes), "accounts", len(spec.Accounts))
+	if c.sync.isWatcher.Load() {
+		c.sendBeacons(boottime.Now(), c.presence.Everyone(), nil)
+	}
 	return true
 }
 
 func (c *control) stepEndpoints(now time.Duration, update watch.Update) {
-	var entries []endpoints.Entry
-	for _, row := range update.Rows {
-		if !c.sync.isNewer(row) {
-			continue
-		}
+	rows := c.sync.newer(update.Rows)
+	if update.IsWhole {
+		rows = append(rows, c.sync.missing(update)...)
+		c.state.hasEndpoints = true
+	}
+	c.applyEntries(now, rows)
+	if c.sync.isWatcher.Load() && !update.IsWhole && len(rows) > 0 {
+		c.announce(now, rows)
+	}
+}
+
+// stepNews takes changes that another router has read.
+func (c *control) stepNews(now time.Duration, news []table.Row) {
+	if c.state.hasEndpoints {
+		c.applyEntries(now, c.sync.newer(news))
+	}
+}
+
+// applyEntries takes rows that are newer than what was known.
+func (c *control) applyEntries(now time.Duration, rows []table.Row) {
+	var written []endpoints.Entry
+	var removed []string
+	for _, row := range rows {
 		if row.IsRemoved {
 			c.log.Info("An endpoint's entry was removed.", "endpoint", row.Key, "rowVersion", row.Version)
-			c.endpoints.Removed(now, row.Key)
+			removed = append(removed, row.Key)
 			continue
 		}
 		entry, err := platform.DecodeEndpoint(row.Key, row.Value)
 		if err != nil {
 			c.log.Warn("An endpoint's entry can't be read.", "error", err)
-			c.endpoints.Removed(now, row.Key)
+			removed = append(removed, row.Key)
 			continue
 		}
 		c.log.Info("An endpoint's entry changed.", "endpoint", entry.ID, "service", entry.Service, "address", entry.Address,
 			"isDraining", entry.IsDraining, "rowVersion", row.Version)
-		entries = append(entries, entry)
-		if !update.IsWhole {
-			c.endpoints.Changed(entry)
-		}
-	}
-	if update.IsWhole {
-		c.endpoints.Listed(now, entries)
+		written = append(written, entry)
 	}
-	c.sync.endpointsKnown = max(c.sync.endpointsKnown, update.Version)
-	if len(update.Rows) > 0 || update.IsWhole {
-		c.state.hasEndpoints = true
+	if len(rows) > 0 {
+		c.endpoints.Apply(now, written, removed)
 		c.endpointsChanged("entries changed")
 	}
 }
 
+// announce tells all other routers at once what this one has read.
+func (c *control) announce(now time.Duration, news []table.Row) {
+	for len(news) > 0 {
+		part := news[:min(len(news), maxNews)]
+		news = news[len(part):]
+		c.sendBeacons(now, c.presence.Everyone(), part)
+	}
+}
+
 func (c *control) endpointsChanged(reason string) {
 	view := c.endpoints.View()
 	c.balancer.SetView(view)
--- a/fleet/process/watch/watch.go
+++ b/fleet/process/watch/watch.go
@@ -41,7 +41,7 @@
 type Follower struct {
 	service table.Table
 	name    string
-	// wait returns how long the service is asked to wait for changes.
+	// wait returns how long the service is asked to wait for changes, or Idle.
 	wait    func() time.Duration
 	version int64
 	// isStale says that the table has to be read whole.
@@ -52,12 +52,17 @@
 	isUrgent bool
 	// cancel ends the call that waits; nil while none does.
 	cancel context.CancelFunc
+	// woken tells an idle follower that a call is asked for.
+	woken chan struct{}
 }
 
+// Idle as a wait makes no call for changes until Refresh asks for one.
+const Idle time.Duration = -1
+
 // New returns a follower of the table name. The service is asked to wait for
 // changes for as long as wait says before each call.
 func New(service table.Table, name string, wait func() time.Duration) *Follower {
-	return &Follower{service: service, name: name, wait: wait, isStale: true}
+	return &Follower{service: service, name: name, wait: wait, isStale: true, woken: make(chan struct{}, 1)}
 }
 
 // Refresh ends a call that waits and makes one that does not. The follower's
@@ -69,12 +74,17 @@
 	if f.cancel != nil {
 		f.cancel()
 	}
+	select {
+	case f.woken <- struct{}{}:
+	default:
+	}
 }
 
 // Run calls handle with each update until ctx ends.
 func (f *Follower) Run(ctx context.Context, handle func(Update)) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		f.rest(ctx)
 		update := f.next(ctx)
 		if ctx.Err() != nil {
 			return
@@ -95,6 +105,22 @@
 	}
 }
 
+// rest waits while the follower is idle.
+func (f *Follower) rest(ctx context.Context) {
+	for !f.isStale && f.wait() == Idle && !f.isAsked() && ctx.Err() == nil {
+		select {
+		case <-f.woken:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *Follower) isAsked() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isUrgent
+}
+
 // errRefreshed ends a call in favor of one that does not wait.
 var errRefreshed = errors.New("watch: refreshed")
 
@@ -119,7 +145,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	f.cancel = cancel
-	return ctx, f.wait()
+	return ctx, max(f.wait(), 0)
 }
 
 // end forgets the call and reports whether it was refreshed.
--- a/fleet/process/watch/watch_test.go
+++ b/fleet/process/watch/watch_test.go
@@ -118,3 +118,30 @@
 		assert.DeepEqual(t, f.waits[:3], []time.Duration{time.Minute, 0, time.Minute})
 	})
 }
+
+func TestIdleFollowerAsksOnlyWhenToldTo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeTable{whole: []table.Rows{{Version: 7}}}
+		f.changes = append(f.changes, func(context.Context, int64, time.Duration) (table.Rows, error) {
+			return table.Rows{Version: 8}, nil
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		updates := 0
+		follower := New(f, "things", func() time.Duration { return Idle })
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			follower.Run(ctx, func(Update) { updates++ })
+		}()
+		<-time.After(time.Hour)
+		synctest.Wait()
+		assert.Equal(t, updates, 1)
+		follower.Refresh()
+		<-time.After(time.Hour)
+		synctest.Wait()
+		assert.Equal(t, updates, 2)
+		assert.DeepEqual(t, f.waits, []time.Duration{0})
+		cancel()
+		<-done
+	})
+}
