Settle on watchers before a configuration is known

Cause: routers without a configuration did not count as watchers, so at a start every router asked the store until the first version was written, while all endpoints registered.

--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -115,9 +115,10 @@
 	return s.newer(gone)
 }
 
-// hasStore reports whether the store answers this router.
+// hasStore reports whether the store answers this router and will for a while.
 func (c *control) hasStore() bool {
-	return c.state.table != nil && !c.isAway[platform.TableOperator]
+	isAway, wasAsked := c.isAway[platform.TableOperator]
+	return wasAsked && !isAway && !c.state.isLeaving
 }
 
 // keepInSync decides whether this router is a watcher and asks the store out of
@@ -148,7 +149,7 @@
 func (c *control) shouldWatch(live []presence.Member) bool {
 	var names []string
 	for _, member := range live {
-		if member.IsServing && member.HasStore {
+		if member.HasStore {
 			names = append(names, member.Instance)
 		}
 	}
