--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -129,17 +129,20 @@
 		c.sync.isWatcher.Store(isWatcher)
 		c.log.Info("Role of watcher changed.", "isWatcher", isWatcher)
 		if isWatcher {
-			c.refresh(now, platform.TableOperator)
-			c.refresh(now, platform.TableEndpoints)
+			c.refresh(now, platform.TableOperator, "watcher")
+			c.refresh(now, platform.TableEndpoints, "watcher")
 		}
 	}
-	isUnconfirmed := c.isUnconfirmed(now)
-	if c.isBehind(now, live, platform.TableOperator, versionDelay) || isUnconfirmed {
-		c.refresh(now, platform.TableOperator)
+	if c.isBehind(now, live, platform.TableOperator, versionDelay) {
+		c.refresh(now, platform.TableOperator, "another router has a newer version")
 	}
-	// Where no confirmations come, no news may come either.
-	if c.isBehind(now, live, platform.TableEndpoints, entriesDelay) || isUnconfirmed {
-		c.refresh(now, platform.TableEndpoints)
+	if c.isBehind(now, live, platform.TableEndpoints, entriesDelay) {
+		c.refresh(now, platform.TableEndpoints, "another router has other entries")
+	}
+	if c.isUnconfirmed(now) {
+		// Where no confirmations come, no news may come either.
+		c.refresh(now, platform.TableOperator, "no confirmation")
+		c.refresh(now, platform.TableEndpoints, "no confirmation")
 	}
 }
 
@@ -184,10 +187,11 @@
 	return c.state.lease.Life > 0 && isConfirmed && float64(age) > unconfirmedShare*float64(c.state.lease.Life)
 }
 
-func (c *control) refresh(now time.Duration, name string) {
+func (c *control) refresh(now time.Duration, name, reason string) {
 	if last, done := c.sync.refreshedAt[name]; done && now-last < refreshInterval {
 		return
 	}
 	c.sync.refreshedAt[name] = now
+	c.log.Info("Asking the store out of turn.", "table", name, "reason", reason)
 	c.sync.followers[name].Refresh()
 }
