Keep confirmations younger than what makes routers ask

Cause: on 61 routers each asked the store every 2.5 s for want of a confirmation. A confirmation counts from the start of its call, so with a wait of 1.5 s the watchers' own were up to 3 s old. Change: the configuration is asked for with a wait of 0.8 s.

--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -19,9 +19,13 @@
 	// what they read, since each call to the store counts against its rate limit.
 	// One of three may pause and another be cut off.
 	watchers = 3
-	// watcherWait is how long the store is asked to wait by a watcher. It bounds
-	// the age of confirmations and how long a silent connection goes unnoticed.
-	watcherWait = 1500 * time.Millisecond
+	// configurationWait and entriesWait are how long the store is asked to wait by a
+	// watcher. A confirmation counts from the start of its call and lasts until the
+	// next call ends: twice configurationWait and a beacon's interval have to stay
+	// below unconfirmedShare of a lease's life. entriesWait bounds how long a silent
+	// connection goes unnoticed.
+	configurationWait = 800 * time.Millisecond
+	entriesWait       = 1500 * time.Millisecond
 	// unconfirmedShare is the part of a lease's life after which a router that has
 	// heard no confirmation asks the store itself.
 	unconfirmedShare = 0.55
@@ -63,20 +67,22 @@
 
 func (s *syncState) init(store table.Table) {
 	s.followers = make(map[string]*watch.Follower)
-	for _, name := range []string{platform.TableOperator, platform.TableEndpoints} {
-		s.followers[name] = watch.New(store, name, s.wait)
-	}
+	s.followers[platform.TableOperator] = watch.New(store, platform.TableOperator, s.waitOf(configurationWait))
+	s.followers[platform.TableEndpoints] = watch.New(store, platform.TableEndpoints, s.waitOf(entriesWait))
 	s.rows = make(map[string]rowState)
 	s.behindSince = make(map[string]time.Duration)
 	s.refreshedAt = make(map[string]time.Duration)
 }
 
-// wait is how long the store is asked to wait for changes.
-func (s *syncState) wait() time.Duration {
-	if s.isWatcher.Load() {
-		return watcherWait
+// waitOf returns a function that tells how long the store is asked to wait for
+// changes: wait on a watcher.
+func (s *syncState) waitOf(wait time.Duration) func() time.Duration {
+	return func() time.Duration {
+		if s.isWatcher.Load() {
+			return wait
+		}
+		return watch.Idle
 	}
-	return watch.Idle
 }
 
 // newer returns the rows that are newer than what was known, and notes them.
