--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,9 @@
 	entriesDelay = 500 * time.Millisecond
 	// refreshInterval is the least time between two calls out of turn.
 	refreshInterval = 500 * time.Millisecond
+	// maxRows is above how many rows those that were removed are forgotten: several
+	// times the endpoints of the largest fleet that is designed for.
+	maxRows = 8192
 )
 
 // syncState is what the control goroutine knows of how far it follows the store.
@@ -87,6 +91,9 @@
 
 // newer returns the rows that are newer than what was known, and notes them.
 func (s *syncState) newer(rows []table.Row) []table.Row {
+	if len(s.rows) > maxRows {
+		maps.DeleteFunc(s.rows, func(_ string, known rowState) bool { return known.isRemoved })
+	}
 	var newer []table.Row
 	for _, row := range rows {
 		known, isKnown := s.rows[row.Key]
@@ -171,9 +178,13 @@
 
 // isBehind reports whether another router has known more of a table for a while.
 func (c *control) isBehind(now time.Duration, live []presence.Member, name string, delay time.Duration) bool {
+	version := int64(0)
+	if c.state.table != nil {
+		version = c.state.table.Version
+	}
 	isBehind := slices.ContainsFunc(live, func(member presence.Member) bool {
 		if name == platform.TableOperator {
-			return c.state.table == nil || member.Version > c.state.table.Version
+			return member.Version > version
 		}
 		return member.HasStore && member.EndpointsHash != c.sync.hash && member.EndpointsVersion >= c.sync.version
 	})
