Spare connections that have just opened when there are too many

With 128 connections allowed, 193 attackers opened at once; the oldest that had sent no whole head was closed, and a process short of processor time had not read the sound caller's yet. Change: connections younger than 500 ms are spared, up to twice the limit.

--- a/fleet/process/serving/serving.go
+++ b/fleet/process/serving/serving.go
@@ -15,11 +15,15 @@
 	idleTimeout = 2 * time.Minute
 	// quietPoll is the time between two looks at the connections.
 	quietPoll = 20 * time.Millisecond
+	// headGrace is how long a connection that has just opened is spared when there
+	// are too many: a process short of processor time reads a head late.
+	headGrace = 500 * time.Millisecond
 )
 
 // Options bound what a server takes. All fields are required.
 type Options struct {
-	// MaxConns bounds the open connections.
+	// MaxConns bounds the open connections. Those that opened within headGrace may
+	// come to as many again.
 	MaxConns int
 	// HeaderBytes bounds the head of a request, and HeaderTimeout its arrival.
 	HeaderBytes   int
@@ -93,12 +97,17 @@
 // idle connection that was used within QuietTime is left alone, since a request
 // may be under way on it.
 func (s *Server) makeRoom() {
-	if len(s.busy)+len(s.openedAt)+len(s.idleSince) <= s.options.MaxConns {
+	open := len(s.busy) + len(s.openedAt) + len(s.idleSince)
+	if open <= s.options.MaxConns {
 		return
 	}
-	victim := oldest(s.idleSince, time.Now().Add(-s.options.QuietTime))
+	now := time.Now()
+	victim := oldest(s.idleSince, now.Add(-s.options.QuietTime))
 	if victim == nil {
-		victim = oldest(s.openedAt, time.Now())
+		victim = oldest(s.openedAt, now.Add(-headGrace))
+	}
+	if victim == nil && open > 2*s.options.MaxConns {
+		victim = oldest(s.openedAt, now)
 	}
 	if victim != nil {
 		s.forget(victim)
--- a/fleet/process/serving/serving_test.go
+++ b/fleet/process/serving/serving_test.go
@@ -104,3 +104,41 @@
 		assert.NilError(t, err)
 	})
 }
+
+// closedConn tells whether it was closed.
+type closedConn struct {
+	net.Conn
+	isClosed bool
+}
+
+func (c *closedConn) Close() error {
+	c.isClosed = true
+	return nil
+}
+
+// The load pattern: many connections open at once while the process is short of
+// processor time, so that the head of a sound request is read late.
+func TestConnectionThatJustOpenedIsSpared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		options := testOptions
+		options.MaxConns = 4
+		s := New(http.NotFoundHandler(), options)
+		stale, sound := &closedConn{}, &closedConn{}
+		s.track(stale, http.StateNew)
+		<-time.After(headGrace)
+		s.track(sound, http.StateNew)
+		<-time.After(time.Millisecond)
+		open := func(count int) {
+			for range count {
+				s.track(&closedConn{}, http.StateNew)
+			}
+		}
+		open(4)
+		assert.Assert(t, stale.isClosed, "it had its time to send a head")
+		assert.Assert(t, !sound.isClosed)
+		open(3)
+		assert.Assert(t, !sound.isClosed)
+		open(1)
+		assert.Assert(t, sound.isClosed, "the number stays bounded")
+	})
+}
