See a router again whose clock jumped back before it started anew

Cause, found by reading: processes of one instance are told apart by the time of day of their start. After a jump back, the new process's beacons were dropped for a minute as an older one's, so callers were not given its address. Change: only within a second of the newest beacon does a lower start mark an older process.

--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -34,6 +34,9 @@
 	// silentBeacons is how many beacons in a row have to be missing before a
 	// router is taken for gone. Single datagrams get lost.
 	silentBeacons = 4
+	// overtaking is how long after a beacon an older process's may still arrive. A
+	// new process may have the lower start: the time of day can jump back.
+	overtaking = time.Second
 	// forgetAfter is how long a silent router is still sent beacons.
 	forgetAfter = 60 * time.Second
 	// maxMentions is how many other routers a beacon mentions.
@@ -81,7 +84,7 @@
 	Address string `msgpack:"a"`
 	// Peer is where datagrams of other routers go to.
 	Peer string `msgpack:"p"`
-	// Start tells the processes of one instance apart; the newer has the higher.
+	// Start tells the processes of one instance apart; the newer mostly has the higher.
 	Start int64 `msgpack:"s"`
 	// IsServing is false while the router should not be given callers.
 	IsServing bool `msgpack:"v,omitempty"`
@@ -165,7 +168,7 @@
 		return false
 	}
 	known, isMember := c.members[beacon.Peer]
-	if isMember && beacon.Start < known.Start {
+	if isMember && beacon.Start < known.Start && now-known.ArrivedAt < overtaking {
 		return false
 	}
 	if !isMember && len(c.members) >= maxMembers {
--- a/core/process/presence/presence_test.go
+++ b/core/process/presence/presence_test.go
@@ -42,6 +42,18 @@
 	assert.Assert(t, c.Live(time.Millisecond)[0].IsServing)
 }
 
+// The time of day jumped back before the process was started again.
+func TestNewProcessWithALowerStartIsSeenAgain(t *testing.T) {
+	c := New("10.9.9.9:1", 1)
+	before := beaconOf(1)
+	before.Start = 5
+	c.Heard(0, before)
+	after := beaconOf(1)
+	after.Start = 3
+	c.Heard(2*time.Second, after)
+	assert.Equal(t, len(c.Live(2*time.Second)), 1)
+}
+
 func TestOwnBeaconAndMalformedAddressesAreIgnored(t *testing.T) {
 	c := New("10.9.9.9:1", 1)
 	self := beaconOf(1)
