Take back what beacons said of an outage of the store

The store had turned two routers away and then served them again; they told all others that it had returned, and those, which had never lost it, took the removal of an entry 200 ms later for one of an outage. Ruled out: late news; every router had the removal within 12 ms of the store. A router that asks the store itself for want of confirmations notices an outage within 2.5 s, and entries take three status intervals to lapse. Open: a shorter outage in which entries lapse.

--- a/core/process/endpoints/endpoints.go
+++ b/core/process/endpoints/endpoints.go
@@ -91,20 +91,6 @@
 	c.isAway, c.hasBeenUp = false, true
 }
 
-// ReturnedAgo returns how long ago the store returned, while entries may still be
-// missing for it.
-func (c *Core) ReturnedAgo(now time.Duration) (time.Duration, bool) {
-	return now - c.returnedAt, c.returnedAt != 0 && now-c.returnedAt < ReturnGrace
-}
-
-// HeardReturn takes another router's word that the store returned ago before now.
-// A router that does not ask the store itself may have missed a short outage.
-func (c *Core) HeardReturn(now, ago time.Duration) {
-	if c.hasBeenUp {
-		c.returnedAt = max(c.returnedAt, now-ago)
-	}
-}
-
 // isSettled reports whether a missing entry means that its endpoint is gone.
 func (c *Core) isSettled(now time.Duration) bool {
 	return !c.isAway && (c.returnedAt == 0 || now-c.returnedAt >= ReturnGrace)
--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -97,9 +97,6 @@
 	// knows and their versions.
 	EndpointsVersion int64  `msgpack:"e,omitempty"`
 	EndpointsHash    uint64 `msgpack:"x,omitempty"`
-	// StoreReturnedAgo is how long ago the sender saw the store return from an
-	// outage, plus one nanosecond; zero while no entries can be missing for one.
-	StoreReturnedAgo time.Duration `msgpack:"g,omitempty"`
 	// News are changes of endpoints' entries that the sender has just read.
 	News []table.Row  `msgpack:"n,omitempty"`
 	Work map[Key]Work `msgpack:"w,omitempty"`
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -161,9 +161,6 @@
 	isNew := c.presence.Heard(now, received)
 	c.balancer.Report(received.Instance, received.Work, received.Placed)
 	c.confirmByPeer(now, received)
-	if received.StoreReturnedAgo > 0 {
-		c.endpoints.HeardReturn(now, received.StoreReturnedAgo)
-	}
 	c.stepNews(now, received.News)
 	if isNew {
 		c.log.Info("A router is present.", "instance", received.Instance, "peer", received.Peer, "isServing", received.IsServing)
@@ -222,9 +219,6 @@
 	if c.state.table != nil {
 		b.Version = c.state.table.Version
 	}
-	if ago, isRecent := c.endpoints.ReturnedAgo(now); isRecent {
-		b.StoreReturnedAgo = ago + 1
-	}
 	return b
 }
 
