Wait with jitter in one place; drop a field that nothing reads

The wait between tries stood in watch and in hosted. Route.HasPrefixUse was decoded and never read. Behaviour stays as it is; vet, the boundary check, staticcheck and the tests of the four packages pass.

--- a/core/version/routetable/routetable.go
+++ b/core/version/routetable/routetable.go
@@ -49,10 +49,9 @@
 	// MaxAttempts is how many endpoints one request may be sent to.
 	MaxAttempts int
 	// Priority is the route's rank; 0 comes first.
-	Priority     int
-	IsAnonymous  bool
-	IsResumable  bool
-	HasPrefixUse bool
+	Priority    int
+	IsAnonymous bool
+	IsResumable bool
 }
 
 // MayRepeat reports whether a request that may have run can be sent again.
--- a/fleet/process/hosted/directory.go
+++ b/fleet/process/hosted/directory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gentianhead/fleet/process/boottime"
+	"gentianhead/fleet/process/watch"
 	"gentianhead/platform"
 )
 
@@ -75,7 +76,7 @@
 			break
 		}
 		r.log.Warn("Registering failed.", "error", err)
-		sleep(ctx, registerRetry)
+		watch.Pause(ctx, registerRetry)
 	}
 	for ctx.Err() == nil {
 		rows, err := r.store.Rows(ctx, tableRouters)
@@ -88,16 +89,6 @@
 			return
 		}
 		r.log.Warn("Reading the routers failed.", "error", err)
-		sleep(ctx, registerRetry)
-	}
-}
-
-// sleep waits between half of d and d.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d/2 + rand.N(d/2))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		watch.Pause(ctx, registerRetry)
 	}
 }
--- a/fleet/process/watch/watch.go
+++ b/fleet/process/watch/watch.go
@@ -97,7 +97,7 @@
 			backoff = minBackoff
 			continue
 		}
-		pause(ctx, backoff)
+		Pause(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 		// The next call does not wait, so that the service's return shows at once
 		// and not with the next change.
@@ -124,8 +124,9 @@
 // errRefreshed ends a call in favor of one that does not wait.
 var errRefreshed = errors.New("watch: refreshed")
 
-// pause waits between half of d and d, so that routers do not ask in step.
-func pause(ctx context.Context, d time.Duration) {
+// Pause waits between half of d and d, or until ctx ends, so that routers that
+// failed together do not ask in step.
+func Pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d/2 + rand.N(d/2))
 	defer timer.Stop()
 	select {
