Place on plain servers with regard to how old the picture of their load is

Each of 61 routers sent to the server that was least loaded by beacons 0.6 s old, so all sent to the same one until the next beacons came. Ruled out: want of capacity (24 slots of 60 ms each before 200 requests a second); the bound alone (raising it makes more late, as the queues are not even). Change: the choice is the more random, the more requests come between two reports; refusals grow with the expected time over the target instead of a fixed bound, which made all routers stop and start at once. Reports of other routers are added up as they come, no longer from all of them at each beacon.

--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -48,14 +48,14 @@
 	reportLife = 3 * time.Second
 	// toldLife is how long the load that an endpoint told counts.
 	toldLife = 250 * time.Millisecond
-	// plainQueue is how many requests may wait at a plain server for each slot.
-	plainQueue = 1.0
 )
 
 // Job is a request to be placed.
 type Job struct {
 	Service string
 	Prompt  *exchange.Prompt
+	// Target is the latency within which the caller is served well.
+	Target time.Duration
 	// Excluded endpoints were tried already.
 	Excluded []string
 }
@@ -70,6 +70,7 @@
 	prefill   int
 	isPrefill bool
 	start     int64
+	at        time.Duration
 }
 
 // Refusal says why a request was not placed.
@@ -104,8 +105,12 @@
 	states     map[string]*endpointState
 	byKey      map[presence.Key]*endpointState
 	reports    map[string]report
-	recent     recentPlacements
-	random     func() float64
+	// reportGap is the time between two reports of a router.
+	reportGap smoothed
+	// plain holds what is known of the services of plain servers.
+	plain  map[string]*plainService
+	recent recentPlacements
+	random func() float64
 }
 
 type report struct {
@@ -123,6 +128,7 @@
 		states:     make(map[string]*endpointState),
 		byKey:      make(map[presence.Key]*endpointState),
 		reports:    make(map[string]report),
+		plain:      make(map[string]*plainService),
 		random:     random,
 	}
 }
@@ -140,20 +146,43 @@
 			state.cache.add(now, p.Part)
 		}
 	}
+	if old, known := c.reports[instance]; known {
+		c.addPeers(old.work, -1)
+		c.reportGap.Add(now - old.at)
+	}
+	c.addPeers(work, 1)
 	c.reports[instance] = report{at: now, work: work}
+	c.dropSilent(now)
+}
+
+// addPeers adds a report to what peers have under way, or takes it away.
+func (c *Core) addPeers(work map[presence.Key]presence.Work, sign int) {
+	for key, w := range work {
+		if state, known := c.byKey[key]; known {
+			state.peers.Running += sign * w.Running
+			state.peers.Prefill += sign * w.Prefill
+		}
+	}
+}
+
+// dropSilent drops the reports of routers that fell silent.
+func (c *Core) dropSilent(now time.Duration) {
 	for name, r := range c.reports {
 		if now-r.at > reportLife {
+			c.addPeers(r.work, -1)
 			delete(c.reports, name)
 		}
 	}
-	for id, state := range c.states {
-		state.peers = presence.Work{}
-		for _, r := range c.reports {
-			work := r.work[presence.KeyOf(id)]
-			state.peers.Running += work.Running
-			state.peers.Prefill += work.Prefill
-		}
+}
+
+// peersAt returns what the other routers have under way at an endpoint.
+func (c *Core) peersAt(key presence.Key) presence.Work {
+	var sum presence.Work
+	for _, r := range c.reports {
+		sum.Running += r.work[key].Running
+		sum.Prefill += r.work[key].Prefill
 	}
+	return sum
 }
 
 // Work returns what this router has under way.
@@ -182,14 +211,14 @@
 	if service != nil && service.Engine != nil {
 		chosen, prefill = c.pickEngine(now, job, candidates, service.Engine)
 	} else {
-		chosen = c.pickPlain(now, candidates)
+		chosen = c.pickPlain(now, job, candidates)
 	}
 	if chosen == nil {
 		return Placement{}, Full
 	}
 	placed := Placement{
 		Endpoint: chosen.entry, Running: chosen.running(now), Prefill: chosen.own.Prefill + chosen.peers.Prefill,
-		prefill: prefill, isPrefill: prefill > 0, start: chosen.entry.StartedAt,
+		prefill: prefill, isPrefill: prefill > 0, start: chosen.entry.StartedAt, at: now,
 	}
 	chosen.own.Running++
 	chosen.own.Prefill += prefill
@@ -245,9 +274,10 @@
 func (c *Core) state(e endpoints.Entry) *endpointState {
 	state, known := c.states[e.ID]
 	if !known || state.entry.StartedAt != e.StartedAt || state.entry.Address != e.Address {
-		state = &endpointState{cache: newCache(c.prefixLife)}
+		key := presence.KeyOf(e.ID)
+		state = &endpointState{cache: newCache(c.prefixLife), peers: c.peersAt(key)}
 		c.states[e.ID] = state
-		c.byKey[presence.KeyOf(e.ID)] = state
+		c.byKey[key] = state
 	}
 	state.entry = e
 	return state
@@ -332,25 +362,8 @@
 	return otherMiss
 }
 
-// pickPlain returns the server with the most room, or nil if none has any.
-func (c *Core) pickPlain(now time.Duration, candidates []*endpointState) *endpointState {
-	var best *endpointState
-	bestCost := 0.0
-	for _, state := range candidates {
-		share := float64(state.running(now)) / float64(state.entry.Slots)
-		if share >= 1+plainQueue {
-			continue
-		}
-		cost := share + c.random()/float64(state.entry.Slots)
-		if best == nil || cost < bestCost {
-			best, bestCost = state, cost
-		}
-	}
-	return best
-}
-
 // Begun notes that a stream's first event came: its prompt has been read.
-func (c *Core) Begun(p *Placement) {
+func (c *Core) Begun(now time.Duration, p *Placement) {
 	if state := c.placed(p); state != nil && p.isPrefill {
 		state.own.Prefill -= p.prefill
 	}
@@ -359,12 +372,15 @@
 
 // Done ends a placement. It reports whether the trust in the endpoint changed.
 func (c *Core) Done(now time.Duration, p *Placement, outcome breaker.Outcome) (isChanged bool) {
-	c.Begun(p)
+	c.Begun(now, p)
 	state := c.placed(p)
 	if state == nil {
 		return false
 	}
 	state.own.Running--
+	if outcome == breaker.Succeeded {
+		c.noteWork(now, p)
+	}
 	return state.breaker.Report(now, outcome)
 }
 
--- /dev/null
+++ b/core/request/balance/balancetest/fleet.go
@@ -0,0 +1,255 @@
+// Package balancetest replays load on routers that place by themselves and on
+// emulated endpoints, in virtual time. It drives the real placement core of each
+// router, with beacons as late as they are in a fleet of the size.
+//
+// A replay is a function of its options and its seed.
+package balancetest
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"gentianhead/core/process/endpoints"
+	"gentianhead/core/request/balance"
+	"gentianhead/core/request/breaker"
+	"gentianhead/core/request/exchange"
+	"gentianhead/core/version/routetable"
+)
+
+// Service is the name of the one service of a replay.
+const Service = "service"
+
+// linkDelay is the time that a message takes between two processes.
+const linkDelay = time.Millisecond
+
+// Options describe a fleet.
+type Options struct {
+	Routers int
+	// BeaconInterval is the time between two beacons of a router.
+	BeaconInterval time.Duration
+	// Endpoints is how many endpoints there are. Engine makes them model engines,
+	// otherwise they are plain servers.
+	Endpoints int
+	Plain     Plain
+	Engine    *Engine
+	// LoadFactor is the bound of an engine's load over the mean.
+	LoadFactor float64
+	Seed       uint64
+}
+
+// Request is one request of a replay.
+type Request struct {
+	At time.Duration
+	// Work is the time that a plain server needs for it.
+	Work time.Duration
+	// Prompt and Output, in tokens, are what an engine reads and makes.
+	Prompt *exchange.Prompt
+	Output int
+	Target time.Duration
+	Class  string
+}
+
+// Result is what became of a request.
+type Result struct {
+	Request
+	// IsRefused says that the router refused it, IsShed that an endpoint did.
+	IsRefused, IsShed bool
+	// Latency is the time to the whole answer of a plain server, or to the first
+	// event of an engine.
+	Latency time.Duration
+}
+
+// IsInTime reports whether the request was served within its target.
+func (r Result) IsInTime() bool { return !r.IsRefused && !r.IsShed && r.Latency <= r.Target }
+
+// server is an emulated endpoint. Its methods run at the fleet's time.
+type server interface {
+	// offer reports whether the request is taken. begun and done are called at the
+	// first event and at the end.
+	offer(request Request, begun, done func()) bool
+	load() exchange.Load
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	popped := (*e)[last]
+	*e = (*e)[:last]
+	return popped
+}
+
+// Fleet is a replay under way.
+type Fleet struct {
+	options Options
+	now     time.Duration
+	events  events
+	order   int
+	random  *rand.Rand
+	routers []*balance.Core
+	told    []time.Duration
+	servers map[string]server
+	list    []server
+	results []Result
+	// Peak is the highest load of an engine over the mean, of moments with a mean
+	// of a request an engine or more.
+	Peak float64
+	// Read counts the prompt tokens that engines read.
+	Read int
+}
+
+// Replay runs requests, which are in the order of their times, through a fleet.
+func Replay(options Options, requests []Request) (*Fleet, []Result) {
+	f := &Fleet{
+		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)),
+		servers: make(map[string]server), results: make([]Result, len(requests)),
+		told: make([]time.Duration, options.Routers),
+	}
+	view, table := f.start()
+	for number := range options.Routers {
+		seed := rand.New(rand.NewPCG(options.Seed, uint64(number+100)))
+		core := balance.New(options.LoadFactor, 10*time.Second, seed.Float64)
+		core.SetTable(table)
+		core.SetView(view)
+		f.routers = append(f.routers, core)
+		f.after(time.Duration(f.random.Int64N(int64(options.BeaconInterval))), func() { f.beacon(number) })
+	}
+	for number, request := range requests {
+		f.after(request.At, func() { f.arrive(number, request) })
+	}
+	end := requests[len(requests)-1].At + 30*time.Second
+	for len(f.events) > 0 && f.events[0].at <= end {
+		next := heap.Pop(&f.events).(event)
+		f.now = next.at
+		next.run()
+	}
+	return f, f.results
+}
+
+func (f *Fleet) start() (*endpoints.View, *routetable.Table) {
+	slots := f.options.Plain.Slots
+	service := routetable.Service{Name: Service}
+	if f.options.Engine != nil {
+		slots = f.options.Engine.Slots
+		service.Engine = &routetable.Engine{Slots: slots, CacheTokens: f.options.Engine.CacheTokens, TokensPerEvent: 7}
+	}
+	var entries []endpoints.Entry
+	for number := range f.options.Endpoints {
+		id := fmt.Sprintf("endpoint-%03d", number)
+		entries = append(entries, endpoints.Entry{ID: id, Service: Service, Address: id, Slots: slots})
+		if f.options.Engine != nil {
+			f.servers[id] = newEngine(f, *f.options.Engine)
+		} else {
+			f.servers[id] = &plainServer{fleet: f, options: f.options.Plain}
+		}
+		f.list = append(f.list, f.servers[id])
+	}
+	core := endpoints.New()
+	core.Apply(0, entries, nil)
+	table, err := routetable.New(routetable.Spec{Version: 1, Services: []routetable.Service{service}})
+	if err != nil {
+		panic(err)
+	}
+	return core.View(), table
+}
+
+func (f *Fleet) after(d time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.events, event{at: f.now + d, order: f.order, run: run})
+}
+
+// clock starts late, as the core takes zero for "never".
+func (f *Fleet) clock() time.Duration { return f.now + time.Hour }
+
+// beacon sends one router's state to all others.
+func (f *Fleet) beacon(number int) {
+	from := f.routers[number]
+	work, placed := from.Work(), from.Placed(f.told[number])
+	f.told[number] = f.clock()
+	f.after(linkDelay, func() {
+		for other, router := range f.routers {
+			if other != number {
+				router.Report(f.clock(), fmt.Sprint("router-", number), work, placed)
+			}
+		}
+	})
+	f.after(f.options.BeaconInterval, func() { f.beacon(number) })
+}
+
+// maxAttempts is how many endpoints a request that was shed is offered to.
+const maxAttempts = 2
+
+func (f *Fleet) arrive(number int, request Request) {
+	router := f.routers[f.random.IntN(len(f.routers))]
+	result := &f.results[number]
+	result.Request = request
+	result.IsShed = true
+	f.attempt(router, result, nil)
+}
+
+func (f *Fleet) attempt(router *balance.Core, result *Result, excluded []string) {
+	job := balance.Job{Service: Service, Prompt: result.Prompt, Target: result.Target, Excluded: excluded}
+	placement, refusal := router.Place(f.clock(), job)
+	if refusal != balance.Accepted {
+		result.IsShed, result.IsRefused = false, true
+		return
+	}
+	id := placement.Endpoint.ID
+	target := f.servers[id]
+	f.after(linkDelay, func() {
+		f.notePeak()
+		begun := func() {
+			load := target.load()
+			f.after(linkDelay, func() {
+				result.Latency = f.now - result.At
+				result.IsShed = false
+				if f.options.Engine != nil {
+					router.Told(f.clock(), id, load)
+				}
+				router.Begun(f.clock(), &placement)
+			})
+		}
+		done := func() {
+			f.after(linkDelay, func() { router.Done(f.clock(), &placement, breaker.Succeeded) })
+		}
+		if target.offer(result.Request, begun, done) {
+			return
+		}
+		f.after(linkDelay, func() {
+			router.Done(f.clock(), &placement, breaker.Neutral)
+			if excluded = append(excluded, id); len(excluded) < maxAttempts {
+				f.attempt(router, result, excluded)
+			}
+		})
+	})
+}
+
+// notePeak notes how far the most loaded engine is above the mean.
+func (f *Fleet) notePeak() {
+	total, most := 0, 0
+	for _, s := range f.list {
+		load := s.load()
+		total += load.Running + load.Waiting
+		most = max(most, load.Running+load.Waiting)
+	}
+	if mean := float64(total) / float64(len(f.servers)); mean >= 1 {
+		f.Peak = max(f.Peak, (float64(most)-boundSlack)/mean)
+	}
+}
+
+// boundSlack is the number of requests above the bound that small means allow.
+const boundSlack = 3
--- /dev/null
+++ b/core/request/balance/plain.go
@@ -0,0 +1,117 @@
+package balance
+
+import (
+	"time"
+)
+
+const (
+	// smoothing is the weight of a new sample in a smoothed time: about the last
+	// twenty count.
+	smoothing = 0.1
+	// firstRefusal and lastRefusal bound the part of the target latency that a
+	// request is expected to take between which refusals grow from none to all.
+	// A ramp, since routers that all stopped at one bound would all send again at
+	// once when they hear of the room.
+	firstRefusal = 0.7
+	lastRefusal  = 1.4
+	// unknownBound times its slots is what a server is sent while the time that its
+	// requests take, or their target latency, is not known.
+	unknownBound = 2
+)
+
+// smoothed is a moving average of times; zero until the first sample.
+type smoothed struct {
+	value time.Duration
+}
+
+// Add takes a sample.
+func (s *smoothed) Add(sample time.Duration) {
+	if s.value == 0 {
+		s.value = sample
+		return
+	}
+	s.value += time.Duration(smoothing * float64(sample-s.value))
+}
+
+// plainService is what this router has seen of the plain servers of a service.
+type plainService struct {
+	// work is the time that a request takes without waiting.
+	work smoothed
+}
+
+func (c *Core) plainService(name string) *plainService {
+	service, known := c.plain[name]
+	if !known {
+		service = &plainService{}
+		c.plain[name] = service
+	}
+	return service
+}
+
+// noteWork takes the time that an answer took. What it waited behind others is
+// taken off by how many the server was taken to have.
+func (c *Core) noteWork(now time.Duration, p *Placement) {
+	if service, known := c.plain[p.Endpoint.Service]; known && p.Endpoint.Slots > 0 {
+		ahead := max(1, float64(p.Running+1)/float64(p.Endpoint.Slots))
+		service.work.Add(time.Duration(float64(now-p.at) / ahead))
+	}
+}
+
+// pickPlain returns a server with room, or nil.
+//
+// The load pattern: many routers of which each sends a small part of the load.
+// What a router hears of the others is as old as their beacons. If it sent to the
+// server that was least loaded then, all others would do so too and flood it. So
+// the choice is the more random, the more requests come to a server between two
+// beacons.
+func (c *Core) pickPlain(now time.Duration, job Job, candidates []*endpointState) *endpointState {
+	service := c.plainService(job.Service)
+	mean := meanRunning(now, candidates)
+	unseen := c.unseen(service, mean)
+	var best *endpointState
+	bestCost := 0.0
+	for _, state := range candidates {
+		slots := float64(max(1, state.entry.Slots))
+		cost := (float64(state.running(now)) + c.random()*(1+unseen)) / slots
+		if best == nil || cost < bestCost {
+			best, bestCost = state, cost
+		}
+	}
+	running := min(float64(best.running(now)), mean)
+	if c.random() < service.refusalShare(running, best.entry.Slots, job.Target) {
+		return nil
+	}
+	return best
+}
+
+func meanRunning(now time.Duration, candidates []*endpointState) float64 {
+	total := 0
+	for _, state := range candidates {
+		total += state.running(now)
+	}
+	return float64(total) / float64(len(candidates))
+}
+
+// unseen returns how many requests are expected to have reached a server since
+// the reports that this router knows. mean is how many are there.
+func (c *Core) unseen(service *plainService, mean float64) float64 {
+	if len(c.reports) == 0 || service.work.value == 0 {
+		return 0
+	}
+	age := c.reportGap.value / 2
+	return mean * float64(age) / float64(service.work.value)
+}
+
+// refusalShare returns the share of requests to refuse at a server that has
+// running requests, so that those that are sent are answered in time.
+func (s *plainService) refusalShare(running float64, slots int, target time.Duration) float64 {
+	if running < float64(slots) {
+		return 0
+	}
+	if target <= 0 || s.work.value == 0 {
+		return running - unknownBound*float64(slots) + 1
+	}
+	expected := float64(s.work.value) * (running + 1) / float64(max(1, slots))
+	part := expected / float64(target)
+	return (part - firstRefusal) / (lastRefusal - firstRefusal)
+}
--- /dev/null
+++ b/core/request/balance/replay_test.go
@@ -0,0 +1,156 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/request/balance/balancetest"
+	"gentianhead/core/request/exchange"
+)
+
+// plainFleet has many routers of which each sees few requests, and hears of the
+// others' a few times a second.
+func plainFleet(seed uint64) balancetest.Options {
+	return balancetest.Options{
+		Routers: 61, BeaconInterval: 610 * time.Millisecond, Endpoints: 4,
+		Plain: balancetest.Plain{Slots: 6, Queue: 24}, LoadFactor: 2, Seed: seed,
+	}
+}
+
+type shares struct{ inTime, refused, shed float64 }
+
+func sharesOf(results []balancetest.Result) shares {
+	var s shares
+	each := 1 / float64(len(results))
+	for _, result := range results {
+		switch {
+		case result.IsInTime():
+			s.inTime += each
+		case result.IsRefused:
+			s.refused += each
+		case result.IsShed:
+			s.shed += each
+		}
+	}
+	return s
+}
+
+func plainLoad(seed uint64, rate float64) []balancetest.Request {
+	random := rand.New(rand.NewPCG(seed, 3))
+	request := balancetest.Request{Work: 60 * time.Millisecond, Target: 300 * time.Millisecond}
+	return balancetest.Steady(random.Float64, 0, 20*time.Second, rate, request)
+}
+
+// smallFleet has few routers, which hear of each other more often.
+func smallFleet(seed uint64) balancetest.Options {
+	options := plainFleet(seed)
+	options.Routers, options.BeaconInterval, options.Endpoints = 7, 250*time.Millisecond, 3
+	return options
+}
+
+// The load pattern: a few routers before a few plain servers, from a tenth of what
+// these can do to all of it.
+func TestFewRoutersServePlainRequests(t *testing.T) {
+	for _, rate := range []float64{30, 150, 270} {
+		for seed := range uint64(5) {
+			_, results := balancetest.Replay(smallFleet(seed), plainLoad(seed, rate))
+			s := sharesOf(results)
+			t.Logf("rate %.0f seed %d: %+v", rate, seed, s)
+			assert.Assert(t, s.inTime > 0.95, "rate %.0f seed %d: %+v", rate, seed, s)
+		}
+	}
+}
+
+// The load pattern: plain servers half used, and many routers that know little of
+// each other. None of them may refuse, and no server be flooded by all at once.
+func TestManyRoutersServePlainRequestsAtHalfLoad(t *testing.T) {
+	for seed := range uint64(5) {
+		_, results := balancetest.Replay(plainFleet(seed), plainLoad(seed, 200))
+		s := sharesOf(results)
+		t.Logf("seed %d: %+v", seed, s)
+		assert.Assert(t, s.inTime > 0.99, "seed %d: %+v", seed, s)
+	}
+}
+
+// The load pattern: plain servers used to nine tenths.
+func TestManyRoutersServePlainRequestsAtHighLoad(t *testing.T) {
+	for seed := range uint64(5) {
+		_, results := balancetest.Replay(plainFleet(seed), plainLoad(seed, 360))
+		s := sharesOf(results)
+		t.Logf("seed %d: %+v", seed, s)
+		assert.Assert(t, s.inTime > 0.95, "seed %d: %+v", seed, s)
+	}
+}
+
+// The load pattern: a third more than plain servers can do. What they can do is
+// to be done in time, and the rest refused before it is sent.
+func TestManyRoutersRefuseWhatPlainServersCannotDo(t *testing.T) {
+	for seed := range uint64(5) {
+		_, results := balancetest.Replay(plainFleet(seed), plainLoad(seed, 530))
+		s := sharesOf(results)
+		t.Logf("seed %d: %+v", seed, s)
+		assert.Assert(t, s.inTime > 0.6, "seed %d: %+v", seed, s)
+	}
+}
+
+// engineFleet has engines that hold the documents of a fifth of the sessions each
+// could meet.
+func engineFleet(seed uint64) balancetest.Options {
+	return balancetest.Options{
+		Routers: 61, BeaconInterval: 610 * time.Millisecond, Endpoints: 90, LoadFactor: 2, Seed: seed,
+		Engine: &balancetest.Engine{
+			Slots: 32, Queue: 96, Step: 3790 * time.Microsecond, StepPerSlot: 89 * time.Microsecond,
+			ReadPerMS: 56.6, Chunk: 2048, CacheTokens: 293_394,
+		},
+	}
+}
+
+// sessions returns requests of one class whose sessions share documents.
+func sessions(random *rand.Rand, class string, rate float64, length time.Duration, documents, shared, own, output int, target time.Duration) []balancetest.Request {
+	requests := balancetest.Steady(random.Float64, 0, length, rate, balancetest.Request{Class: class, Output: output, Target: target})
+	for i := range requests {
+		document := random.IntN(documents)
+		requests[i].Output = 1 + int(float64(output)*2*random.Float64())
+		requests[i].Prompt = &exchange.Prompt{Parts: []exchange.Part{
+			{ID: class, Tokens: shared / 20},
+			{ID: fmt.Sprint(class, "-document-", document), Tokens: int(float64(shared) * (0.3 + 1.3*random.Float64()))},
+			{ID: fmt.Sprint(class, "-own-", i), Tokens: int(float64(own) * 2 * random.Float64())},
+		}}
+	}
+	return requests
+}
+
+func mixed(seed uint64, x float64, length time.Duration) []balancetest.Request {
+	random := rand.New(rand.NewPCG(seed, 5))
+	requests := sessions(random, "long", 182*x, length, 316, 10000, 1300, 380, 800*time.Millisecond)
+	requests = append(requests, sessions(random, "question", 138*x, length, 362, 600, 130, 290, 400*time.Millisecond)...)
+	requests = append(requests, sessions(random, "sort", 244*x, length, 284, 1900, 360, 22, 500*time.Millisecond)...)
+	slices.SortStableFunc(requests, func(a, b balancetest.Request) int { return int(a.At - b.At) })
+	return requests
+}
+
+func TestManyRoutersShareEngines(t *testing.T) {
+	for _, x := range []float64{1, 2.5} {
+		for seed := range uint64(1) {
+			requests := mixed(seed, x, 6*time.Second)
+			fleet, results := balancetest.Replay(engineFleet(seed), requests)
+			tokens := 0
+			byClass := map[string][]balancetest.Result{}
+			for _, r := range results {
+				byClass[r.Class] = append(byClass[r.Class], r)
+				for _, part := range r.Prompt.Parts {
+					tokens += part.Tokens
+				}
+			}
+			t.Logf("x %.1f seed %d: %+v, peak %.2f, read %.3f of tokens", x, seed, sharesOf(results), fleet.Peak, float64(fleet.Read)/float64(tokens))
+			for class, results := range byClass {
+				t.Logf("    %s: %+v", class, sharesOf(results))
+			}
+		}
+	}
+}
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -86,7 +86,7 @@
 func (b *Balancer) begun(p *balance.Placement) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.core.Begun(p)
+	b.core.Begun(boottime.Now(), p)
 }
 
 func (b *Balancer) told(id string, load *exchange.Load) {
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -43,7 +43,9 @@
 func (r *Relay) dispatch(ctx context.Context, c *call) *failure {
 	unsent := 0
 	for {
-		placement, refusal := r.options.Balancer.place(balance.Job{Service: c.service, Prompt: c.ask.Prompt, Excluded: c.excluded})
+		placement, refusal := r.options.Balancer.place(balance.Job{
+			Service: c.service, Prompt: c.ask.Prompt, Target: c.route.TargetLatency, Excluded: c.excluded,
+		})
 		if refusal != balance.Accepted {
 			return refused(refusal)
 		}
