Spread the returns of refused requests

Cause: every refused caller was told 500 ms, so a burst came back as a burst. Change: core/request/comeback gives each refused request a turn of its own, as fast as a quarter of what this router's share of the service can do, at most a third of the caller's remaining time away; the capacity follows from the slots and the time that answers took. Where it is not known, the time is drawn around the old one. Found on the way by rapid: a very small capacity overflowed the time; bounded.

--- a/core/request/balance/balancetest/fleet.go
+++ b/core/request/balance/balancetest/fleet.go
@@ -36,7 +36,10 @@
 	Engine    *Engine
 	// LoadFactor is the bound of an engine's load over the mean.
 	LoadFactor float64
-	Seed       uint64
+	// ComeBack returns when the caller of a refused request comes back to a router;
+	// callers do so once. Nil keeps them away.
+	ComeBack func(router int, now, left time.Duration) time.Duration
+	Seed     uint64
 }
 
 // Request is one request of a replay.
@@ -48,7 +51,9 @@
 	Prompt *exchange.Prompt
 	Output int
 	Target time.Duration
-	Class  string
+	// Deadline is how long the caller waits.
+	Deadline time.Duration
+	Class    string
 }
 
 // Result is what became of a request.
@@ -57,8 +62,10 @@
 	// IsRefused says that the router refused it, IsShed that an endpoint did.
 	IsRefused, IsShed bool
 	// Latency is the time to the whole answer of a plain server, or to the first
-	// event of an engine.
+	// event of an engine, from the first attempt on.
 	Latency time.Duration
+	// Returns is how often the caller came back.
+	Returns int
 }
 
 // IsInTime reports whether the request was served within its target.
@@ -204,18 +211,32 @@
 const maxAttempts = 2
 
 func (f *Fleet) arrive(number int, request Request) {
-	router := f.routers[f.random.IntN(len(f.routers))]
 	result := &f.results[number]
 	result.Request = request
 	result.IsShed = true
-	f.attempt(router, result, nil)
+	f.attempt(f.random.IntN(len(f.routers)), result, nil)
 }
 
-func (f *Fleet) attempt(router *balance.Core, result *Result, excluded []string) {
+// refuse ends a request, or lets its caller come back.
+func (f *Fleet) refuse(number int, result *Result) {
+	left := result.At + result.Deadline - f.now
+	if f.options.ComeBack == nil || result.Returns > 0 || left <= 0 {
+		return
+	}
+	result.Returns++
+	f.after(f.options.ComeBack(number, f.clock(), left), func() {
+		result.IsRefused, result.IsShed = false, true
+		f.attempt(f.random.IntN(len(f.routers)), result, nil)
+	})
+}
+
+func (f *Fleet) attempt(number int, result *Result, excluded []string) {
+	router := f.routers[number]
 	job := balance.Job{Service: Service, Prompt: result.Prompt, Target: result.Target, Excluded: excluded}
 	placement, refusal := router.Place(f.clock(), job)
 	if refusal != balance.Accepted {
 		result.IsShed, result.IsRefused = false, true
+		f.refuse(number, result)
 		return
 	}
 	id := placement.Endpoint.ID
@@ -242,8 +263,10 @@
 		f.after(linkDelay, func() {
 			router.Done(f.clock(), &placement, breaker.Neutral)
 			if excluded = append(excluded, id); len(excluded) < maxAttempts {
-				f.attempt(router, result, excluded)
+				f.attempt(number, result, excluded)
+				return
 			}
+			f.refuse(number, result)
 		})
 	})
 }
--- a/core/request/balance/engine_test.go
+++ b/core/request/balance/engine_test.go
@@ -103,3 +103,15 @@
 		assert.Equal(t, p.CopyFrom, "")
 	}
 }
+
+func TestCapacityFollowsWhatAnswersTake(t *testing.T) {
+	c := newCore(t, 1, 2)
+	assert.Equal(t, c.Capacity("plain"), 0.0)
+	assert.Equal(t, c.Capacity("pool"), 0.0)
+	for number := range 10 {
+		now := time.Duration(number) * time.Second
+		p, _ := c.Place(now, Job{Service: "plain"})
+		c.Done(now+50*time.Millisecond, &p, breaker.Succeeded)
+	}
+	assert.Equal(t, c.Capacity("plain"), 240.0)
+}
--- a/core/request/balance/plain.go
+++ b/core/request/balance/plain.go
@@ -115,3 +115,17 @@
 	part := expected / float64(target)
 	return (part - firstRefusal) / (lastRefusal - firstRefusal)
 }
+
+// Capacity returns how many requests a second the plain servers of a service can
+// do, or zero while that is not known.
+func (c *Core) Capacity(service string) float64 {
+	known, isKnown := c.plain[service]
+	if !isKnown || known.work.value == 0 {
+		return 0
+	}
+	slots := 0
+	for _, e := range c.view.Of(service) {
+		slots += e.Slots
+	}
+	return float64(slots) / known.work.value.Seconds()
+}
--- a/core/request/balance/replay_test.go
+++ b/core/request/balance/replay_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"gentianhead/core/request/balance/balancetest"
+	"gentianhead/core/request/comeback"
 	"gentianhead/core/request/exchange"
 )
 
@@ -156,3 +157,31 @@
 		}
 	}
 }
+
+// The load pattern: a burst of a second and a half, to two and a half times of what
+// plain servers can do, on half load. Callers that were refused come back once.
+func TestReturnsOfABurstAreSpread(t *testing.T) {
+	served := func(seed uint64, comeBack func(int, time.Duration, time.Duration) time.Duration) float64 {
+		random := rand.New(rand.NewPCG(seed, 3))
+		request := balancetest.Request{Work: 60 * time.Millisecond, Target: 300 * time.Millisecond, Deadline: 3 * time.Second}
+		requests := balancetest.Steady(random.Float64, 0, 2*time.Second, 200, request)
+		requests = append(requests, balancetest.Steady(random.Float64, 2*time.Second, 3500*time.Millisecond, 1000, request)...)
+		requests = append(requests, balancetest.Steady(random.Float64, 3500*time.Millisecond, 8*time.Second, 200, request)...)
+		options := plainFleet(seed)
+		options.ComeBack = comeBack
+		_, results := balancetest.Replay(options, requests)
+		s := sharesOf(results)
+		return 1 - s.refused - s.shed
+	}
+	for seed := range uint64(5) {
+		turns := make([]comeback.Turns, 61)
+		random := rand.New(rand.NewPCG(seed, 9))
+		const capacity = 400.0 / 61
+		spread := served(seed, func(router int, now, left time.Duration) time.Duration {
+			return turns[router].After(now, capacity, time.Second, left, random.Float64())
+		})
+		fixed := served(seed, func(int, time.Duration, time.Duration) time.Duration { return 500 * time.Millisecond })
+		t.Logf("seed %d: served %.3f with turns, %.3f all after the same time", seed, spread, fixed)
+		assert.Assert(t, spread > fixed, "seed %d: %.3f and %.3f", seed, spread, fixed)
+	}
+}
--- /dev/null
+++ b/core/request/comeback/comeback_test.go
@@ -0,0 +1,53 @@
+package comeback
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// The load pattern: fifty requests are refused in one moment by a router whose
+// share of the service is 100 a second.
+func TestReturnsOfOneMomentAreSpread(t *testing.T) {
+	var turns Turns
+	var delays []time.Duration
+	for range 20 {
+		delays = append(delays, turns.After(time.Hour, 100, 0, 3*time.Second, 0))
+	}
+	assert.Assert(t, slices.IsSorted(delays))
+	for i := range delays[1:] {
+		assert.Equal(t, delays[i+1]-delays[i], 40*time.Millisecond)
+	}
+}
+
+func TestTurnsThatPassedAreForgotten(t *testing.T) {
+	var turns Turns
+	for range 20 {
+		turns.After(time.Hour, 100, 0, 3*time.Second, 0)
+	}
+	assert.Equal(t, turns.After(2*time.Hour, 100, 0, 3*time.Second, 0), MinDelay+40*time.Millisecond)
+}
+
+func TestUnknownCapacityFallsBackWithASpread(t *testing.T) {
+	var turns Turns
+	assert.Equal(t, turns.After(0, 0, time.Second, time.Minute, 0), 500*time.Millisecond)
+	assert.Equal(t, turns.After(0, 0, time.Second, time.Minute, 0.5), time.Second)
+}
+
+func TestCallersAreNeverKeptBeyondAThirdOfTheirTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var turns Turns
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 100).Draw(t, "refusals") {
+			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "gap")) * time.Millisecond
+			left := time.Duration(rapid.IntRange(0, 15000).Draw(t, "left")) * time.Millisecond
+			capacity := rapid.Float64Range(0, 500).Draw(t, "capacity")
+			delay := turns.After(now, capacity, time.Second, left, rapid.Float64Range(0, 0.999).Draw(t, "random"))
+			assert.Assert(t, delay >= MinDelay, "%v", delay)
+			assert.Assert(t, delay <= max(MinDelay, left/3), "%v of %v", delay, left)
+		}
+	})
+}
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -10,6 +10,7 @@
 	"gentianhead/core/process/presence"
 	"gentianhead/core/request/balance"
 	"gentianhead/core/request/breaker"
+	"gentianhead/core/request/comeback"
 	"gentianhead/core/request/exchange"
 	"gentianhead/core/request/retry"
 	"gentianhead/core/version/routetable"
@@ -23,6 +24,7 @@
 	core    *balance.Core
 	limits  retry.FleetLimits
 	budgets map[string]*retry.Fleet
+	turns   map[string]*comeback.Turns
 	routers int
 	log     *slog.Logger
 }
@@ -34,6 +36,7 @@
 		core:    balance.New(loadFactor, prefixLife, rand.Float64),
 		limits:  limits,
 		budgets: make(map[string]*retry.Fleet),
+		turns:   make(map[string]*comeback.Turns),
 		routers: 1,
 		log:     log,
 	}
@@ -141,3 +144,19 @@
 	}
 	return budget
 }
+
+// comeBack returns when the caller of a refused request is to come back to the
+// service, which is empty where the request named none. fallback is about when
+// there will be room if the service's capacity is not known; left is how long the
+// caller still waits.
+func (b *Balancer) comeBack(service string, fallback, left time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	turns, known := b.turns[service]
+	if !known {
+		turns = &comeback.Turns{}
+		b.turns[service] = turns
+	}
+	capacity := b.core.Capacity(service) / float64(max(1, b.routers))
+	return turns.After(boottime.Now(), capacity, fallback, left, rand.Float64())
+}
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -146,11 +146,23 @@
 	return limit
 }
 
+// callerLeft is how long the caller still waits.
+func (c *call) callerLeft() time.Duration {
+	deadline := c.ask.Deadline
+	if deadline == 0 {
+		deadline = defaultTimeout
+	}
+	return max(0, deadline-(boottime.Now()-c.begun))
+}
+
 // defaultTimeout bounds requests for which neither the route nor the caller set a limit.
 const defaultTimeout = time.Minute
 
 // finish writes the answer of a request that failed and its log line.
 func (r *Relay) finish(c *call, failure *failure) {
+	if failure != nil && failure.retryAfter > 0 {
+		failure.retryAfter = r.options.Balancer.comeBack(c.service, failure.retryAfter, c.callerLeft())
+	}
 	count(c, failure)
 	r.log(c, failure)
 	if failure == nil {
