Tell other routers which endpoints take no connections

Change: beacons name the endpoints that took no connection. An endpoint of which two other routers say so is left to those that found out, unless it answered here within half a second; a router that can't connect to half of all is not believed.

--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -102,6 +102,8 @@
 	Work map[Key]Work `msgpack:"w,omitempty"`
 	// Placed are the sender's placements since its last beacons.
 	Placed []Placed `msgpack:"l,omitempty"`
+	// Unreachable are the endpoints that took no connection of the sender lately.
+	Unreachable []Key `msgpack:"u,omitempty"`
 	// Stamp is the sender's clock, to be echoed.
 	Stamp time.Duration `msgpack:"t"`
 	// Echo passes the sender's confirmation of Version on to the one router that
--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -16,6 +16,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"gentianhead/core/process/endpoints"
@@ -35,6 +36,15 @@
 	boundSlack = 2
 	// reportLife is how long what a silent router said of its work counts.
 	reportLife = 3 * time.Second
+	// maxUnreachableShare is the share of all endpoints above which a router that
+	// can't connect to them is taken to be cut off itself.
+	maxUnreachableShare = 0.5
+	// minWitnesses is how many other routers must be unable to connect to an
+	// endpoint. One alone may have a bad link.
+	minWitnesses = 2
+	// answerTrust is how long an answer of the endpoint counts more than what
+	// others say: about the time between two beacons.
+	answerTrust = 500 * time.Millisecond
 	// toldLife is how long the load that an endpoint told counts.
 	toldLife = 250 * time.Millisecond
 )
@@ -86,6 +96,10 @@
 	toldAt  time.Duration
 	breaker breaker.Breaker
 	cache   *cache
+	// unreachableBy is how many other routers could not connect to the endpoint.
+	unreachableBy int
+	// succeededAt is when this router last got an answer; zero if it never did.
+	succeededAt time.Duration
 	// drainingSince is when the endpoint was first met as a draining one.
 	drainingSince time.Duration
 }
@@ -108,8 +122,17 @@
 }
 
 type report struct {
-	at   time.Duration
-	work map[presence.Key]presence.Work
+	at          time.Duration
+	work        map[presence.Key]presence.Work
+	unreachable []presence.Key
+}
+
+// Reported is what another router says of its work at endpoints.
+type Reported struct {
+	Work   map[presence.Key]presence.Work
+	Placed []presence.Placed
+	// Unreachable are endpoints that took no connection.
+	Unreachable []presence.Key
 }
 
 // New returns a core without endpoints. No engine is to exceed loadFactor times
@@ -133,66 +156,78 @@
 // SetTable replaces the version in force.
 func (c *Core) SetTable(table *routetable.Table) { c.table = table }
 
-// Report takes what another router has under way and what it has placed lately.
-func (c *Core) Report(now time.Duration, instance string, work map[presence.Key]presence.Work, placed []presence.Placed) {
-	for _, p := range placed {
+// Report takes what another router says of its work.
+func (c *Core) Report(now time.Duration, instance string, said Reported) {
+	for _, p := range said.Placed {
 		if state, known := c.byKey[p.Endpoint]; known {
 			state.cache.add(now, p.Part)
 		}
 	}
 	if old, known := c.reports[instance]; known {
-		c.addPeers(old.work, -1)
+		c.addReport(old, -1)
 		c.reportGap.Add(now - old.at)
 	}
-	c.addPeers(work, 1)
-	c.reports[instance] = report{at: now, work: work}
+	r := report{at: now, work: said.Work}
+	if len(said.Unreachable) <= int(maxUnreachableShare*float64(c.view.Len())) {
+		r.unreachable = said.Unreachable
+	}
+	c.addReport(r, 1)
+	c.reports[instance] = r
 	c.dropSilent(now)
 }
 
-// addPeers adds a report to what peers have under way, or takes it away.
-func (c *Core) addPeers(work map[presence.Key]presence.Work, sign int) {
-	for key, w := range work {
+// addReport adds a report to what peers say of endpoints, or takes it away.
+func (c *Core) addReport(r report, sign int) {
+	for key, w := range r.work {
 		if state, known := c.byKey[key]; known {
 			state.peers.Running += sign * w.Running
 			state.peers.Prefill += sign * w.Prefill
 		}
 	}
+	for _, key := range r.unreachable {
+		if state, known := c.byKey[key]; known {
+			state.unreachableBy += sign
+		}
+	}
 }
 
 // dropSilent drops the reports of routers that fell silent.
 func (c *Core) dropSilent(now time.Duration) {
 	for name, r := range c.reports {
 		if now-r.at > reportLife {
-			c.addPeers(r.work, -1)
+			c.addReport(r, -1)
 			delete(c.reports, name)
 		}
 	}
 }
 
-// peersAt returns what the other routers have under way at an endpoint.
-func (c *Core) peersAt(key presence.Key) presence.Work {
-	var sum presence.Work
+// notePeers sets what the other routers say of an endpoint that is new here.
+func (c *Core) notePeers(key presence.Key, state *endpointState) {
 	for _, r := range c.reports {
-		sum.Running += r.work[key].Running
-		sum.Prefill += r.work[key].Prefill
+		state.peers.Running += r.work[key].Running
+		state.peers.Prefill += r.work[key].Prefill
+		if slices.Contains(r.unreachable, key) {
+			state.unreachableBy++
+		}
 	}
-	return sum
 }
 
-// Work returns what this router has under way.
-func (c *Core) Work() map[presence.Key]presence.Work {
-	work := make(map[presence.Key]presence.Work)
+// Work returns what this router has under way, where it can't connect, and what
+// it has placed since a time.
+func (c *Core) Work(since time.Duration) Reported {
+	said := Reported{Work: make(map[presence.Key]presence.Work), Placed: c.recent.since(since)}
 	for id, state := range c.states {
+		key := presence.KeyOf(id)
 		if state.own.Running > 0 {
-			work[presence.KeyOf(id)] = state.own
+			said.Work[key] = state.own
+		}
+		if state.breaker.IsUnreachable() {
+			said.Unreachable = append(said.Unreachable, key)
 		}
 	}
-	return work
+	return said
 }
 
-// Placed returns what this router has placed since a time.
-func (c *Core) Placed(since time.Duration) []presence.Placed { return c.recent.since(since) }
-
 // Place picks the endpoint for a request.
 func (c *Core) Place(now time.Duration, job Job) (Placement, Refusal) {
 	candidates := c.candidates(now, job)
@@ -245,7 +280,7 @@
 			continue
 		}
 		all = append(all, state)
-		if state.breaker.Allows(now) {
+		if state.isTrusted(now) {
 			trusted = append(trusted, state)
 		}
 	}
@@ -255,6 +290,19 @@
 	return all
 }
 
+// isTrusted reports whether an endpoint may get a request. One that this router
+// distrusts itself is tried again in its own time. One that other routers can't
+// connect to is left to them, unless it answered here lately.
+//
+// The load pattern: a quarter of the engines crash. They look idle, so that each
+// request goes to one after the other, at each of many routers.
+func (s *endpointState) isTrusted(now time.Duration) bool {
+	if s.breaker.IsOpen() || s.succeededAt != 0 && now-s.succeededAt < answerTrust {
+		return s.breaker.Allows(now)
+	}
+	return s.unreachableBy < minWitnesses
+}
+
 func isExcluded(excluded []string, id string) bool {
 	for _, e := range excluded {
 		if e == id {
@@ -270,7 +318,8 @@
 	state, known := c.states[e.ID]
 	if !known || state.entry.StartedAt != e.StartedAt || state.entry.Address != e.Address {
 		key := presence.KeyOf(e.ID)
-		state = &endpointState{cache: newCache(c.prefixLife), peers: c.peersAt(key)}
+		state = &endpointState{cache: newCache(c.prefixLife)}
+		c.notePeers(key, state)
 		c.states[e.ID] = state
 		c.byKey[key] = state
 	}
@@ -304,6 +353,7 @@
 	}
 	state.own.Running--
 	if outcome == breaker.Succeeded {
+		state.succeededAt = now
 		c.noteWork(now, p)
 	}
 	return state.breaker.Report(now, outcome)
--- a/core/request/balance/balancetest/fleet.go
+++ b/core/request/balance/balancetest/fleet.go
@@ -36,6 +36,8 @@
 	Engine    *Engine
 	// LoadFactor is the bound of an engine's load over the mean.
 	LoadFactor float64
+	// IsDown reports whether an endpoint takes no connections; nil means that all do.
+	IsDown func(endpoint string, at time.Duration) bool
 	// ComeBack returns when the caller of a refused request comes back to a router;
 	// callers do so once. Nil keeps them away.
 	ComeBack func(router int, now, left time.Duration) time.Duration
@@ -118,7 +120,9 @@
 	// Read counts the prompt tokens that engines read, ReadAgain those of shared
 	// parts that some engine had read before, and Copied those that were copied.
 	Read, ReadAgain, Copied int
-	known                   map[string]bool
+	// Unreached counts attempts at endpoints that were down.
+	Unreached int
+	known     map[string]bool
 }
 
 func (f *Fleet) noteRead(part exchange.Part, isShared bool) {
@@ -195,20 +199,24 @@
 // beacon sends one router's state to all others.
 func (f *Fleet) beacon(number int) {
 	from := f.routers[number]
-	work, placed := from.Work(), from.Placed(f.told[number])
+	said := from.Work(f.told[number])
 	f.told[number] = f.clock()
 	f.after(linkDelay, func() {
 		for other, router := range f.routers {
 			if other != number {
-				router.Report(f.clock(), fmt.Sprint("router-", number), work, placed)
+				router.Report(f.clock(), fmt.Sprint("router-", number), said)
 			}
 		}
 	})
 	f.after(f.options.BeaconInterval, func() { f.beacon(number) })
 }
 
-// maxAttempts is how many endpoints a request that was shed is offered to.
-const maxAttempts = 2
+const (
+	// maxAttempts is how many endpoints a request that was shed is offered to.
+	maxAttempts = 2
+	// maxUnsent is how many endpoints without a connection a request tries.
+	maxUnsent = 6
+)
 
 func (f *Fleet) arrive(number int, request Request) {
 	result := &f.results[number]
@@ -241,6 +249,18 @@
 	}
 	id := placement.Endpoint.ID
 	target := f.servers[id]
+	if f.options.IsDown != nil && f.options.IsDown(id, f.now) {
+		f.after(2*linkDelay, func() {
+			router.Done(f.clock(), &placement, breaker.Unreachable)
+			f.Unreached++
+			if excluded = append(excluded, id); len(excluded) < maxUnsent {
+				f.attempt(number, result, excluded)
+				return
+			}
+			f.refuse(number, result)
+		})
+		return
+	}
 	f.after(linkDelay, func() {
 		f.notePeak()
 		begun := func() {
--- a/core/request/balance/replay_test.go
+++ b/core/request/balance/replay_test.go
@@ -185,3 +185,19 @@
 		assert.Assert(t, spread > fixed, "seed %d: %.3f and %.3f", seed, spread, fixed)
 	}
 }
+
+// The load pattern: a quarter of the engines crash at once, and their entries stay
+// for three and a half seconds. Connections to them are refused at once.
+func TestCrashedEnginesAreFoundTogether(t *testing.T) {
+	for seed := range uint64(2) {
+		options := engineFleet(seed)
+		options.IsDown = func(endpoint string, at time.Duration) bool {
+			return at > 2*time.Second && at < 5500*time.Millisecond && endpoint < "endpoint-023"
+		}
+		requests := mixed(seed, 1, 6*time.Second)
+		fleet, results := balancetest.Replay(options, requests)
+		s := sharesOf(results)
+		t.Logf("seed %d: %+v, %d connections refused", seed, s, fleet.Unreached)
+		assert.Assert(t, s.inTime > 0.98, "seed %d: %+v", seed, s)
+	}
+}
--- a/core/request/breaker/breaker.go
+++ b/core/request/breaker/breaker.go
@@ -18,8 +18,9 @@
 	// maxRatio is the share of failures above which an endpoint is distrusted.
 	// Some requests fail by themselves, at a share well below this.
 	maxRatio = 0.4
-	// maxUnreachable is how many connection failures in a row end the trust.
-	maxUnreachable = 2
+	// maxUnreachable is how many connection failures in a row end the trust. With
+	// two, each of many routers pays twice for an endpoint that is gone.
+	maxUnreachable = 1
 	// minCooling and maxCooling bound the time for which an endpoint is left alone.
 	minCooling = 500 * time.Millisecond
 	maxCooling = 8 * time.Second
@@ -66,6 +67,10 @@
 // IsOpen reports whether the endpoint is distrusted.
 func (b *Breaker) IsOpen() bool { return b.isOpen }
 
+// IsUnreachable reports whether the endpoint is distrusted since it took no
+// connections. Unlike failed requests that says nothing about the requests.
+func (b *Breaker) IsUnreachable() bool { return b.isOpen && b.unreachable >= maxUnreachable }
+
 // Report takes the outcome of a request and reports whether trust changed.
 func (b *Breaker) Report(now time.Duration, outcome Outcome) (isChanged bool) {
 	switch outcome {
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -11,6 +11,7 @@
 	"gentianhead/core/process/freshness"
 	"gentianhead/core/process/presence"
 	"gentianhead/core/process/table"
+	"gentianhead/core/request/balance"
 	"gentianhead/core/version/routetable"
 	"gentianhead/fleet/connection/beacon"
 	"gentianhead/fleet/process/boottime"
@@ -159,7 +160,9 @@
 
 func (c *control) stepBeacon(now time.Duration, received presence.Beacon) {
 	isNew := c.presence.Heard(now, received)
-	c.balancer.Report(received.Instance, received.Work, received.Placed)
+	c.balancer.Report(received.Instance, balance.Reported{
+		Work: received.Work, Placed: received.Placed, Unreachable: received.Unreachable,
+	})
 	c.confirmByPeer(now, received)
 	c.stepNews(now, received.News)
 	if isNew {
@@ -199,7 +202,7 @@
 // beacon is what this router tells the others.
 func (c *control) beacon(now time.Duration) presence.Beacon {
 	// Placements are told twice, since single datagrams get lost.
-	work, placed := c.balancer.Work(now - 2*c.presence.Interval())
+	said := c.balancer.Work(now - 2*c.presence.Interval())
 	b := presence.Beacon{
 		Instance:  c.settings.Instance,
 		Zone:      c.settings.Zone,
@@ -208,11 +211,13 @@
 		Start:     c.start,
 		IsServing: c.state.isReady(now),
 		HasStore:  c.hasStore(),
-		Work:      work,
-		Placed:    placed,
+		Work:      said.Work,
+		Placed:    said.Placed,
 		Mentions:  c.presence.Mentions(),
 		Stamp:     now,
 
+		Unreachable: said.Unreachable,
+
 		EndpointsVersion: c.sync.version,
 		EndpointsHash:    c.sync.hash,
 	}
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"gentianhead/core/process/endpoints"
-	"gentianhead/core/process/presence"
 	"gentianhead/core/request/balance"
 	"gentianhead/core/request/breaker"
 	"gentianhead/core/request/comeback"
@@ -66,18 +65,18 @@
 	b.routers = routers
 }
 
-// Report takes what another router has under way and what it has placed lately.
-func (b *Balancer) Report(instance string, work map[presence.Key]presence.Work, placed []presence.Placed) {
+// Report takes what another router says of its work.
+func (b *Balancer) Report(instance string, said balance.Reported) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.core.Report(boottime.Now(), instance, work, placed)
+	b.core.Report(boottime.Now(), instance, said)
 }
 
-// Work returns what this router has under way, and what it has placed since a time.
-func (b *Balancer) Work(since time.Duration) (map[presence.Key]presence.Work, []presence.Placed) {
+// Work returns what to tell other routers, with the placements since a time.
+func (b *Balancer) Work(since time.Duration) balance.Reported {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.core.Work(), b.core.Placed(since)
+	return b.core.Work(since)
 }
 
 func (b *Balancer) place(job balance.Job) (balance.Placement, balance.Refusal) {
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -24,8 +24,11 @@
 	retryNoEndpoint = time.Second
 	// minTimeLeft is the least time with which a request is worth sending.
 	minTimeLeft = 5 * time.Millisecond
-	// maxUnsent is how many endpoints that can't be reached a request tries.
-	maxUnsent = 3
+	// maxUnsent is how many endpoints that can't be reached a request tries, and
+	// maxSlowUnsent how many after its target latency has passed. Most refuse a
+	// connection within a millisecond; one that is silent takes a second.
+	maxUnsent     = 6
+	maxSlowUnsent = 3
 	// plainPatience and streamPatience are the parts of the target latency after
 	// which an endpoint that has not begun to answer is given up where the request
 	// may be repeated. A stream's first event takes longer under load.
@@ -97,7 +100,8 @@
 	case result.isFinal || ctx.Err() != nil || remaining(ctx) < minTimeLeft:
 		return false
 	case result.isUnsent:
-		return unsent < maxUnsent
+		isSlow := boottime.Now()-c.begun > c.route.TargetLatency
+		return unsent < maxSlowUnsent || unsent < maxUnsent && !isSlow
 	case result.mayHaveRun && !c.route.MayRepeat():
 		return false
 	case c.sends >= c.route.MaxAttempts:
