Look at the live routers only when a beacon changes them

Change: a beacon says whether it changes what callers are told; otherwise the tick looks. The list of live routers holds pointers to members, which do not change.

--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -160,25 +160,35 @@
 	return known
 }
 
-// Heard takes a beacon. It reports whether the sender was not known before and
-// should be sent one at once.
-func (c *Core) Heard(now time.Duration, beacon Beacon) (isNew bool) {
+// Sighting is what a beacon showed of its sender.
+type Sighting struct {
+	// IsNew senders were not known before and should be sent a beacon at once.
+	IsNew bool
+	// IsChanged says that callers should be told something else of the sender.
+	IsChanged bool
+}
+
+// Heard takes a beacon.
+func (c *Core) Heard(now time.Duration, beacon Beacon) Sighting {
 	if beacon.Peer == c.self || beacon.Peer == "" {
-		return false
+		return Sighting{}
 	}
 	known, isMember := c.members[beacon.Peer]
 	if isMember && beacon.Start < known.Start && now-known.ArrivedAt < overtaking {
-		return false
+		return Sighting{}
 	}
 	if !isMember && len(c.members) >= maxMembers {
-		return false
+		return Sighting{}
 	}
 	delete(c.unheard, beacon.Peer)
 	c.members[beacon.Peer] = &Member{Beacon: beacon, ArrivedAt: now, heardAt: now}
 	for _, peer := range beacon.Mentions {
 		c.Learn(now, peer)
 	}
-	return !isMember
+	return Sighting{
+		IsNew:     !isMember,
+		IsChanged: !isMember || known.IsServing != beacon.IsServing || known.Address != beacon.Address,
+	}
 }
 
 // Interval is the time between two beacons of a router.
@@ -229,14 +239,15 @@
 }
 
 // Live returns the members that were heard from lately, sorted by instance.
-func (c *Core) Live(now time.Duration) []Member {
+// Callers must not change them.
+func (c *Core) Live(now time.Duration) []*Member {
 	silence := silentBeacons * c.Interval()
-	var live []Member
+	live := make([]*Member, 0, len(c.members))
 	for _, member := range c.members {
 		if now-member.heardAt <= silence {
-			live = append(live, *member)
+			live = append(live, member)
 		}
 	}
-	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	slices.SortFunc(live, func(a, b *Member) int { return cmp.Compare(a.Instance, b.Instance) })
 	return live
 }
--- a/core/process/presence/presence_test.go
+++ b/core/process/presence/presence_test.go
@@ -14,8 +14,8 @@
 
 func TestSilentRouterLeavesTheLiveOnes(t *testing.T) {
 	c := New("10.9.9.9:1", 1)
-	assert.Assert(t, c.Heard(0, beaconOf(1)), "the first beacon is answered at once")
-	assert.Assert(t, !c.Heard(time.Millisecond, beaconOf(1)))
+	assert.Assert(t, c.Heard(0, beaconOf(1)).IsNew, "the first beacon is answered at once")
+	assert.Assert(t, !c.Heard(time.Millisecond, beaconOf(1)).IsNew)
 	for now := time.Duration(0); now < 900*time.Millisecond; now += 100 * time.Millisecond {
 		c.Tick(now)
 	}
@@ -58,7 +58,7 @@
 	c := New("10.9.9.9:1", 1)
 	self := beaconOf(1)
 	self.Peer = "10.9.9.9:1"
-	assert.Assert(t, !c.Heard(0, self))
+	assert.Assert(t, !c.Heard(0, self).IsNew)
 	c.Learn(0, "nowhere")
 	c.Learn(0, "10.9.9.9:1")
 	assert.Equal(t, len(c.Tick(0)), 0)
@@ -97,3 +97,17 @@
 		assert.Assert(t, sent/60 <= 110, "%d routers: %d", size, sent/60)
 	}
 }
+
+func TestBeaconThatChangesWhatCallersAreToldIsSeen(t *testing.T) {
+	c := New("127.0.0.1:1", 1)
+	first := beaconOf(1)
+	first.IsServing = true
+	assert.Assert(t, c.Heard(0, first).IsChanged)
+	assert.Assert(t, !c.Heard(time.Millisecond, first).IsChanged)
+	leaving := first
+	leaving.IsServing = false
+	assert.Assert(t, c.Heard(2*time.Millisecond, leaving).IsChanged)
+	moved := leaving
+	moved.Address = "127.0.0.1:77"
+	assert.Assert(t, c.Heard(3*time.Millisecond, moved).IsChanged)
+}
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -42,7 +42,7 @@
 	isLeaving     bool
 	endpointCount int
 	// live are the other routers that were heard from lately.
-	live []presence.Member
+	live []*presence.Member
 }
 
 // isReady reports whether this router should be given callers at now.
@@ -159,17 +159,19 @@
 }
 
 func (c *control) stepBeacon(now time.Duration, received presence.Beacon) {
-	isNew := c.presence.Heard(now, received)
+	seen := c.presence.Heard(now, received)
 	c.balancer.Report(received.Instance, balance.Reported{
 		Work: received.Work, Placed: received.Placed, Unreachable: received.Unreachable,
 	})
 	c.confirmByPeer(now, received)
 	c.stepNews(now, received.News)
-	if isNew {
+	if seen.IsNew {
 		c.log.Info("A router is present.", "instance", received.Instance, "peer", received.Peer, "isServing", received.IsServing)
 		c.sendBeacons(now, []string{received.Peer}, nil)
 	}
-	c.publishLive(now)
+	if seen.IsChanged {
+		c.publishLive(now)
+	}
 }
 
 // confirmByPeer takes another router's confirmation over, if what it confirms is
@@ -378,7 +380,7 @@
 // publishLive publishes the live routers if they changed.
 func (c *control) publishLive(now time.Duration) {
 	live := c.presence.Live(now)
-	isSame := slices.EqualFunc(live, c.state.live, func(a, b presence.Member) bool {
+	isSame := slices.EqualFunc(live, c.state.live, func(a, b *presence.Member) bool {
 		return a.Instance == b.Instance && a.Address == b.Address && a.IsServing == b.IsServing
 	})
 	if isSame {
--- /dev/null
+++ b/fleet/process/hosted/cost_test.go
@@ -0,0 +1,81 @@
+package hosted
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/process/presence"
+	"gentianhead/core/request/retry"
+	"gentianhead/fleet/connection/beacon"
+	"gentianhead/fleet/process/boottime"
+	"gentianhead/fleet/request/relay"
+	"gentianhead/platform"
+)
+
+// controlOfMany returns the control of a router that knows peers, and a beacon of
+// each. Nothing of it listens to the addresses of the peers.
+func controlOfMany(b *testing.B, peers int) (*control, []presence.Beacon) {
+	b.Helper()
+	loopback := netip.MustParseAddr("127.0.0.1")
+	beacons, err := beacon.Listen(netip.AddrPortFrom(loopback, 0))
+	assert.NilError(b, err)
+	b.Cleanup(beacons.Close)
+	settings := &platform.Settings{Instance: "r-000", Zone: "a", SecretLife: 5 * time.Second, Peers: netip.AddrPortFrom(loopback, 1)}
+	log := slog.New(slog.DiscardHandler)
+	balancer := relay.NewBalancer(2, 10*time.Second, retry.FleetLimits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, log)
+	c := newControl(settings, balancer, beacons, nil, log)
+	c.state.lease = c.state.lease.Confirm(boottime.Now())
+	var received []presence.Beacon
+	for number := range peers {
+		work := make(map[presence.Key]presence.Work)
+		var placed []presence.Placed
+		for endpoint := range 12 {
+			key := presence.KeyOf(fmt.Sprint("endpoint-", (number*7+endpoint)%90))
+			work[key] = presence.Work{Running: 1, Prefill: 1000}
+			placed = append(placed, presence.Placed{Part: presence.KeyOf(fmt.Sprint("part-", endpoint)), Endpoint: key})
+		}
+		received = append(received, presence.Beacon{
+			Instance: fmt.Sprintf("r-%03d", number+1), Zone: "b", Address: "127.0.0.1:2",
+			Peer: fmt.Sprintf("127.0.0.1:%d", 20000+number), Start: int64(number + 1), IsServing: true, HasStore: true,
+			Work: work, Placed: placed, Mentions: []string{"127.0.0.1:20000", "127.0.0.1:20001"},
+		})
+		c.stepBeacon(boottime.Now(), received[number])
+	}
+	return c, received
+}
+
+// BenchmarkBeaconReceived measures one beacon of 90 other routers, of which a
+// router receives about a hundred a second.
+func BenchmarkBeaconReceived(b *testing.B) {
+	c, received := controlOfMany(b, 90)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c.stepBeacon(boottime.Now(), received[i%len(received)])
+	}
+}
+
+// BenchmarkBeaconsSent measures a round of beacons to 90 other routers.
+func BenchmarkBeaconsSent(b *testing.B) {
+	c, _ := controlOfMany(b, 90)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.sendBeacons(boottime.Now(), c.presence.Everyone(), nil)
+	}
+}
+
+// BenchmarkTick measures what is done ten times a second beside beacons.
+func BenchmarkTick(b *testing.B) {
+	c, _ := controlOfMany(b, 90)
+	c.state.isLeaving = true
+	b.ReportAllocs()
+	for b.Loop() {
+		c.presence.Tick(boottime.Now())
+		c.publishLive(boottime.Now())
+		c.presence.Live(boottime.Now())
+	}
+}
--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -162,7 +162,7 @@
 // shouldWatch reports whether this router is among the first of those that the
 // store answers. Routers may disagree for a while; then more or fewer of them
 // watch, and those that hear no confirmation ask for themselves.
-func (c *control) shouldWatch(live []presence.Member) bool {
+func (c *control) shouldWatch(live []*presence.Member) bool {
 	var names []string
 	for _, member := range live {
 		if member.HasStore {
@@ -177,12 +177,12 @@
 }
 
 // isBehind reports whether another router has known more of a table for a while.
-func (c *control) isBehind(now time.Duration, live []presence.Member, name string, delay time.Duration) bool {
+func (c *control) isBehind(now time.Duration, live []*presence.Member, name string, delay time.Duration) bool {
 	version := int64(0)
 	if c.state.table != nil {
 		version = c.state.table.Version
 	}
-	isBehind := slices.ContainsFunc(live, func(member presence.Member) bool {
+	isBehind := slices.ContainsFunc(live, func(member *presence.Member) bool {
 		if name == platform.TableOperator {
 			return member.Version > version
 		}
