Explain a request from the logs of routers

Cause: on-call engineers have only an id, and had to search the logs by hand. Change: gentianheadctl explain ID reads logs and prints each attempt with what decided it, the cause in a sentence, and what the router and others came to believe around it. Attempts are one list in a log line; they were fields of one name, of which JSON decoders keep the last. A test holds that every code has a cause.

--- a/fleet/cmd/gentianheadctl/commands.go
+++ b/fleet/cmd/gentianheadctl/commands.go
@@ -49,6 +49,7 @@
 			c.callCommand(),
 			c.claimsCommand(),
 			c.settleCommand(),
+			c.explainCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/fleet/explain/explain_test.go
@@ -0,0 +1,87 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/request/outcome"
+)
+
+const log = `edge-1 {"time":"2026-06-22T05:52:40Z","msg":"control: Configuration in force.","version":2}
+edge-2 {"time":"2026-06-22T05:52:42Z","msg":"balance: Trust in an endpoint changed.","endpoint":"e-1","isTrusted":false}
+edge-2 {"time":"2026-06-22T05:52:42Z","msg":"control: Configuration in force.","version":2}
+starting up
+edge-1 {"time":"2026-06-22T05:52:43Z","msg":"relay: Request failed.","request":"r1","took":43000000,"version":2,"confirmedAgo":1500000000,"route":"orders","service":"plain","account":"mill","attempts":[{"endpoint":"e-1","at":1000,"running":4,"took":42000000,"ended":"the endpoint refused the request"}],"code":"overloaded","outcome":"not-run","detail":"the endpoint refused the request","retryAfter":500000000}
+edge-1 {"time":"2026-06-22T05:52:44Z","msg":"balance: Trust in an endpoint changed.","endpoint":"e-1","isTrusted":true}
+edge-1 {"time":"2026-06-22T05:52:53Z","msg":"relay: Request answered.","request":"r2","took":10000000,"attempts":[{"endpoint":"e-1","ended":"the endpoint can't be reached"},{"endpoint":"e-2"}]}
+`
+
+func read(t *testing.T, text string) []Line {
+	t.Helper()
+	lines, passedOver, err := Read("file", strings.NewReader(text))
+	assert.NilError(t, err)
+	assert.Equal(t, passedOver, strings.Count(text, "starting up"))
+	return lines
+}
+
+func TestStoryOfARefusedRequest(t *testing.T) {
+	stories, err := Find(read(t, log), "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, len(stories), 1)
+	story := stories[0]
+	assert.Equal(t, story.Router, "edge-1")
+	assert.Equal(t, story.Code, outcome.CodeOverloaded)
+	assert.Equal(t, story.Why(), "Endpoint e-1 turned it away, and it may be sent to no other.")
+	var events []string
+	for _, event := range story.Events {
+		events = append(events, event.Router+" "+event.Message)
+	}
+	assert.DeepEqual(t, events, []string{
+		"edge-1 control: Configuration in force.",
+		"edge-2 balance: Trust in an endpoint changed.",
+	})
+	var printed strings.Builder
+	story.Print(&printed)
+	for _, part := range []string{"r1 on router edge-1", "overloaded, not-run", "to e-1, which had 4 requests", "come back after 500ms", "-1.000 s edge-2"} {
+		assert.Assert(t, strings.Contains(printed.String(), part), "%q is missing in\n%s", part, printed.String())
+	}
+}
+
+func TestStoryOfARequestThatWasSentAgain(t *testing.T) {
+	stories, err := Find(read(t, log), "r2")
+	assert.NilError(t, err)
+	assert.Assert(t, stories[0].IsAnswered)
+	assert.Equal(t, stories[0].Took, 10*time.Millisecond)
+	assert.Equal(t, stories[0].Why(), "Answered by endpoint e-2 after 1 that did not serve it.")
+}
+
+func TestRequestWithoutALineIsUnknown(t *testing.T) {
+	_, err := Find(read(t, log), "r3")
+	assert.Assert(t, errors.Is(err, ErrUnknown))
+}
+
+func TestRouterIsNamedByItsFirstLineOrTheFile(t *testing.T) {
+	lines := read(t, `{"time":"2026-06-22T05:52:40Z","msg":"control: Role of watcher changed."}
+{"time":"2026-06-22T05:52:41Z","msg":"hosted: Started.","instance":"edge-7"}
+{"time":"2026-06-22T05:52:42Z","msg":"relay: Request answered.","request":"r"}`)
+	assert.Equal(t, lines[0].Router, "file")
+	assert.Equal(t, lines[2].Router, "edge-7")
+}
+
+// Each code that the relay answers with has a cause in words.
+func TestEveryCodeOfTheRelayIsExplained(t *testing.T) {
+	for _, code := range []outcome.Code{
+		outcome.CodeNotReady, outcome.CodeIsolated, outcome.CodeBadRequest, outcome.CodeNotFound, outcome.CodeUnauthenticated,
+		outcome.CodeBodyTooLarge, outcome.CodeOverloaded, outcome.CodeNoEndpoint, outcome.CodeLoadBound, outcome.CodeDeadline,
+		outcome.CodeEndpointFailed, outcome.CodeAbandoned,
+	} {
+		for _, attempts := range [][]Attempt{nil, {{Endpoint: "e-1", Ended: "it failed"}}} {
+			story := Story{Code: code, Service: "s", Attempts: attempts}
+			assert.Assert(t, !strings.HasPrefix(story.Why(), "The logs name no cause"), string(code))
+		}
+	}
+}
--- a/fleet/request/relay/log.go
+++ b/fleet/request/relay/log.go
@@ -45,37 +45,31 @@
 	return false
 }
 
-// attempt is one send with what decided it and what became of it.
+// attempt is one send with what decided it and what became of it. Times are in
+// nanoseconds, as everywhere in the logs; package explain reads these names.
 type attempt struct {
-	endpoint string
-	// at is the time since the request's arrival.
-	at time.Duration
-	// running and prefill are what the endpoint was taken to have under way.
-	running, prefill int
-	copyFrom         string
-	took             time.Duration
-	// ended is why it was no answer; empty for an answer that was handed on.
-	ended string
-	cause string
-}
-
-// LogValue implements slog.LogValuer.
-func (a attempt) LogValue() slog.Value {
-	return slog.GroupValue(
-		slog.String("endpoint", a.endpoint), slog.Duration("at", a.at), slog.Int("running", a.running),
-		slog.Int("prefill", a.prefill), slog.String("copyFrom", a.copyFrom), slog.Duration("took", a.took), slog.String("ended", a.ended), slog.String("cause", a.cause),
-	)
+	Endpoint string `json:"endpoint"`
+	// At is the time since the request's arrival.
+	At time.Duration `json:"at"`
+	// Running and Prefill are what the endpoint was taken to have under way.
+	Running  int           `json:"running"`
+	Prefill  int           `json:"prefill"`
+	CopyFrom string        `json:"copyFrom,omitempty"`
+	Took     time.Duration `json:"took"`
+	// Ended is why it was no answer; empty for an answer that was handed on.
+	Ended string `json:"ended,omitempty"`
+	Cause string `json:"cause,omitempty"`
 }
 
 func (c *call) noteAttempt(placement *balance.Placement, begun time.Duration, result result) {
 	a := attempt{
-		endpoint: placement.Endpoint.ID, at: begun - c.begun, running: placement.Running, prefill: placement.Prefill,
-		copyFrom: placement.CopyFrom, took: boottime.Now() - begun,
+		Endpoint: placement.Endpoint.ID, At: begun - c.begun, Running: placement.Running, Prefill: placement.Prefill,
+		CopyFrom: placement.CopyFrom, Took: boottime.Now() - begun,
 	}
 	if result.failure != nil {
-		a.ended = result.failure.detail
+		a.Ended = result.failure.detail
 		if result.failure.cause != nil {
-			a.cause = result.failure.cause.Error()
+			a.Cause = result.failure.cause.Error()
 		}
 	}
 	c.attempts = append(c.attempts, a)
@@ -101,8 +95,8 @@
 	if c.account != nil {
 		attributes = append(attributes, slog.String("account", c.account.Name))
 	}
-	for _, a := range c.attempts {
-		attributes = append(attributes, slog.Any("attempt", a))
+	if len(c.attempts) > 0 {
+		attributes = append(attributes, slog.Any("attempts", c.attempts))
 	}
 	if f == nil {
 		r.options.Log.LogAttrs(c.r.Context(), slog.LevelInfo, "Request answered.", attributes...)
