Spread configurations by beacons, so that routers off the store have them too

Cause: a new version reached each router that does not watch by a call of its own, and a router that the store turned away not at all. Change: a watcher sends a new configuration, compressed, to its part of the others; where it is too large for a datagram, or a datagram is lost, a router asks the store after 200 ms (50 before). Only rows that a router has read are passed on, and a version never goes back, as before. A router that starts no longer asks again as a watcher for what it is just reading. The soak says so when the program is not built (it panicked then).

--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -92,6 +92,9 @@
 	HasStore bool `msgpack:"h,omitempty"`
 	// Version is the configuration's version in force on the sender.
 	Version int64 `msgpack:"c,omitempty"`
+	// Configuration is the version in force, compressed, where the receiver may
+	// not have it yet.
+	Configuration []byte `msgpack:"g,omitempty"`
 	// EndpointsVersion is the version of the newest change of endpoints' entries
 	// that the sender has seen, and EndpointsHash a hash over all entries that it
 	// knows and their versions.
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -163,6 +163,7 @@
 	c.balancer.Report(received.Instance, balance.Reported{
 		Work: received.Work, Placed: received.Placed, Unreachable: received.Unreachable,
 	})
+	c.takeConfiguration(received)
 	c.confirmByPeer(now, received)
 	c.stepNews(now, received.News)
 	if seen.IsNew {
@@ -186,10 +187,13 @@
 	}
 }
 
-// sendBeacons sends each router its beacon: they differ in what they echo.
-func (c *control) sendBeacons(now time.Duration, to []string, news []table.Row) {
+// sendBeacons sends each router its beacon: they differ in what they echo. add adds
+// to all of them what is told once; it may be nil.
+func (c *control) sendBeacons(now time.Duration, to []string, add func(*presence.Beacon)) {
 	base := c.beacon(now)
-	base.News = news
+	if add != nil {
+		add(&base)
+	}
 	for _, peer := range to {
 		b := base
 		if member, known := c.presence.Member(peer); known {
@@ -249,6 +253,7 @@
 	if update.Err != nil {
 		return
 	}
+	c.sync.readAt[update.Table] = update.StartedAt
 	if update.Unreadable > 0 {
 		c.log.Warn("Rows could not be read.", "table", update.Table, "rows", update.Unreadable)
 	}
@@ -310,7 +315,7 @@
 	c.publish()
 	c.log.Info("Configuration in force.", "version", spec.Version, "routes", len(spec.Routes), "accounts", len(spec.Accounts))
 	if c.sync.isWatcher.Load() {
-		c.sendBeacons(boottime.Now(), c.presence.Everyone(), nil)
+		c.spread(boottime.Now(), value)
 	}
 	return true
 }
@@ -365,7 +370,7 @@
 	for len(news) > 0 {
 		part := news[:min(len(news), maxNews)]
 		news = news[len(part):]
-		c.sendBeacons(now, c.presence.Everyone(), part)
+		c.sendBeacons(now, c.presence.Everyone(), func(b *presence.Beacon) { b.News = part })
 	}
 }
 
--- a/fleet/process/hosted/hosted_test.go
+++ b/fleet/process/hosted/hosted_test.go
@@ -80,12 +80,18 @@
 }
 
 func (f *fleet) start(number int) {
+	f.t.Helper()
+	f.startAt(number, f.store.Address)
+}
+
+// startAt starts a router that is told another address of the store.
+func (f *fleet) startAt(number int, store string) {
 	f.t.Helper()
 	ip := netip.AddrFrom4([4]byte{127, 0, 0, byte(number + 1)})
 	settings := &platform.Settings{
 		Instance: fmt.Sprintf("router-%d", number), Zone: "zone-1", Region: "region-1",
 		Callers: freeAddress(f.t, ip), Readiness: freeAddress(f.t, ip), Directory: freeAddress(f.t, ip),
-		Peers: netip.AddrPortFrom(ip, f.port), Store: f.store.Address,
+		Peers: netip.AddrPortFrom(ip, f.port), Store: store,
 		MemoryBytes: 1 << 30, Connections: 1000, SecretLife: 5 * time.Second, DrainTime: 2 * time.Second,
 		Grace: 8 * time.Second, AnswerLife: 5 * time.Second, LoadFactor: 2, RetryRatio: 0.2, RetrySlack: 50,
 		RetryWindow: 10 * time.Second, PrefixLife: 10 * time.Second,
@@ -268,3 +274,22 @@
 		f.eventually("new endpoint in service", func() bool { return f.routers[number].control.current.Load().endpointCount == 1 })
 	}
 }
+
+// A router that the store turns away takes the configuration from others.
+func TestConfigurationReachesARouterThatTheStoreTurnsAway(t *testing.T) {
+	f := newFleet(t, 4)
+	away := platformtest.NewStore()
+	t.Cleanup(away.Close)
+	away.SetFault(platformtest.Refusing)
+	f.startAt(4, away.Address)
+	f.routers[4].control.events <- routersKnown{[]string{f.routers[0].settings.Peers.String()}}
+	for number := range 5 {
+		f.eventually("all routers named", func() bool { return len(f.resolve(number)) >= 4 })
+	}
+	f.store.Put(platform.TableOperator, platform.KeyConfiguration, configuration(2, "second"))
+	f.eventually("version in force", func() bool {
+		table := f.routers[4].control.current.Load().table
+		return table != nil && table.Version == 2
+	})
+	f.eventually("confirmed by others", func() bool { return f.routers[4].control.current.Load().lease.IsFresh(boottime.Now()) })
+}
--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -31,9 +31,9 @@
 	// heard no confirmation asks the store itself.
 	unconfirmedShare = 0.55
 	// versionDelay and entriesDelay are how long another router may know a newer
-	// configuration, or other entries, before this one asks the store. Entries
-	// come with the news of watchers, configurations do not.
-	versionDelay = 50 * time.Millisecond
+	// configuration, or other entries, before this one asks the store. Both come
+	// with beacons of watchers first; a configuration has less time to be in force.
+	versionDelay = 200 * time.Millisecond
 	entriesDelay = 500 * time.Millisecond
 	// refreshInterval is the least time between two calls out of turn.
 	refreshInterval = 500 * time.Millisecond
@@ -56,6 +56,8 @@
 	// behindSince is since when another router is known to be ahead; zero if none is.
 	behindSince map[string]time.Duration
 	refreshedAt map[string]time.Duration
+	// readAt is when the newest answered call for a table was begun.
+	readAt map[string]time.Duration
 }
 
 // rowState is what is known of a row.
@@ -76,6 +78,7 @@
 	s.rows = make(map[string]rowState)
 	s.behindSince = make(map[string]time.Duration)
 	s.refreshedAt = make(map[string]time.Duration)
+	s.readAt = make(map[string]time.Duration)
 }
 
 // waitOf returns a function that tells how long the store is asked to wait for
@@ -142,8 +145,8 @@
 		c.sync.isWatcher.Store(isWatcher)
 		c.log.Info("Role of watcher changed.", "isWatcher", isWatcher)
 		if isWatcher {
-			c.refresh(now, platform.TableOperator, "watcher")
-			c.refresh(now, platform.TableEndpoints, "watcher")
+			c.catchUp(now, platform.TableOperator)
+			c.catchUp(now, platform.TableEndpoints)
 		}
 	}
 	if c.isBehind(now, live, platform.TableOperator, versionDelay) {
@@ -159,21 +162,35 @@
 	}
 }
 
+// catchUp asks the store for what a new watcher may have missed. At a start the
+// table is being read anyway.
+func (c *control) catchUp(now time.Duration, name string) {
+	if at, wasRead := c.sync.readAt[name]; wasRead && now-at > refreshInterval {
+		c.refresh(now, name, "watcher")
+	}
+}
+
 // shouldWatch reports whether this router is among the first of those that the
 // store answers. Routers may disagree for a while; then more or fewer of them
 // watch, and those that hear no confirmation ask for themselves.
 func (c *control) shouldWatch(live []*presence.Member) bool {
+	names := c.namesWithStore(live)
+	if len(names) < watchers {
+		return true
+	}
+	slices.Sort(names)
+	return c.settings.Instance < names[watchers-1]
+}
+
+// namesWithStore returns the other routers that the store answers.
+func (c *control) namesWithStore(live []*presence.Member) []string {
 	var names []string
 	for _, member := range live {
 		if member.HasStore {
 			names = append(names, member.Instance)
 		}
 	}
-	if len(names) < watchers {
-		return true
-	}
-	slices.Sort(names)
-	return c.settings.Instance < names[watchers-1]
+	return names
 }
 
 // isBehind reports whether another router has known more of a table for a while.
--- a/fleet/soak/process_test.go
+++ b/fleet/soak/process_test.go
@@ -71,6 +71,8 @@
 Platform.Address=%s
 `, name, ip, p.callers, freeAddress(t, ip), p.directory, port, port, seeds, int(grace.Seconds()), secretLife.Milliseconds(), store)
 	assert.NilError(t, os.WriteFile(p.settings, []byte(text), 0o600))
+	_, err := os.Stat(program)
+	assert.NilError(t, err, "build the programs first, with make build")
 	go p.run()
 	t.Cleanup(p.end)
 	return p
