Wake an idle follower whose router begins to watch

Ruled out: the spread itself (no router had a newer version to spread). Change: such a follower is woken without a call out of turn.

--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -167,7 +167,9 @@
 func (c *control) catchUp(now time.Duration, name string) {
 	if at, wasRead := c.sync.readAt[name]; wasRead && now-at > refreshInterval {
 		c.refresh(now, name, "watcher")
+		return
 	}
+	c.sync.followers[name].Wake()
 }
 
 // shouldWatch reports whether this router is among the first of those that the
--- a/fleet/process/watch/watch.go
+++ b/fleet/process/watch/watch.go
@@ -74,6 +74,11 @@
 	if f.cancel != nil {
 		f.cancel()
 	}
+	f.Wake()
+}
+
+// Wake makes an idle follower look anew whether it is to wait for changes.
+func (f *Follower) Wake() {
 	select {
 	case f.woken <- struct{}{}:
 	default:
--- a/fleet/process/watch/watch_test.go
+++ b/fleet/process/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -145,3 +146,32 @@
 		<-done
 	})
 }
+
+// A router that becomes a watcher right after it has read the table asks for
+// changes, though it has nothing to catch up on.
+func TestIdleFollowerThatIsToWaitAgainIsWoken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeTable{whole: []table.Rows{{Version: 7}}}
+		f.changes = append(f.changes, func(context.Context, int64, time.Duration) (table.Rows, error) {
+			return table.Rows{Version: 8}, nil
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait atomic.Int64
+		wait.Store(int64(Idle))
+		follower := New(f, "things", func() time.Duration { return time.Duration(wait.Load()) })
+		done := make(chan struct{})
+		updates := 0
+		go func() {
+			defer close(done)
+			follower.Run(ctx, func(Update) { updates++ })
+		}()
+		<-time.After(time.Second)
+		wait.Store(int64(time.Second))
+		follower.Wake()
+		synctest.Wait()
+		assert.Equal(t, updates, 2)
+		assert.Equal(t, f.waits[0], time.Second)
+		cancel()
+		<-done
+	})
+}
