--- a/core/request/balance/balancetest/fleet.go
+++ b/core/request/balance/balancetest/fleet.go
@@ -117,9 +117,8 @@
 	servers map[string]server
 	list    []server
 	results []Result
-	// Peak is the highest load of an engine over the mean, of moments with a mean
-	// of a request an engine or more.
-	Peak float64
+	// AboveBound counts requests that reached an endpoint above the load bound.
+	AboveBound int
 	// Read counts the prompt tokens that engines read, ReadAgain those of shared
 	// parts that some engine had read before, and Copied those that were copied.
 	Read, ReadAgain, Copied int
@@ -268,7 +267,7 @@
 		return
 	}
 	f.after(linkDelay, func() {
-		f.notePeak()
+		f.noteBound(target)
 		begun := func() {
 			load := target.load()
 			f.after(linkDelay, func() {
@@ -297,16 +296,17 @@
 	})
 }
 
-// notePeak notes how far the most loaded engine is above the mean.
-func (f *Fleet) notePeak() {
-	total, most := 0, 0
+// noteBound notes whether a request reaches an endpoint above the load bound.
+func (f *Fleet) noteBound(target server) {
+	total := 0
 	for _, s := range f.list {
 		load := s.load()
 		total += load.Running + load.Waiting
-		most = max(most, load.Running+load.Waiting)
 	}
-	if mean := float64(total) / float64(len(f.servers)); mean >= 1 {
-		f.Peak = max(f.Peak, (float64(most)-boundSlack)/mean)
+	load := target.load()
+	mean := float64(total) / float64(len(f.list))
+	if float64(load.Running+load.Waiting) > f.options.LoadFactor*mean+boundSlack {
+		f.AboveBound++
 	}
 }
 
