--- a/fleet/process/hosted/cost_test.go
+++ b/fleet/process/hosted/cost_test.go
@@ -19,12 +19,12 @@
 
 // controlOfMany returns the control of a router that knows peers, and a beacon of
 // each. Nothing of it listens to the addresses of the peers.
-func controlOfMany(b *testing.B, peers int) (*control, []presence.Beacon) {
-	b.Helper()
+func controlOfMany(t testing.TB, peers int) (*control, []presence.Beacon) {
+	t.Helper()
 	loopback := netip.MustParseAddr("127.0.0.1")
 	beacons, err := beacon.Listen(netip.AddrPortFrom(loopback, 0))
-	assert.NilError(b, err)
-	b.Cleanup(beacons.Close)
+	assert.NilError(t, err)
+	t.Cleanup(beacons.Close)
 	settings := &platform.Settings{Instance: "r-000", Zone: "a", SecretLife: 5 * time.Second, Peers: netip.AddrPortFrom(loopback, 1)}
 	log := slog.New(slog.DiscardHandler)
 	balancer := relay.NewBalancer(2, 10*time.Second, retry.FleetLimits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, log)
--- a/fleet/process/hosted/sync_test.go
+++ b/fleet/process/hosted/sync_test.go
@@ -1,12 +1,15 @@
 package hosted
 
 import (
+	"encoding/json"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"gentianhead/core/process/table"
+	"gentianhead/fleet/process/boottime"
 	"gentianhead/fleet/process/watch"
+	"gentianhead/platform/platformtest"
 )
 
 func newSync() *syncState {
@@ -47,3 +50,26 @@
 	assert.Equal(t, len(missing), 1)
 	assert.Equal(t, missing[0].Key, "gone")
 }
+
+// Others lost the store and have it again; this router never lost it. A removal that
+// it hears of then is no entry that lapsed in their outage (hunt-81cb-31).
+func TestOutageOfOthersDelaysNoRemoval(t *testing.T) {
+	c, others := controlOfMany(t, 3)
+	c.state.hasEndpoints = true
+	c.endpoints.StoreBack(boottime.Now())
+	entry := platformtest.NewEndpoint("e-1")
+	t.Cleanup(entry.Close)
+	value, err := json.Marshal(entry.Entry("plain", "ready"))
+	assert.NilError(t, err)
+	c.stepNews(boottime.Now(), []table.Row{{Key: "e-1", Value: value, Version: 1}})
+	assert.Equal(t, c.state.endpointCount, 1)
+	for _, hasStore := range []bool{false, true} {
+		for _, other := range others {
+			other.HasStore = hasStore
+			c.stepBeacon(boottime.Now(), other)
+		}
+	}
+	others[0].News = []table.Row{{Key: "e-1", Version: 2, IsRemoved: true}}
+	c.stepBeacon(boottime.Now(), others[0])
+	assert.Equal(t, c.state.endpointCount, 0)
+}
