--- a/core/request/balance/replay_test.go
+++ b/core/request/balance/replay_test.go
@@ -72,38 +72,29 @@
 	}
 }
 
-// The load pattern: plain servers half used, and many routers that know little of
-// each other. None of them may refuse, and no server be flooded by all at once.
-func TestManyRoutersServePlainRequestsAtHalfLoad(t *testing.T) {
-	t.Parallel()
-	for seed := range uint64(replaySeeds) {
-		_, results := balancetest.Replay(plainFleet(seed), plainLoad(seed, 200))
-		s := sharesOf(results)
-		t.Logf("seed %d: %+v", seed, s)
-		assert.Assert(t, s.inTime > 0.99, "seed %d: %+v", seed, s)
-	}
-}
-
-// The load pattern: plain servers used to nine tenths.
-func TestManyRoutersServePlainRequestsAtHighLoad(t *testing.T) {
-	t.Parallel()
-	for seed := range uint64(replaySeeds) {
-		_, results := balancetest.Replay(plainFleet(seed), plainLoad(seed, 360))
-		s := sharesOf(results)
-		t.Logf("seed %d: %+v", seed, s)
-		assert.Assert(t, s.inTime > 0.95, "seed %d: %+v", seed, s)
-	}
-}
-
-// The load pattern: a third more than plain servers can do. What they can do is
-// to be done in time, and the rest refused before it is sent.
-func TestManyRoutersRefuseWhatPlainServersCannotDo(t *testing.T) {
-	t.Parallel()
-	for seed := range uint64(replaySeeds) {
-		_, results := balancetest.Replay(plainFleet(seed), plainLoad(seed, 530))
-		s := sharesOf(results)
-		t.Logf("seed %d: %+v", seed, s)
-		assert.Assert(t, s.inTime > 0.6, "seed %d: %+v", seed, s)
+func TestManyRoutersServePlainRequests(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// rate is in requests a second; the servers can do 400.
+		rate float64
+		// inTime is the share to be answered in time.
+		inTime float64
+	}{
+		// None may be refused, and no server be flooded by all routers at once.
+		{"half used", 200, 0.99},
+		{"nine tenths used", 360, 0.95},
+		// What the servers can do, 0.755, is to be done in time and the rest refused.
+		{"a third too much", 530, 0.6},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(replaySeeds) {
+				_, results := balancetest.Replay(plainFleet(seed), plainLoad(seed, c.rate))
+				s := sharesOf(results)
+				t.Logf("seed %d: %+v", seed, s)
+				assert.Assert(t, s.inTime > c.inTime, "seed %d: %+v", seed, s)
+			}
+		})
 	}
 }
 
