--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -9,7 +9,13 @@
 // than a long prompt does. A request goes where the tokens before it and its own
 // tokens that are not cached there are fewest. Parts of prompts that several
 // requests share have home engines by rendezvous hash, on which all routers
-// agree without talking, so that a part is read on few engines.
+// agree without talking, so that a part is read on few engines; where another
+// engine serves, it copies them.
+//
+// What is known of other routers is as old as their last reports. Small
+// differences of load count the less, the more requests have come since. Plain
+// servers are sent what they are expected to answer within its target latency; of
+// the rest, client accounts that ask for most are refused first.
 //
 // The core has no I/O, clock or goroutine. The owner serializes calls. Times are
 // readings of a steady clock.
@@ -278,7 +284,7 @@
 	var trusted, all []*endpointState
 	for _, e := range c.view.Of(job.Service) {
 		state := c.state(e)
-		if isExcluded(job.Excluded, e.ID) {
+		if slices.Contains(job.Excluded, e.ID) {
 			continue
 		}
 		all = append(all, state)
@@ -305,15 +311,6 @@
 	return s.unreachableBy < minWitnesses
 }
 
-func isExcluded(excluded []string, id string) bool {
-	for _, e := range excluded {
-		if e == id {
-			return true
-		}
-	}
-	return false
-}
-
 // state returns what is known of an endpoint. A new start of an endpoint under
 // the same id begins anew.
 func (c *Core) state(e endpoints.Entry) *endpointState {
