--- /dev/null
+++ b/fleet/connection/beacon/beacon_test.go
@@ -0,0 +1,84 @@
+package beacon
+
+import (
+	"net"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/process/presence"
+	"gentianhead/core/process/table"
+)
+
+func listen(t *testing.T) (conn *Conn, address string) {
+	t.Helper()
+	conn, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	assert.NilError(t, err)
+	t.Cleanup(conn.Close)
+	return conn, conn.conn.LocalAddr().String()
+}
+
+// received returns the beacons that a socket gets.
+func received(conn *Conn) <-chan presence.Beacon {
+	beacons := make(chan presence.Beacon, 8)
+	go conn.Receive(func(b presence.Beacon) { beacons <- b })
+	return beacons
+}
+
+func TestBeaconArrivesAsItWasSent(t *testing.T) {
+	sender, _ := listen(t)
+	receiver, address := listen(t)
+	beacons := received(receiver)
+	sent := presence.Beacon{
+		Instance: "r-1", Zone: "a", Address: "127.0.0.1:1", Peer: "127.0.0.1:2", Start: 3, IsServing: true, HasStore: true,
+		Version: 4, EndpointsVersion: 5, EndpointsHash: 6,
+		News:        []table.Row{{Key: "e-1", Value: []byte("entry"), Version: 7}, {Key: "e-2", Version: 8, IsRemoved: true}},
+		Work:        map[presence.Key]presence.Work{9: {Running: 1, Prefill: 2}},
+		Placed:      []presence.Placed{{Part: 10, Endpoint: 11}},
+		Unreachable: []presence.Key{12}, Configuration: []byte("packed"), Stamp: time.Second, EchoStart: 13,
+		Mentions: []string{"127.0.0.1:3"},
+	}
+	sender.Send(sent, address)
+	got := <-beacons
+	assert.Assert(t, reflect.DeepEqual(got, sent), "%+v\n%+v", got, sent)
+}
+
+func TestUnreadableDatagramsAreCountedAndPassedOver(t *testing.T) {
+	receiver, address := listen(t)
+	beacons := received(receiver)
+	before := unreadable.Value()
+	raw, err := net.Dial("udp4", address)
+	assert.NilError(t, err)
+	defer raw.Close()
+	for _, datagram := range []string{"\xc1", "no beacon", "\x81\xa1i\x05"} {
+		_, err := raw.Write([]byte(datagram))
+		assert.NilError(t, err)
+	}
+	sender, _ := listen(t)
+	sender.Send(presence.Beacon{Instance: "r-1"}, address)
+	assert.Equal(t, (<-beacons).Instance, "r-1")
+	assert.Equal(t, unreadable.Value()-before, int64(3))
+}
+
+func TestBeaconThatIsTooLargeIsCountedAndNotSent(t *testing.T) {
+	sender, address := listen(t)
+	before := unsent.Value()
+	sender.Send(presence.Beacon{Configuration: make([]byte, maxBytes)}, address)
+	sender.Send(presence.Beacon{}, "no address")
+	assert.Equal(t, unsent.Value()-before, int64(2))
+}
+
+func FuzzBeacon(f *testing.F) {
+	whole, err := msgpack.Marshal(presence.Beacon{Instance: "r-1", Work: map[presence.Key]presence.Work{1: {Running: 1}}})
+	assert.NilError(f, err)
+	f.Add(whole)
+	f.Add([]byte{})
+	f.Fuzz(func(_ *testing.T, datagram []byte) {
+		var b presence.Beacon
+		_ = msgpack.Unmarshal(datagram, &b)
+	})
+}
