--- a/core/request/balance/plain.go
+++ b/core/request/balance/plain.go
@@ -13,13 +13,15 @@
 	// firstRefusal and lastRefusal bound the part of the target latency that a
 	// request is expected to take between which refusals grow from none to all.
 	// A ramp, since routers that all stopped at one bound would all send again at
-	// once when they hear of the room.
+	// once when they hear of the room. A lower ramp refuses what would be in time at
+	// nine tenths of the load; a higher one answers late at four thirds.
 	firstRefusal = 0.7
 	lastRefusal  = 1.4
 	// busyShare is how much of their slots servers must be using for recentShare of
 	// what was refused lately to go on being refused. What routers know of the load
 	// swings between too much and too little; accounts above their share are to
-	// stay refused in between, so that the next swing does not meet the others.
+	// stay refused in between, so that the next swing does not meet the others. With
+	// a lower busyShare, requests are refused at nine tenths of the load.
 	busyShare   = 1.2
 	recentShare = 0.85
 	// unknownBound times its slots is what a server is sent while the time that its
--- a/core/request/fairness/fairness.go
+++ b/core/request/fairness/fairness.go
@@ -27,7 +27,8 @@
 	maxAsked = 4096
 	// forgotten is the demand below which an asker is dropped.
 	forgotten = 0.01
-	// rankWeight times its weight is what the next less urgent rank weighs.
+	// rankWeight times its weight is what the next less urgent rank weighs: half, so
+	// that a rank goes first without the next one being starved.
 	rankWeight = 0.5
 )
 
