Tidy what the last reading of the change found

One copy: the attempts of a log line are one type, outcome.Attempt, which the relay writes and package explain reads; they were two with the same names. Whether a router watches and which part of the others it sends a configuration to follow from one count by name, without sorting the routers at each tick. The engine to copy from is looked for once, for the engine that was chosen, and not for each that was the cheapest so far. Left: five virtual-time event queues (balancetest, claim, routing, gossiptest, measure/routing) could be one.

--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -243,7 +243,7 @@
 		return Placement{}, NoEndpoint
 	}
 	service, _ := c.table.Service(job.Service)
-	picked := pick{}
+	var picked pick
 	if service != nil && service.Engine != nil {
 		picked = c.pickEngine(now, job, candidates, service.Engine)
 	} else {
@@ -336,7 +336,7 @@
 }
 
 // Begun notes that a stream's first event came: its prompt has been read.
-func (c *Core) Begun(now time.Duration, p *Placement) {
+func (c *Core) Begun(p *Placement) {
 	if state := c.placed(p); state != nil && p.isPrefill {
 		state.own.Prefill -= p.prefill
 	}
@@ -345,7 +345,7 @@
 
 // Done ends a placement. It reports whether the trust in the endpoint changed.
 func (c *Core) Done(now time.Duration, p *Placement, outcome breaker.Outcome) (isChanged bool) {
-	c.Begun(now, p)
+	c.Begun(p)
 	state := c.placed(p)
 	if state == nil {
 		return false
@@ -394,10 +394,5 @@
 }
 
 func (c *Core) isDraining(state *endpointState) bool {
-	for _, e := range c.view.Draining(state.entry.Service) {
-		if e.ID == state.entry.ID {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.view.Draining(state.entry.Service), func(e endpoints.Entry) bool { return e.ID == state.entry.ID })
 }
--- a/core/request/balance/balance_test.go
+++ b/core/request/balance/balance_test.go
@@ -85,7 +85,7 @@
 		}
 		placed, refusal := c.Place(0, Job{Service: "pool", Prompt: prompt(document, fmt.Sprint(number))})
 		assert.Equal(t, refusal, Accepted)
-		c.Begun(0, &placed)
+		c.Begun(&placed)
 		running[placed.Endpoint.ID]++
 		mean := float64(number+1) / engines
 		assert.Assert(t, float64(running[placed.Endpoint.ID]) <= loadFactor*mean+3, "request %d: %d on %s", number, running[placed.Endpoint.ID], placed.Endpoint.ID)
--- a/core/request/balance/balancetest/fleet.go
+++ b/core/request/balance/balancetest/fleet.go
@@ -276,7 +276,7 @@
 				if f.options.Engine != nil {
 					router.Told(f.clock(), id, load)
 				}
-				router.Begun(f.clock(), &placement)
+				router.Begun(&placement)
 			})
 		}
 		done := func() {
--- a/core/request/balance/engine.go
+++ b/core/request/balance/engine.go
@@ -59,20 +59,22 @@
 	bound := c.loadFactor*boundShare*(mean+1/float64(len(candidates))) + boundSlack
 	reuse := c.reuseOf(now, job, candidates)
 	spread := spreadTokens * c.unseen(&c.seen(job.Service).took, mean)
-	var best pick
-	bestCost := 0.0
+	best, bestCost, prefill := -1, 0.0, 0
 	for i, state := range candidates {
 		running := state.running(now)
 		if running >= engine.Slots || float64(running) >= bound && len(candidates) > 1 {
 			continue
 		}
-		extra, prefill := reuse.cost(i)
+		extra, unread := reuse.cost(i)
 		cost := float64(state.own.Prefill+state.peers.Prefill+running*streamTokens) + extra + c.random()*(1+spread)
-		if best.state == nil || cost < bestCost {
-			best, bestCost = pick{state: state, prefill: prefill, copyFrom: reuse.copyFor(i, state)}, cost
+		if best < 0 || cost < bestCost {
+			best, bestCost, prefill = i, cost, unread
 		}
 	}
-	return best
+	if best < 0 {
+		return pick{}
+	}
+	return pick{state: candidates[best], prefill: prefill, copyFrom: reuse.copyFor(best, candidates[best])}
 }
 
 // reuse is what engines hold of one prompt.
@@ -154,8 +156,8 @@
 	if held >= all {
 		return 0, 0
 	}
-	copied := r.tokens[max(held, r.most)] - r.tokens[held]
 	from := max(held, r.most)
+	copied := r.tokens[from] - r.tokens[held]
 	own := r.tokens[all] - r.tokens[max(from, shared)]
 	read := 0.0
 	if from < shared {
--- a/fleet/explain/cause.go
+++ b/fleet/explain/cause.go
@@ -35,7 +35,7 @@
 		return "Endpoint " + s.last().Endpoint + " turned it away, and it may be sent to no other" + s.others() + "."
 	},
 	outcome.CodeEndpointFailed: func(s *Story) string {
-		return "Endpoint " + s.last().Endpoint + " failed: " + s.last().reason() + s.others() + "."
+		return "Endpoint " + s.last().Endpoint + " failed: " + reason(s.last()) + s.others() + "."
 	},
 	outcome.CodeDeadline: func(s *Story) string {
 		if len(s.Attempts) == 0 {
@@ -66,9 +66,9 @@
 	outcome.CodeBodyTooLarge: func(s *Story) string { return "Its body is larger than the configuration allows." },
 }
 
-func (s *Story) last() Attempt {
+func (s *Story) last() outcome.Attempt {
 	if len(s.Attempts) == 0 {
-		return Attempt{Endpoint: "(none)", Ended: s.Detail, Cause: s.Cause}
+		return outcome.Attempt{Endpoint: "(none)", Ended: s.Detail, Cause: s.Cause}
 	}
 	return s.Attempts[len(s.Attempts)-1]
 }
@@ -83,7 +83,7 @@
 	return s.last().Endpoint
 }
 
-func (a Attempt) reason() string {
+func reason(a outcome.Attempt) string {
 	if a.Cause == "" {
 		return a.Ended
 	}
--- a/fleet/explain/explain_test.go
+++ b/fleet/explain/explain_test.go
@@ -79,7 +79,7 @@
 		outcome.CodeBodyTooLarge, outcome.CodeOverloaded, outcome.CodeNoEndpoint, outcome.CodeLoadBound, outcome.CodeDeadline,
 		outcome.CodeEndpointFailed, outcome.CodeAbandoned,
 	} {
-		for _, attempts := range [][]Attempt{nil, {{Endpoint: "e-1", Ended: "it failed"}}} {
+		for _, attempts := range [][]outcome.Attempt{nil, {{Endpoint: "e-1", Ended: "it failed"}}} {
 			story := Story{Code: code, Service: "s", Attempts: attempts}
 			assert.Assert(t, !strings.HasPrefix(story.Why(), "The logs name no cause"), string(code))
 		}
--- a/fleet/explain/line.go
+++ b/fleet/explain/line.go
@@ -18,21 +18,15 @@
 type Line struct {
 	// Router is what stood before the line's JSON, such as a name that a log
 	// collector put there, or else the name of the file.
-	Router  string
-	Time    time.Time
-	Message string
+	Router  string    `json:"-"`
+	Time    time.Time `json:"time"`
+	Message string    `json:"msg"`
+	// Request, Endpoint and Instance are empty in lines that name none.
+	Request  string `json:"request"`
+	Endpoint string `json:"endpoint"`
+	Instance string `json:"instance"`
 	// text is the line's JSON.
 	text []byte
-	head head
-}
-
-// head holds the fields of lines that tell what a router believes.
-type head struct {
-	Time     time.Time `json:"time"`
-	Message  string    `json:"msg"`
-	Request  string    `json:"request"`
-	Endpoint string    `json:"endpoint"`
-	Instance string    `json:"instance"`
 }
 
 // Read reads the lines of a log. Lines without JSON are passed over and counted.
@@ -46,8 +40,8 @@
 			passedOver++
 			continue
 		}
-		if line.Router == router && line.Message == "hosted: Started." && line.head.Instance != "" {
-			router = line.head.Instance
+		if line.Router == router && line.Message == "hosted: Started." && line.Instance != "" {
+			router = line.Instance
 			line.Router = router
 		}
 		lines = append(lines, line)
@@ -61,10 +55,9 @@
 		return Line{}, false
 	}
 	line := Line{Router: router, text: []byte(text[len(prefix):])}
-	if err := json.Unmarshal(line.text, &line.head); err != nil || line.head.Message == "" {
+	if err := json.Unmarshal(line.text, &line); err != nil || line.Message == "" {
 		return Line{}, false
 	}
-	line.Time, line.Message = line.head.Time, line.head.Message
 	if words := strings.Fields(prefix); len(words) > 0 {
 		line.Router = words[len(words)-1]
 	}
--- a/fleet/explain/print.go
+++ b/fleet/explain/print.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"time"
+
+	"gentianhead/core/request/outcome"
 )
 
 // Print writes a story for people.
@@ -18,12 +20,12 @@
 	p.line("  arrived %s, took %v, first byte after %v", s.EndedAt.Add(-s.Took).Format(time.RFC3339Nano), s.Took, s.FirstByte)
 	p.line("  configuration %d, confirmed %v before; route %s, service %s, account %s", s.Version, s.ConfirmedAgo, s.Route, s.Service, s.Account)
 	for number, a := range s.Attempts {
-		end := a.reason()
+		end := reason(a)
 		if end == "" {
 			end = "answered"
 		}
 		p.line("  %d. at %v to %s, which had %d requests and %d prompt tokens to read%s: %s after %v",
-			number+1, a.At, a.Endpoint, a.Running, a.Prefill, a.copied(), end, a.Took)
+			number+1, a.At, a.Endpoint, a.Running, a.Prefill, copied(a), end, a.Took)
 	}
 	if s.RetryAfter > 0 {
 		p.line("  the caller was told to come back after %v", s.RetryAfter)
@@ -36,7 +38,7 @@
 	}
 }
 
-func (a Attempt) copied() string {
+func copied(a outcome.Attempt) string {
 	if a.CopyFrom == "" {
 		return ""
 	}
--- a/fleet/explain/story.go
+++ b/fleet/explain/story.go
@@ -22,38 +22,26 @@
 	maxEvents = 12
 )
 
-// Attempt is one send to an endpoint.
-type Attempt struct {
-	Endpoint string        `json:"endpoint"`
-	At       time.Duration `json:"at"`
-	Running  int           `json:"running"`
-	Prefill  int           `json:"prefill"`
-	CopyFrom string        `json:"copyFrom"`
-	Took     time.Duration `json:"took"`
-	Ended    string        `json:"ended"`
-	Cause    string        `json:"cause"`
-}
-
 // Story is what the logs tell of one request on one router.
 type Story struct {
 	Router       string
 	EndedAt      time.Time
 	IsAnswered   bool
-	ID           string          `json:"request"`
-	Took         time.Duration   `json:"took"`
-	FirstByte    time.Duration   `json:"firstByte"`
-	Version      int64           `json:"version"`
-	ConfirmedAgo time.Duration   `json:"confirmedAgo"`
-	Route        string          `json:"route"`
-	Service      string          `json:"service"`
-	Account      string          `json:"account"`
-	Attempts     []Attempt       `json:"attempts"`
-	Code         outcome.Code    `json:"code"`
-	Outcome      outcome.Outcome `json:"outcome"`
-	Detail       string          `json:"detail"`
-	RetryAfter   time.Duration   `json:"retryAfter"`
-	HandedOn     int             `json:"handedOn"`
-	Cause        string          `json:"cause"`
+	ID           string            `json:"request"`
+	Took         time.Duration     `json:"took"`
+	FirstByte    time.Duration     `json:"firstByte"`
+	Version      int64             `json:"version"`
+	ConfirmedAgo time.Duration     `json:"confirmedAgo"`
+	Route        string            `json:"route"`
+	Service      string            `json:"service"`
+	Account      string            `json:"account"`
+	Attempts     []outcome.Attempt `json:"attempts"`
+	Code         outcome.Code      `json:"code"`
+	Outcome      outcome.Outcome   `json:"outcome"`
+	Detail       string            `json:"detail"`
+	RetryAfter   time.Duration     `json:"retryAfter"`
+	HandedOn     int               `json:"handedOn"`
+	Cause        string            `json:"cause"`
 	// Events are what its router came to believe around it, and what other routers
 	// found at its endpoints, oldest first.
 	Events []Line
@@ -81,7 +69,7 @@
 func Find(lines []Line, id string) ([]Story, error) {
 	var stories []Story
 	for _, line := range lines {
-		if line.head.Request != id || line.Message != answered && line.Message != failed {
+		if line.Request != id || line.Message != answered && line.Message != failed {
 			continue
 		}
 		story := Story{Router: line.Router, EndedAt: line.Time, IsAnswered: line.Message == answered}
@@ -107,7 +95,7 @@
 			continue
 		}
 		isBelief := line.Router == story.Router && slices.Contains(beliefs, line.Message)
-		if isBelief || story.tried(line.head.Endpoint) {
+		if isBelief || story.tried(line.Endpoint) {
 			found = append(found, line)
 		}
 	}
@@ -116,5 +104,5 @@
 }
 
 func (s *Story) tried(endpoint string) bool {
-	return endpoint != "" && slices.ContainsFunc(s.Attempts, func(a Attempt) bool { return a.Endpoint == endpoint })
+	return endpoint != "" && slices.ContainsFunc(s.Attempts, func(a outcome.Attempt) bool { return a.Endpoint == endpoint })
 }
--- a/fleet/process/hosted/spread.go
+++ b/fleet/process/hosted/spread.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/gzip"
 	"io"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,7 +30,8 @@
 	if err != nil {
 		c.log.Error("The configuration can't be compressed.", "error", err)
 	}
-	rank, count := c.watcherRank(c.presence.Live(now))
+	rank, others := c.rankWithStore(c.presence.Live(now))
+	rank, count := min(rank, watchers-1), min(others+1, watchers)
 	var whole, version []string
 	for _, peer := range c.presence.Everyone() {
 		if packed != nil && xxhash.Sum64String(peer)%uint64(count) == uint64(rank) {
@@ -44,14 +44,6 @@
 	c.sendBeacons(now, version, nil)
 }
 
-// watcherRank returns which of the watchers this router is, and of how many.
-func (c *control) watcherRank(live []*presence.Member) (rank, count int) {
-	names := append(c.namesWithStore(live), c.settings.Instance)
-	slices.Sort(names)
-	rank = slices.Index(names, c.settings.Instance)
-	return min(rank, watchers-1), min(len(names), watchers)
-}
-
 // takeConfiguration puts a configuration in force that another router has read.
 func (c *control) takeConfiguration(received presence.Beacon) {
 	if len(received.Configuration) == 0 || c.state.table != nil && received.Version <= c.state.table.Version {
--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -176,23 +176,23 @@
 // store answers. Routers may disagree for a while; then more or fewer of them
 // watch, and those that hear no confirmation ask for themselves.
 func (c *control) shouldWatch(live []*presence.Member) bool {
-	names := c.namesWithStore(live)
-	if len(names) < watchers {
-		return true
-	}
-	slices.Sort(names)
-	return c.settings.Instance < names[watchers-1]
+	rank, _ := c.rankWithStore(live)
+	return rank < watchers
 }
 
-// namesWithStore returns the other routers that the store answers.
-func (c *control) namesWithStore(live []*presence.Member) []string {
-	var names []string
+// rankWithStore returns how many of the other routers that the store answers come
+// before this one by name, and how many there are.
+func (c *control) rankWithStore(live []*presence.Member) (rank, others int) {
 	for _, member := range live {
-		if member.HasStore {
-			names = append(names, member.Instance)
+		if !member.HasStore {
+			continue
+		}
+		others++
+		if member.Instance <= c.settings.Instance {
+			rank++
 		}
 	}
-	return names
+	return rank, others
 }
 
 // isBehind reports whether another router has known more of a table for a while.
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -88,7 +88,7 @@
 func (b *Balancer) begun(p *balance.Placement) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.core.Begun(boottime.Now(), p)
+	b.core.Begun(p)
 }
 
 func (b *Balancer) told(id string, load *exchange.Load) {
--- a/fleet/request/relay/log.go
+++ b/fleet/request/relay/log.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"gentianhead/core/request/balance"
+	"gentianhead/core/request/outcome"
 	"gentianhead/fleet/process/boottime"
 )
 
@@ -45,24 +46,8 @@
 	return false
 }
 
-// attempt is one send with what decided it and what became of it. Times are in
-// nanoseconds, as everywhere in the logs; package explain reads these names.
-type attempt struct {
-	Endpoint string `json:"endpoint"`
-	// At is the time since the request's arrival.
-	At time.Duration `json:"at"`
-	// Running and Prefill are what the endpoint was taken to have under way.
-	Running  int           `json:"running"`
-	Prefill  int           `json:"prefill"`
-	CopyFrom string        `json:"copyFrom,omitempty"`
-	Took     time.Duration `json:"took"`
-	// Ended is why it was no answer; empty for an answer that was handed on.
-	Ended string `json:"ended,omitempty"`
-	Cause string `json:"cause,omitempty"`
-}
-
 func (c *call) noteAttempt(placement *balance.Placement, begun time.Duration, result result) {
-	a := attempt{
+	a := outcome.Attempt{
 		Endpoint: placement.Endpoint.ID, At: begun - c.begun, Running: placement.Running, Prefill: placement.Prefill,
 		CopyFrom: placement.CopyFrom, Took: boottime.Now() - begun,
 	}
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"gentianhead/core/process/freshness"
 	"gentianhead/core/request/exchange"
+	"gentianhead/core/request/outcome"
 	"gentianhead/core/version/routetable"
 	"gentianhead/fleet/connection/upstream"
 	"gentianhead/fleet/process/boottime"
@@ -90,7 +91,7 @@
 	// excluded are the endpoints that were tried.
 	excluded []string
 	// attempts are the sends with what decided them, for the log.
-	attempts []attempt
+	attempts []outcome.Attempt
 	// firstByte is the time from the request's arrival to the first byte of the
 	// answer; zero while there is none.
 	firstByte time.Duration
