Report store calls that fail while a refresh is requested

Cause: the follower dropped the result of any call that failed while the next refresh was already requested, also of calls that no refresh had cancelled. Test: TestFollowerFailureDuringRefreshReported (the field did not exist before).

--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -41,6 +41,9 @@
 	endpointCount  int
 	// era is the highest era of the store that is known.
 	era uint64
+	// newestVersion is the highest configuration version that this router or another one
+	// is known to have in force.
+	newestVersion int64
 	// live are the other routers that sent a beacon recently.
 	live []*presence.Member
 }
@@ -199,6 +202,10 @@
 func (c *control) handleBeacon(now time.Duration, received presence.Beacon) {
 	seen := c.presence.Receive(now, received)
 	c.raiseEra(now, received.StoreEra)
+	if received.Version > c.state.newestVersion {
+		c.state.newestVersion = received.Version
+		c.publish()
+	}
 	c.reportLoad(&received)
 	c.adoptConfiguration(now, received)
 	c.confirmByPeer(now, received)
@@ -358,6 +365,12 @@
 }
 
 func (c *control) handleUpdate(now time.Duration, update watch.Update) {
+	if update.Err != nil {
+		c.log.Info("A store call failed.", "table", update.Table, "took", now-update.StartedAt, "isRepeated", update.IsRepeated, "error", update.Err)
+	}
+	if update.IsRepeated {
+		return
+	}
 	c.trackStore(now, update)
 	if update.Err != nil {
 		return
@@ -449,6 +462,7 @@
 		return 0, err
 	}
 	c.state.table = table
+	c.state.newestVersion = max(c.state.newestVersion, table.Version)
 	c.tableEra, c.configuration = c.sync.era, value
 	c.balancer.SetTable(table)
 	c.publish()
--- a/fleet/process/hosted/metrics.go
+++ b/fleet/process/hosted/metrics.go
@@ -26,6 +26,7 @@
 			}
 			return 0
 		},
+		"control_newest_version": func(c *control) float64 { return float64(c.current.Load().newestVersion) },
 		"control_confirmation_age_seconds": func(c *control) float64 {
 			age, _ := c.current.Load().lease.Age(boottime.Now())
 			return age.Seconds()
--- a/fleet/process/watch/watch.go
+++ b/fleet/process/watch/watch.go
@@ -38,6 +38,9 @@
 	StartedAt time.Duration
 	// Err is the error of a failed call.
 	Err error
+	// IsRepeated marks a call that failed while a refresh was already requested: the
+	// next call follows at once.
+	IsRepeated bool
 }
 
 // Follower follows one table. Refresh and Wake may be called from any goroutine
@@ -102,6 +105,10 @@
 		if errors.IsAny(update.Err, errRefreshed, errNewEra) {
 			continue
 		}
+		if update.IsRepeated {
+			handle(update)
+			continue
+		}
 		if errors.Is(update.Err, table.ErrHistoryExpired) {
 			// The first read of the whole table follows at once. A store that has expired
 			// its history again by then is not asked in a loop.
@@ -163,18 +170,19 @@
 	}
 }
 
-// startCall returns the context and the long-poll duration of a call for changes.
-func (f *Follower) startCall(ctx context.Context) (context.Context, time.Duration) {
+// startCall returns the context and the long-poll duration of a call for changes, and
+// whether a refresh may cancel it.
+func (f *Follower) startCall(ctx context.Context) (callCtx context.Context, wait time.Duration, isCancellable bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.isUrgent {
 		// The call is short and has a timeout of its own, so it needs no cancel.
 		f.isUrgent = false
-		return ctx, 0
+		return ctx, 0, false
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	f.cancel = cancel
-	return ctx, max(f.wait(), 0)
+	return ctx, max(f.wait(), 0), true
 }
 
 // finishCall releases the call's context and reports whether a refresh was requested.
@@ -194,10 +202,15 @@
 	if f.isStale {
 		rows, update.Err = f.service.Rows(ctx, f.name)
 	} else {
-		callCtx, wait := f.startCall(ctx)
+		callCtx, wait, isCancellable := f.startCall(ctx)
 		rows, update.Err = f.service.Changes(callCtx, f.name, f.revision.Version, wait)
-		if isRefreshed := f.finishCall(); isRefreshed && update.Err != nil {
+		isRefreshed := f.finishCall()
+		switch {
+		case update.Err == nil || !isRefreshed:
+		case isCancellable:
 			update.Err = errRefreshed
+		default:
+			update.IsRepeated = true
 		}
 	}
 	if update.Err != nil {
--- a/fleet/process/watch/watch_test.go
+++ b/fleet/process/watch/watch_test.go
@@ -214,3 +214,27 @@
 		assert.Equal(t, len(updates[1].Rows), 0)
 	})
 }
+
+// Guards against failed calls that leave no trace: a refresh was requested while they
+// were under way (inc1).
+func TestFollowerFailureDuringRefreshReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeTable{snapshots: []table.Rows{{Version: 7}}}
+		var follower *Follower
+		f.changes = append(f.changes,
+			func(ctx context.Context, _ uint64, _ time.Duration) (table.Rows, error) {
+				<-ctx.Done()
+				return table.Rows{}, ctx.Err()
+			},
+			func(context.Context, uint64, time.Duration) (table.Rows, error) {
+				follower.Refresh()
+				return table.Rows{}, errors.New("response incomplete")
+			})
+		updates := collect(t, f, func(started *Follower) {
+			follower = started
+			follower.Refresh()
+		})
+		assert.Equal(t, len(updates), 2)
+		assert.Assert(t, updates[1].Err != nil && updates[1].IsRepeated)
+	})
+}
