Reproduce a configuration that slow links never get to the end of

The tests run routers behind links of 10 Mbit/s, as the smallest machines have, with a configuration of 6,000 routes (1.5 MB in the store's response). On this code no router has it in force after 20 s: each read ends after the second that a store call may take, and begins anew.

--- /dev/null
+++ b/fleet/process/hosted/slowlink_test.go
@@ -0,0 +1,125 @@
+package hosted
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+	"gotest.tools/v3/assert"
+
+	"gentianhead/fleet/process/boottime"
+	"gentianhead/platform"
+	"gentianhead/platform/platformtest"
+)
+
+const (
+	// slowLinkRate is the rate of the slowest machine's link, in bytes a second.
+	slowLinkRate = 10e6 / 8
+	// slowLinkBurst is how much such a link passes on at once.
+	slowLinkBurst = 16 << 10
+)
+
+// slowLink passes connections on to the store at the rate of one machine's link, which
+// they share. It returns its address.
+func slowLink(t *testing.T, store *platformtest.Store) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	link := rate.NewLimiter(slowLinkRate, slowLinkBurst)
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", store.Address)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			go func() {
+				_, _ = io.Copy(far, near)
+				_ = far.Close()
+			}()
+			go passOn(t, near, far, link)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// passOn copies from far to near at the rate of the link until either ends.
+func passOn(t *testing.T, near, far net.Conn, link *rate.Limiter) {
+	defer near.Close()
+	defer far.Close()
+	_ = near.(*net.TCPConn).SetWriteBuffer(slowLinkBurst)
+	buffer := make([]byte, slowLinkBurst)
+	for {
+		n, err := far.Read(buffer)
+		if n > 0 {
+			if link.WaitN(t.Context(), n) != nil {
+				return
+			}
+			if _, err := near.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// largeConfiguration returns a configuration whose additional routes have random names,
+// as an operator's have, which compress to about a tenth.
+func largeConfiguration(version, routes int) map[string]any {
+	random := rand.New(rand.NewPCG(1, 1))
+	value := configuration(version, "secret")
+	table := value["RouteTable"].([]map[string]any)
+	for range routes {
+		table = append(table, map[string]any{
+			"Name": fmt.Sprintf("r-%08x", random.Uint32()), "Hostname": hostName, "Prefix": fmt.Sprintf("/%010x/", random.Uint64()>>24), "RouteType": "safe",
+			"TimeoutMs": 1500, "TargetLatencyMs": 300, "Priority": 2, "Service": "plain", "MaxAttempts": 2, "Anonymous": false, "SessionAffinity": false, "StreamResume": false,
+		})
+	}
+	value["RouteTable"] = table
+	return value
+}
+
+// Guards against a configuration that never takes effect since reading it takes longer
+// than a store call may: each try began anew, at the full rate of the link (inc1).
+func TestConfigurationSlowerThanStoreCallTakesEffect(t *testing.T) {
+	f := newFleet(t, 0)
+	f.startAt(0, slowLink(t, f.store))
+	f.eventuallyVersion(1)
+	// Several versions in the history must not add up either.
+	for version := 2; version <= 4; version++ {
+		f.store.Put(platform.TableOperator, platform.KeyConfiguration, largeConfiguration(version, 6000))
+	}
+	f.eventuallyVersion(4)
+	f.eventually("confirmed", func() bool { return f.routers[0].control.current.Load().lease.IsFresh(boottime.Now()) })
+}
+
+// Guards against slow links that hold up a large configuration in a fleet: routers other
+// than the watchers read it from the store twice a second, and never to its end (inc1).
+func TestLargeConfigurationReachesRoutersOnSlowLinks(t *testing.T) {
+	const size = 6
+	f := newFleet(t, 0)
+	for number := range size {
+		f.startAt(number, slowLink(t, f.store))
+	}
+	for number := range size {
+		f.eventually("all routers resolved", func() bool { return len(f.resolve(number)) == size })
+	}
+	f.store.Put(platform.TableOperator, platform.KeyConfiguration, largeConfiguration(2, 6000))
+	f.eventuallyVersion(2)
+	for number := range size {
+		f.eventually("confirmed", func() bool {
+			return f.routers[number].control.current.Load().lease.IsFresh(boottime.Now() + time.Second)
+		})
+	}
+}
