--- a/core/process/table/table.go
+++ b/core/process/table/table.go
@@ -22,6 +22,9 @@
 	// have taken effect or may still do so. Writers must read back before they
 	// write again.
 	ErrIndeterminate = errors.New("table: outcome of the call is unknown")
+	// ErrIncomplete means that a response began and did not end: it took too long or is
+	// too large. Where changes end so, the full table may be the shorter response.
+	ErrIncomplete = errors.New("table: response incomplete")
 )
 
 // MaxEntries is the maximum number of checks and puts together in one transaction,
