Read the whole table where a router is behind, and let a read end

Cause: such a router asked for the changes since its version, which hold each version in full; and it asked again every 0.5 s while a call was under way, so a failed call was followed at once, without a pause, and dropped without a trace.

Change: a router that knows of a newer version reads the whole table, one version. Changes that end incomplete are followed by the whole table. A refresh during a call that answers at once does nothing; such a call that fails counts as a failure of the store.

--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -366,10 +366,7 @@
 
 func (c *control) handleUpdate(now time.Duration, update watch.Update) {
 	if update.Err != nil {
-		c.log.Info("A store call failed.", "table", update.Table, "took", now-update.StartedAt, "isRepeated", update.IsRepeated, "error", update.Err)
-	}
-	if update.IsRepeated {
-		return
+		c.log.Info("A store call failed.", "table", update.Table, "took", now-update.StartedAt, "error", update.Err)
 	}
 	c.trackStore(now, update)
 	if update.Err != nil {
--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -185,7 +185,7 @@
 		}
 	}
 	if c.isBehind(now, live, platform.TableOperator, versionDelay) {
-		c.refresh(now, platform.TableOperator, "another router has a newer version")
+		c.reload(now, platform.TableOperator, "another router has a newer version")
 	}
 	if c.isBehind(now, live, platform.TableEndpoints, entriesDelay+c.turn(entriesSpread)) {
 		c.refresh(now, platform.TableEndpoints, "another router has different entries")
@@ -281,3 +281,13 @@
 	c.log.Info("Refreshing a table from the store.", "table", name, "reason", reason)
 	c.sync.followers[name].Refresh()
 }
+
+// reload is refresh with a read of the whole table instead of its changes.
+func (c *control) reload(now time.Duration, name, reason string) {
+	if last, done := c.sync.refreshedAt[name]; done && now-last < refreshInterval {
+		return
+	}
+	c.sync.refreshedAt[name] = now
+	c.log.Info("Reading a table from the store.", "table", name, "reason", reason)
+	c.sync.followers[name].Reload()
+}
--- a/fleet/process/watch/watch.go
+++ b/fleet/process/watch/watch.go
@@ -38,12 +38,9 @@
 	StartedAt time.Duration
 	// Err is the error of a failed call.
 	Err error
-	// IsRepeated marks a call that failed while a refresh was already requested: the
-	// next call follows at once.
-	IsRepeated bool
 }
 
-// Follower follows one table. Refresh and Wake may be called from any goroutine
+// Follower follows one table. Refresh, Reload and Wake may be called from any goroutine
 // while Run runs.
 type Follower struct {
 	service table.Feed
@@ -55,8 +52,11 @@
 	isStale bool
 
 	mu sync.Mutex
-	// isUrgent makes the next call return at once.
-	isUrgent bool
+	// isUrgent makes the next call return at once, and isWhole makes it read the whole
+	// table.
+	isUrgent, isWhole bool
+	// isAnswering is set during a call that returns at once.
+	isAnswering bool
 	// cancel cancels the pending long poll; nil if there is none.
 	cancel context.CancelFunc
 	// wakeup makes an idle follower check wait and isUrgent again.
@@ -74,11 +74,21 @@
 }
 
 // Refresh replaces a pending long poll by a call that returns at once, since a
-// hanging connection looks like a table without changes.
-func (f *Follower) Refresh() {
+// hanging connection looks like a table without changes. It does nothing while such a call
+// is under way: calls that are repeated faster than they end would fill a slow link.
+func (f *Follower) Refresh() { f.request(false) }
+
+// Reload is Refresh with a read of the whole table, which is shorter than its changes
+// where rows have changed several times.
+func (f *Follower) Reload() { f.request(true) }
+
+func (f *Follower) request(isWhole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.isUrgent = true
+	if f.isAnswering {
+		return
+	}
+	f.isUrgent, f.isWhole = true, f.isWhole || isWhole
 	if f.cancel != nil {
 		f.cancel()
 	}
@@ -105,10 +115,6 @@
 		if errors.IsAny(update.Err, errRefreshed, errNewEra) {
 			continue
 		}
-		if update.IsRepeated {
-			handle(update)
-			continue
-		}
 		if errors.Is(update.Err, table.ErrHistoryExpired) {
 			// The first read of the whole table follows at once. A store that has expired
 			// its history again by then is not asked in a loop.
@@ -170,51 +176,49 @@
 	}
 }
 
-// startCall returns the context and the long-poll duration of a call for changes, and
-// whether a refresh may cancel it.
-func (f *Follower) startCall(ctx context.Context) (callCtx context.Context, wait time.Duration, isCancellable bool) {
+// startCall returns the context of the next call and, for a call for changes, its long-poll
+// duration.
+func (f *Follower) startCall(ctx context.Context) (callCtx context.Context, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.isUrgent {
-		// The call is short and has a timeout of its own, so it needs no cancel.
-		f.isUrgent = false
-		return ctx, 0, false
+	f.isStale = f.isStale || f.isWhole
+	if f.isUrgent || f.isStale {
+		// The call has a timeout of its own, so it needs no cancel.
+		f.isUrgent, f.isWhole, f.isAnswering = false, false, true
+		return ctx, 0
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	f.cancel = cancel
-	return ctx, max(f.wait(), 0), true
+	return ctx, max(f.wait(), 0)
 }
 
-// finishCall releases the call's context and reports whether a refresh was requested.
+// finishCall releases the call's context and reports whether a refresh cancelled the call.
 func (f *Follower) finishCall() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cancel != nil {
-		f.cancel()
-		f.cancel = nil
+	f.isAnswering = false
+	if f.cancel == nil {
+		return false
 	}
+	f.cancel()
+	f.cancel = nil
 	return f.isUrgent
 }
 
 func (f *Follower) poll(ctx context.Context) Update {
+	callCtx, wait := f.startCall(ctx)
 	update := Update{Table: f.name, IsSnapshot: f.isStale, StartedAt: boottime.Now()}
 	var rows table.Rows
 	if f.isStale {
-		rows, update.Err = f.service.Rows(ctx, f.name)
+		rows, update.Err = f.service.Rows(callCtx, f.name)
 	} else {
-		callCtx, wait, isCancellable := f.startCall(ctx)
 		rows, update.Err = f.service.Changes(callCtx, f.name, f.revision.Version, wait)
-		isRefreshed := f.finishCall()
-		switch {
-		case update.Err == nil || !isRefreshed:
-		case isCancellable:
-			update.Err = errRefreshed
-		default:
-			update.IsRepeated = true
-		}
+	}
+	if isCancelled := f.finishCall(); isCancelled && update.Err != nil {
+		update.Err = errRefreshed
 	}
 	if update.Err != nil {
-		f.isStale = f.isStale || errors.Is(update.Err, table.ErrHistoryExpired)
+		f.isStale = f.isStale || errors.IsAny(update.Err, table.ErrHistoryExpired, table.ErrIncomplete)
 		return update
 	}
 	switch {
