Copy large configurations from routers that have them

Change: a router that is behind copies the gzipped configuration over TCP from one that has it, and serves it in turn. Whom to ask, when, and when to turn to the store is decided by core/version/catchup; it also knows since when the router is behind. A router serves as many copies at a time as its link carries at 10 Mbit/s each.

Tests: TestLargeConfigurationReachesRouterWithoutStore (never got it before), TestCopies*, core/version/catchup.

--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -14,6 +14,7 @@
 	"gentianhead/core/process/presence"
 	"gentianhead/core/process/table"
 	"gentianhead/core/request/balance"
+	"gentianhead/core/version/catchup"
 	"gentianhead/core/version/routetable"
 	"gentianhead/fleet/connection/beacon"
 	"gentianhead/fleet/process/boottime"
@@ -44,6 +45,8 @@
 	// newestVersion is the highest configuration version that this router or another one
 	// is known to have in force.
 	newestVersion int64
+	// configuration is that of table as it is passed on to other routers; nil without one.
+	configuration *encodedConfiguration
 	// live are the other routers that sent a beacon recently.
 	live []*presence.Member
 }
@@ -80,10 +83,11 @@
 	// isUnavailable reports, by table, whether the last store call failed.
 	isUnavailable map[string]bool
 	isFresh       bool
-	// configuration is the encoded configuration in force, and tableEra the store's era
-	// when it was activated or last confirmed by the store.
-	configuration []byte
-	tableEra      uint64
+	// tableEra is the store's era when the configuration was activated or last confirmed by
+	// the store.
+	tableEra uint64
+	catchup  *catchup.Core
+	copier   copier
 	// storedVersion is the version of the configuration that the store is known to have.
 	storedVersion int64
 	// sharedAt is when the configuration was last sent to a router that has an older one,
@@ -114,6 +118,8 @@
 		endpoints:     endpoints.New(),
 		presence:      presence.New(presence.Self{Instance: settings.Instance, Zone: settings.Zone, Peer: settings.Peers.String()}, uint64(start)),
 		handover:      handover.New(settings.Instance),
+		catchup:       catchup.New(settings.Zone, uint64(start)),
+		copier:        newCopier(),
 		engines:       platform.NewEngineClient(),
 		start:         start,
 		startedAt:     boottime.Now(),
@@ -182,6 +188,8 @@
 		for _, peer := range e.peers {
 			c.presence.AddPeer(now, peer)
 		}
+	case configurationCopied:
+		c.handleCopied(now, e)
 	case cacheReported:
 		c.handleCacheReport(now, e)
 	case cacheQueriesDone:
@@ -419,7 +427,7 @@
 		if row.Key != platform.KeyConfiguration || row.IsRemoved {
 			continue
 		}
-		version, err := c.activateConfiguration(row.Value)
+		version, err := c.activateConfiguration(row.Value, nil)
 		isReadable = err == nil
 		if isReadable {
 			c.storedVersion = version
@@ -443,8 +451,8 @@
 }
 
 // activateConfiguration activates a configuration if it is newer than the one in force,
-// and returns its version.
-func (c *control) activateConfiguration(value []byte) (version int64, err error) {
+// and returns its version. compressed is the gzipped value if it was received so, else nil.
+func (c *control) activateConfiguration(value, compressed []byte) (version int64, err error) {
 	spec, err := platform.DecodeConfiguration(value)
 	if err != nil {
 		c.log.Error("The configuration can't be read.", "error", err)
@@ -460,12 +468,17 @@
 	}
 	c.state.table = table
 	c.state.newestVersion = max(c.state.newestVersion, table.Version)
-	c.tableEra, c.configuration = c.sync.era, value
+	c.tableEra = c.sync.era
+	if compressed != nil {
+		c.state.configuration = newCopiedConfiguration(table.Version, compressed)
+	} else {
+		c.state.configuration = newEncodedConfiguration(table.Version, value)
+	}
 	c.balancer.SetTable(table)
 	c.publish()
 	c.log.Info("Configuration in force.", "version", spec.Version, "routes", len(spec.Routes), "accounts", len(spec.Accounts))
 	if c.sync.isWatcher.Load() {
-		c.broadcastConfiguration(boottime.Now(), value)
+		c.broadcastConfiguration(boottime.Now())
 	}
 	return spec.Version, nil
 }
--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -54,6 +54,8 @@
 	callers   *serving.Server
 	readiness *serving.Server
 	directory *serving.Server
+	// copies serves the configuration to other routers.
+	copies *serving.Server
 	// listener accepts the callers' connections.
 	listener net.Listener
 }
@@ -91,6 +93,8 @@
 	r.callers = serving.New(r.relay, options)
 	r.readiness = serving.New(http.HandlerFunc(r.serveReadiness), options)
 	r.directory = serving.New(http.HandlerFunc(r.serveAddresses), options)
+	options.MaxConns = maxCopyConnections
+	r.copies = serving.New(r.copyServer(), options)
 	return r, nil
 }
 
@@ -120,7 +124,7 @@
 	metricsSource.Store(r.control)
 	metricsServer := r.serveMetrics()
 	defer metricsServer.Close()
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	if err := r.listen(failed); err != nil {
 		return err
 	}
@@ -139,7 +143,7 @@
 	for _, port := range []struct {
 		server  *serving.Server
 		address string
-	}{{r.callers, r.settings.Callers}, {r.readiness, r.settings.Readiness}, {r.directory, r.settings.Directory}} {
+	}{{r.callers, r.settings.Callers}, {r.readiness, r.settings.Readiness}, {r.directory, r.settings.Directory}, {r.copies, r.settings.Peers.String()}} {
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
 			return errors.Wrap(err, "listen")
--- a/fleet/process/hosted/shutdown.go
+++ b/fleet/process/hosted/shutdown.go
@@ -45,6 +45,7 @@
 	_ = r.callers.Close()
 	_ = r.directory.Close()
 	_ = r.readiness.Close()
+	_ = r.copies.Close()
 	r.beacons.Close()
 	r.upstream.Close()
 	r.log.Info("Stopped.", "cutOff", inFlight)
--- a/fleet/process/hosted/slowlink_test.go
+++ b/fleet/process/hosted/slowlink_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -123,3 +125,60 @@
 		})
 	}
 }
+
+// Guards against a router that the store refuses and that never gets a configuration too
+// large for a beacon (inc1: "The configuration can't be sent to a router without it.").
+func TestLargeConfigurationReachesRouterWithoutStore(t *testing.T) {
+	f := newFleet(t, 4)
+	unavailableStore := platformtest.NewStore()
+	t.Cleanup(unavailableStore.Close)
+	unavailableStore.SetFault(platformtest.Unavailable)
+	f.store.Put(platform.TableOperator, platform.KeyConfiguration, largeConfiguration(2, 6000))
+	f.startAt(4, unavailableStore.Address)
+	f.routers[4].control.events <- routersDiscovered{[]string{f.routers[0].settings.Peers.String()}}
+	f.eventuallyVersion(2)
+	f.store.Put(platform.TableOperator, platform.KeyConfiguration, largeConfiguration(3, 6000))
+	f.eventuallyVersion(3)
+	f.eventually("confirmed by others", func() bool { return f.routers[4].control.current.Load().lease.IsFresh(boottime.Now()) })
+}
+
+// Guards against copies of what the caller has already, and copies that never end.
+func TestCopiesOfConfiguration(t *testing.T) {
+	f := newFleet(t, 1)
+	f.eventuallyVersion(1)
+	router := f.routers[0]
+	address := router.settings.Peers.String()
+	copied := router.control.copier.copyFrom(address, 0)
+	assert.NilError(t, copied.err)
+	spec, err := platform.DecodeConfiguration(copied.value)
+	assert.NilError(t, err)
+	assert.Equal(t, spec.Version, int64(1))
+	assert.ErrorContains(t, router.control.copier.copyFrom(address, 1).err, "404")
+	assert.ErrorContains(t, router.control.copier.copyFrom(freeAddress(t, router.settings.Peers.Addr()), 0).err, "refused")
+}
+
+// Guards against copies that a router serves without bound, each later for it.
+func TestCopiesServedAtATime(t *testing.T) {
+	c, _ := newControlWithPeers(t, 1)
+	router := &Router{settings: &platform.Settings{LinkMbps: 2 * mbpsPerCopy}, control: c, log: slog.New(slog.DiscardHandler)}
+	server := httptest.NewServer(router.copyServer())
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	isServing, mayEnd := make(chan bool), make(chan bool)
+	c.state.configuration = &encodedConfiguration{9, func() ([]byte, error) {
+		isServing <- true
+		<-mayEnd
+		return compress([]byte("configuration"))
+	}}
+	c.publish()
+	ended := make(chan error)
+	for range 2 {
+		go func() { ended <- c.copier.copyFrom(address, 0).err }()
+		<-isServing
+	}
+	assert.ErrorIs(t, c.copier.copyFrom(address, 0).err, errBusy)
+	close(mayEnd)
+	for range 2 {
+		assert.NilError(t, <-ended)
+	}
+}
--- a/fleet/process/hosted/spread.go
+++ b/fleet/process/hosted/spread.go
@@ -29,12 +29,9 @@
 // In a fleet without groups, each watcher sends the full configuration to its share of
 // them and the version to the rest. In one with groups, each watcher sends it to its
 // neighbors, which pass it on to their groups. A router that doesn't receive it, because
-// a datagram was lost or the configuration is too large, reads it from the store.
-func (c *control) broadcastConfiguration(now time.Duration, value []byte) {
-	compressed, err := compress(value)
-	if err != nil {
-		c.log.Error("The configuration can't be compressed.", "error", err)
-	}
+// a datagram was lost or the configuration is too large, copies it from one that has it.
+func (c *control) broadcastConfiguration(now time.Duration) {
+	compressed := c.sendable()
 	if c.presence.Group() != 0 {
 		c.sendBeacons(now, c.neighbors(now), func(b *presence.Beacon) { b.Configuration = compressed })
 		return
@@ -64,7 +61,7 @@
 		c.log.Warn("The configuration from another router can't be decompressed.", "instance", received.Instance, "error", err)
 		return
 	}
-	if _, err := c.activateConfiguration(value); err == nil && !c.presence.CountsDirectly(&received) {
+	if _, err := c.activateConfiguration(value, received.Configuration); err == nil && !c.presence.CountsDirectly(&received) {
 		c.sendBeacons(now, c.presence.Direct(), func(b *presence.Beacon) { b.Configuration = received.Configuration })
 	}
 }
@@ -91,27 +88,41 @@
 		return
 	}
 	c.sharedAt[received.Peer] = now
-	compressed, err := compress(c.configuration)
-	if err != nil || compressed == nil {
-		c.log.Error("The configuration can't be sent to a router without it.", "version", c.state.table.Version, "error", err)
+	compressed := c.sendable()
+	if compressed == nil {
+		// That router copies it.
 		return
 	}
 	c.sendBeacons(now, []string{received.Peer}, func(b *presence.Beacon) { b.Configuration = compressed })
 }
 
-// compress returns the gzipped configuration, or nil if it is too large for a beacon.
+// sendable returns the gzipped configuration in force, or nil if it is too large for a
+// beacon.
+func (c *control) sendable() []byte {
+	compressed, err := c.state.configuration.compressed()
+	if err != nil {
+		c.log.Error("The configuration can't be compressed.", "version", c.state.configuration.version, "error", err)
+		return nil
+	}
+	if len(compressed) > maxBroadcastBytes {
+		return nil
+	}
+	return compressed
+}
+
+// compress returns the gzipped configuration.
 func compress(value []byte) ([]byte, error) {
 	var buffer bytes.Buffer
-	writer := gzip.NewWriter(&buffer)
+	writer, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "gzip")
+	}
 	if _, err := writer.Write(value); err != nil {
 		return nil, errors.Wrap(err, "gzip")
 	}
 	if err := writer.Close(); err != nil {
 		return nil, errors.Wrap(err, "gzip")
 	}
-	if buffer.Len() > maxBroadcastBytes {
-		return nil, nil
-	}
 	return buffer.Bytes(), nil
 }
 
--- a/fleet/process/hosted/spread_test.go
+++ b/fleet/process/hosted/spread_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"math/rand/v2"
+	"encoding/json"
 	"net/netip"
 	"testing"
 	"time"
@@ -24,15 +24,20 @@
 	assert.Assert(t, bytes.Equal(got, value))
 }
 
-func TestCompressConfigurationTooLarge(t *testing.T) {
-	value := make([]byte, 4*maxBroadcastBytes)
-	random := rand.New(rand.NewPCG(1, 1))
-	for i := range value {
-		value[i] = byte(random.Uint32())
+// Guards against a configuration that no datagram can hold in a beacon, which then carries
+// no news at all.
+func TestLargeConfigurationNotSentInBeacon(t *testing.T) {
+	c, _ := newControlWithPeers(t, 1)
+	for i, isSendable := range []bool{true, false} {
+		value, err := json.Marshal(largeConfiguration(2+i, 10+6000*i))
+		assert.NilError(t, err)
+		_, err = c.activateConfiguration(value, nil)
+		assert.NilError(t, err)
+		compressed, err := c.state.configuration.compressed()
+		assert.NilError(t, err)
+		assert.Equal(t, len(compressed) <= maxBroadcastBytes, isSendable)
+		assert.Equal(t, c.sendable() != nil, isSendable)
 	}
-	compressed, err := compress(value)
-	assert.NilError(t, err)
-	assert.Assert(t, compressed == nil)
 }
 
 func TestDecompressConfigurationLimit(t *testing.T) {
@@ -52,7 +57,7 @@
 func TestConfigurationSentToRouterWithoutStore(t *testing.T) {
 	for _, hasStore := range []bool{false, true} {
 		c, _ := newControlWithPeers(t, 2)
-		_, err := c.activateConfiguration(encodeConfiguration(t, 2))
+		_, err := c.activateConfiguration(encodeConfiguration(t, 2), nil)
 		assert.NilError(t, err)
 		peer, err := beacon.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 		assert.NilError(t, err)
--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -38,10 +38,8 @@
 	// that the first can confirm the others.
 	unconfirmedShare  = 0.55
 	unconfirmedSpread = 0.2
-	// versionDelay and entriesDelay are how long another router may have a newer
-	// configuration or different entries before this one calls the store. Beacons
-	// of watchers usually arrive first; a configuration has to take effect sooner.
-	versionDelay = 200 * time.Millisecond
+	// entriesDelay is how long another router may have different entries before this one
+	// calls the store. Beacons of watchers usually arrive first.
 	entriesDelay = 500 * time.Millisecond
 	// entriesSpread is the time over which routers with groups read different entries
 	// one after the other: the first of a group passes them on.
@@ -68,8 +66,9 @@
 	hash   uint64
 	// era is the highest era of the store that this router knows of.
 	era uint64
-	// behindSince is when another router was first seen ahead, by table.
-	behindSince map[string]time.Duration
+	// isBehind is set while another router has different entries, since behindSince.
+	isBehind    bool
+	behindSince time.Duration
 	refreshedAt map[string]time.Duration
 	// readAt is the start time of the latest successful call, by table.
 	readAt map[string]time.Duration
@@ -102,7 +101,6 @@
 	s.followers[platform.TableOperator] = watch.New(store, platform.TableOperator, s.configurationWait)
 	s.followers[platform.TableEndpoints] = watch.New(store, platform.TableEndpoints, s.watcherWait(func() time.Duration { return entriesWait }))
 	s.rows = make(map[string]rowState)
-	s.behindSince = make(map[string]time.Duration)
 	s.refreshedAt = make(map[string]time.Duration)
 	s.readAt = make(map[string]time.Duration)
 }
@@ -184,10 +182,8 @@
 			c.catchUp(now, platform.TableEndpoints)
 		}
 	}
-	if c.isBehind(now, live, platform.TableOperator, versionDelay) {
-		c.reload(now, platform.TableOperator, "another router has a newer version")
-	}
-	if c.isBehind(now, live, platform.TableEndpoints, entriesDelay+c.turn(entriesSpread)) {
+	c.catchUpWithFleet(now)
+	if c.hasOtherEntries(now, live, entriesDelay+c.turn(entriesSpread)) {
 		c.refresh(now, platform.TableEndpoints, "another router has different entries")
 	}
 	if c.isUnconfirmed(now) {
@@ -231,27 +227,21 @@
 	return rank, others
 }
 
-// isBehind reports whether another router has had newer data of a table for delay.
-func (c *control) isBehind(now time.Duration, live []*presence.Member, name string, delay time.Duration) bool {
-	version := int64(0)
-	if c.state.table != nil {
-		version = c.state.table.Version
-	}
+// hasOtherEntries reports whether another router has had different entries, no older than
+// this one's, for delay.
+func (c *control) hasOtherEntries(now time.Duration, live []*presence.Member, delay time.Duration) bool {
 	isBehind := slices.ContainsFunc(live, func(member *presence.Member) bool {
-		if name == platform.TableOperator {
-			return member.Version > version
-		}
 		return c.presence.IsCurrent(now, member) && member.HasStore && member.EndpointsHash != c.sync.hash &&
 			table.Revision{Era: member.StoreEra, Version: member.EndpointsVersion}.Compare(c.sync.newest) >= 0
 	})
-	since, wasBehind := c.sync.behindSince[name]
-	switch {
-	case !isBehind:
-		delete(c.sync.behindSince, name)
-	case !wasBehind:
-		c.sync.behindSince[name] = now
+	if !isBehind {
+		c.sync.isBehind = false
+		return false
+	}
+	if !c.sync.isBehind {
+		c.sync.isBehind, c.sync.behindSince = true, now
 	}
-	return isBehind && wasBehind && now-since >= delay
+	return now-c.sync.behindSince >= delay
 }
 
 // isUnconfirmed reports whether the latest confirmation is older than this router's
@@ -282,8 +272,9 @@
 	c.sync.followers[name].Refresh()
 }
 
-// reload is refresh with a read of the whole table instead of its changes.
-func (c *control) reload(now time.Duration, name, reason string) {
+// reload reads the configuration from the store, without its history.
+func (c *control) reload(now time.Duration, reason string) {
+	const name = platform.TableOperator
 	if last, done := c.sync.refreshedAt[name]; done && now-last < refreshInterval {
 		return
 	}
