Refuse requests on a router that can't get a newer configuration

Callers of inc1 got 404 for added routes, and service by old ones, from routers that knew for four seconds that another had a newer configuration. Cause: only the lease of secrets stopped such a router; routes had no bound, and denials none either.

Change: a router that is known to be behind for 0.4 of the bound for a configuration to be in force (ConfigMs, 3 s by default) is not ready and refuses, not run, with a second to come back; others serve. While it is behind at all, a request that its own configuration denies gets 503 with 300 ms to come back instead of 404 or 401. A version that no live router states any more doesn't count.

Test: TestRouterBehindRefusesInsteadOfUsingOldConfiguration, 401 and 200 before.

--- a/core/version/catchup/catchup.go
+++ b/core/version/catchup/catchup.go
@@ -26,6 +26,10 @@
 	// failedDelay that after one that could not be reached or had nothing newer.
 	busyDelay   = 50 * time.Millisecond
 	failedDelay = 2 * time.Second
+	// behindShare is the share of the bound for a configuration to be in force after which a
+	// router that is behind stops to serve. The rest is for the first routers to get it, for
+	// the news, and for what was just accepted.
+	behindShare = 0.4
 	// maxHeard limits the newer versions that are told apart. Of more, the oldest count.
 	maxHeard = 64
 )
@@ -128,6 +132,13 @@
 	return c.heard[0].since, true
 }
 
+// MayServe reports whether a router that is behind since a time may still serve, where a
+// configuration has to be in force within bound of its acceptance. One that may not would use
+// routes, secrets and services that were withdrawn, and deny those that were added.
+func MayServe(now, behindSince, bound time.Duration) bool {
+	return now-behindSince < time.Duration(behindShare*float64(bound))
+}
+
 // source returns the router to copy from: one with the newest version, in this router's zone
 // if there is one, or else one with any newer version.
 func (c *Core) source(now time.Duration, own, newest int64, peers []Peer) string {
--- a/core/version/catchup/catchup_test.go
+++ b/core/version/catchup/catchup_test.go
@@ -80,6 +80,15 @@
 	assert.Assert(t, !isBehind)
 }
 
+// Guards against a router that goes on with an older configuration until the bound, and
+// against one that stops serving while it gets a newer one as fast as it may.
+func TestMayServeWhileBehind(t *testing.T) {
+	const bound = 3 * time.Second
+	assert.Assert(t, MayServe(1100*ms, 0, bound))
+	assert.Assert(t, !MayServe(1200*ms, 0, bound))
+	assert.Assert(t, MayServe(10*time.Second, 9*time.Second, bound))
+}
+
 // fleetSizes are the sizes of the fleets simulated; FLEET_SIZES replaces them.
 func fleetSizes(t *testing.T) []int {
 	sizes := []int{7, 61, 91, 295}
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -42,6 +42,10 @@
 	endpointCount  int
 	// era is the highest era of the store that is known.
 	era uint64
+	// isBehind is set while another router is known to have a newer configuration, since
+	// behindSince. maxDelay is how long one may not be in force.
+	isBehind              bool
+	behindSince, maxDelay time.Duration
 	// newestVersion is the highest configuration version that this router or another one
 	// is known to have in force.
 	newestVersion int64
@@ -53,7 +57,12 @@
 
 // isReady reports whether callers should use this router.
 func (s *state) isReady(now time.Duration) bool {
-	return s.table != nil && s.hasEndpoints && !s.isShuttingDown && s.lease.IsFresh(now)
+	return s.table != nil && s.hasEndpoints && !s.isShuttingDown && s.lease.IsFresh(now) && s.isUpToDate(now)
+}
+
+// isUpToDate reports whether the configuration in force may be used.
+func (s *state) isUpToDate(now time.Duration) bool {
+	return !s.isBehind || catchup.MayServe(now, s.behindSince, s.maxDelay)
 }
 
 // control is the control loop: a single goroutine that owns the control state and
@@ -83,6 +92,8 @@
 	// isUnavailable reports, by table, whether the last store call failed.
 	isUnavailable map[string]bool
 	isFresh       bool
+	// isStopped is set while this router is behind and does not serve.
+	isStopped bool
 	// tableEra is the store's era when the configuration was activated or last confirmed by
 	// the store.
 	tableEra uint64
@@ -114,7 +125,7 @@
 		beacons:       beacons,
 		log:           log,
 		events:        make(chan any, eventQueueSize),
-		state:         state{lease: freshness.NewLease(settings.MaxRevocationDelay)},
+		state:         state{lease: freshness.NewLease(settings.MaxRevocationDelay), maxDelay: settings.MaxActivationDelay},
 		endpoints:     endpoints.New(),
 		presence:      presence.New(presence.Self{Instance: settings.Instance, Zone: settings.Zone, Peer: settings.Peers.String()}, uint64(start)),
 		handover:      handover.New(settings.Instance),
@@ -210,9 +221,9 @@
 func (c *control) handleBeacon(now time.Duration, received presence.Beacon) {
 	seen := c.presence.Receive(now, received)
 	c.raiseEra(now, received.StoreEra)
-	if received.Version > c.state.newestVersion {
-		c.state.newestVersion = received.Version
-		c.publish()
+	c.state.newestVersion = max(c.state.newestVersion, received.Version)
+	if received.Version > c.version() {
+		c.catchUpWithFleet(now)
 	}
 	c.reportLoad(&received)
 	c.adoptConfiguration(now, received)
@@ -352,6 +363,11 @@
 	}
 	c.keepInSync(now, c.publishLive(now))
 	c.queryCaches(now)
+	if isStopped := !c.state.isUpToDate(now); isStopped != c.isStopped {
+		c.isStopped = isStopped
+		c.log.Warn("Serving with the configuration in force changed.", "isServing", !isStopped, "version", c.version(),
+			"newest", c.state.newestVersion, "behindFor", now-c.state.behindSince)
+	}
 }
 
 // sendRound sends the beacons that are due.
@@ -475,6 +491,7 @@
 		c.state.configuration = newEncodedConfiguration(table.Version, value)
 	}
 	c.balancer.SetTable(table)
+	c.catchUpWithFleet(boottime.Now())
 	c.publish()
 	c.log.Info("Configuration in force.", "version", spec.Version, "routes", len(spec.Routes), "accounts", len(spec.Accounts))
 	if c.sync.isWatcher.Load() {
--- a/fleet/process/hosted/copy.go
+++ b/fleet/process/hosted/copy.go
@@ -160,6 +160,10 @@
 		}
 	}
 	decision := c.catchup.Step(now, own, peers)
+	if since, isBehind := c.catchup.BehindSince(); isBehind != c.state.isBehind || since != c.state.behindSince {
+		c.state.isBehind, c.state.behindSince = isBehind, since
+		c.publish()
+	}
 	if decision.ReadStore {
 		c.reload(now, "another router has a newer version")
 	}
--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -16,6 +16,7 @@
 
 	"gentianhead/fleet/connection/beacon"
 	"gentianhead/fleet/connection/upstream"
+	"gentianhead/fleet/process/boottime"
 	"gentianhead/fleet/process/serving"
 	"gentianhead/fleet/process/telemetry"
 	"gentianhead/fleet/request/relay"
@@ -100,7 +101,7 @@
 
 func (r *Router) relayState() relay.State {
 	current := r.control.current.Load()
-	return relay.State{Table: current.table, Lease: current.lease}
+	return relay.State{Table: current.table, Lease: current.lease, IsBehind: current.isBehind, IsOutdated: !current.isUpToDate(boottime.Now())}
 }
 
 // peerAddress returns the beacon address of the router at ip. All routers use the
--- a/fleet/process/hosted/hosted_test.go
+++ b/fleet/process/hosted/hosted_test.go
@@ -92,7 +92,7 @@
 		Instance: fmt.Sprintf("router-%d", number), Zone: "zone-1", Region: "region-1",
 		Callers: freeAddress(f.t, ip), Readiness: freeAddress(f.t, ip), Directory: freeAddress(f.t, ip),
 		Peers: netip.AddrPortFrom(ip, f.port), Store: store,
-		MemoryBytes: 1 << 30, MaxOpenFiles: 1000, MaxRevocationDelay: 5 * time.Second,
+		MemoryBytes: 1 << 30, MaxOpenFiles: 1000, MaxRevocationDelay: 5 * time.Second, MaxActivationDelay: 3 * time.Second,
 		Grace: 8 * time.Second, AddressTTL: 5 * time.Second, LoadFactor: 2, RetryRatio: 0.2, RetrySlack: 50,
 		RetryWindow: 10 * time.Second, PrefixReuseWindow: 10 * time.Second,
 	}
--- a/fleet/process/hosted/reload.go
+++ b/fleet/process/hosted/reload.go
@@ -19,6 +19,7 @@
 	c.log.Info("Settings reloaded.", "changed", old.ChangedKeys(changed))
 	c.settings.Store(old.WithBoundsOf(changed))
 	c.state.lease = c.state.lease.WithBound(changed.MaxRevocationDelay)
+	c.state.maxDelay = changed.MaxActivationDelay
 	c.balancer.SetLimits(changed.LoadFactor, retryLimits(changed))
 	c.addSeeds(boottime.Now())
 	c.publish()
--- a/fleet/process/hosted/slowlink_test.go
+++ b/fleet/process/hosted/slowlink_test.go
@@ -1,11 +1,13 @@
 package hosted
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"golang.org/x/time/rate"
 	"gotest.tools/v3/assert"
 
+	"gentianhead/core/process/presence"
 	"gentianhead/fleet/process/boottime"
 	"gentianhead/platform"
 	"gentianhead/platform/platformtest"
@@ -182,3 +185,25 @@
 		assert.NilError(t, <-ended)
 	}
 }
+
+// Guards against a router that denies what a newer configuration allows, and that serves by
+// an older one for as long as it can't get the newer (inc1: 404 and an old route 3 s after a
+// change).
+func TestRouterBehindRefusesInsteadOfUsingOldConfiguration(t *testing.T) {
+	f := newFleet(t, 1)
+	f.eventually("served", func() bool { return f.status(0, "first", "a") == http.StatusOK })
+	assert.Equal(t, f.status(0, "added", "b"), http.StatusUnauthorized)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		// A router with a newer configuration that serves no copies.
+		for ctx.Err() == nil {
+			f.routers[0].control.enqueueBeacon(presence.Beacon{Instance: "newer", Peer: "127.0.0.1:1", Address: "127.0.0.1:2", Start: 1, Version: 9})
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	f.eventually("no denial while behind", func() bool { return f.status(0, "added", "c") == http.StatusServiceUnavailable })
+	f.eventually("not served while behind", func() bool { return f.status(0, "first", "d") == http.StatusServiceUnavailable })
+	assert.Assert(t, !f.routers[0].control.current.Load().isReady(boottime.Now()))
+	cancel()
+	f.eventually("served as no router has a newer one", func() bool { return f.status(0, "first", "e") == http.StatusOK })
+}
--- a/fleet/request/relay/prepare.go
+++ b/fleet/request/relay/prepare.go
@@ -17,6 +17,9 @@
 	// retryStale is the retry delay for a router without contact to the store. Other
 	// routers can serve the request immediately.
 	retryStale = time.Second
+	// retryBehind is the retry delay for a router that is about to get a newer
+	// configuration.
+	retryBehind = 300 * time.Millisecond
 	// retryBodyMemory is the retry delay when BodyMemory is exhausted.
 	retryBodyMemory = 500 * time.Millisecond
 	// defaultMaxBodyBytes is the body limit when the configuration sets none.
@@ -45,12 +48,15 @@
 
 // authorize finds the route and the client account of the request.
 func (c *call) authorize(state State) *failure {
+	if failure := checkUpToDate(state); failure != nil {
+		return failure
+	}
 	route, found := state.Table.Match(c.r.Host, c.r.URL.Path)
 	if found {
 		c.route = route
 	}
 	if !found {
-		return newFailure(kindNoRoute, "no route matches this host and path")
+		return denial(state, kindNoRoute, "no route matches this host and path")
 	}
 	if route.IsAnonymous || !state.Table.HasAccounts() {
 		return nil
@@ -62,16 +68,36 @@
 	}
 	account, known := state.Table.Account(c.metadata.Credential)
 	if !known {
-		return newFailure(kindUnauthenticated, "no client account has this secret")
+		return denial(state, kindUnauthenticated, "no client account has this secret")
 	}
 	c.account = account
 	return nil
 }
 
+// checkUpToDate returns a failure if the configuration may not be used any more.
+func checkUpToDate(state State) *failure {
+	if state.IsOutdated {
+		return newFailure(kindStale, "another router has a newer configuration that this one could not get").withRetryAfter(retryStale)
+	}
+	return nil
+}
+
+// denial returns the failure of a request that the configuration does not allow. A newer
+// one, which this router is about to get, may allow it.
+func denial(state State, kind kind, detail string) *failure {
+	if state.IsBehind {
+		return newFailure(kindStale, detail+", but a newer configuration is on its way").withRetryAfter(retryBehind)
+	}
+	return newFailure(kind, detail)
+}
+
 // reauthorize repeats the authorization just before a send: while the
 // request waited, its secret may have been revoked or the process may have been
 // suspended.
 func (c *call) reauthorize(state State) *failure {
+	if failure := checkUpToDate(state); failure != nil {
+		return failure
+	}
 	if c.account == nil {
 		return nil
 	}
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -44,6 +44,9 @@
 	Table *routetable.Table
 	// Lease limits how long the secrets in Table are accepted.
 	Lease freshness.Lease
+	// IsBehind is set while another router is known to have a newer configuration, and
+	// IsOutdated once that has lasted so long that Table may not be used.
+	IsBehind, IsOutdated bool
 }
 
 // Options configure a Relay. All fields are required.
