Let large configurations pass between routers of the product's own fleet

A frame between routers had 5 s whatever its size (16 MiB at most), and a fetch of the configuration was given up after 3 s, from each source in turn. Change: a frame has 5 s and the time of its body at 512 KiB/s; a fetch may take 30 s, while the core asks another source after 3 s as before and uses the answer that comes. TestConnTimeLimitBySize failed before for 8 MiB at 1 MiB/s. The fetch itself has no test with a slow link: its core has (late answers are used).

--- a/fleet/connection/frame/frame.go
+++ b/fleet/connection/frame/frame.go
@@ -28,10 +28,17 @@
 	// MaxBodyBytes is the largest body that is sent or accepted.
 	MaxBodyBytes = 16 << 20
 	// Timeout bounds writing one frame, and reading a frame after its first byte
-	// has arrived.
+	// has arrived, without the time that its body takes at minRate.
 	Timeout = 5 * time.Second
+	// minRate is the rate, in bytes a second, at which a body has to pass at least.
+	minRate = 512 << 10
 )
 
+// timeLimit returns the time limit for a frame with a body of size bytes.
+func timeLimit(size int) time.Duration {
+	return Timeout + time.Duration(size)*time.Second/minRate
+}
+
 // Type determines how a frame's body is decoded.
 type Type uint8
 
@@ -85,26 +92,38 @@
 
 // Read reads one frame. It returns io.EOF only between frames.
 func Read(r io.Reader) (Frame, error) {
-	var header [HeaderBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
+	header, size, err := readHeader(r)
+	if err != nil {
 		return Frame{}, err
 	}
+	return readBody(r, header, size)
+}
+
+// readHeader reads the header of a frame and returns it with the size of the body.
+func readHeader(r io.Reader) (header [HeaderBytes]byte, size int, err error) {
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return header, 0, err
+	}
 	if header[0] != Version && header[0] != versionTraced {
-		return Frame{}, ErrVersion
+		return header, 0, ErrVersion
 	}
-	size := binary.BigEndian.Uint32(header[6:])
-	if size > MaxBodyBytes {
-		return Frame{}, ErrTooLarge
+	bodySize := binary.BigEndian.Uint32(header[6:])
+	if bodySize > MaxBodyBytes {
+		return header, 0, ErrTooLarge
 	}
+	return header, int(bodySize), nil
+}
+
+func readBody(r io.Reader, header [HeaderBytes]byte, size int) (Frame, error) {
 	traceSize := 0
 	if header[0] == versionTraced {
 		traceSize = TraceBytes
 	}
-	rest, err := io.ReadAll(io.LimitReader(r, int64(size)+int64(traceSize)))
+	rest, err := io.ReadAll(io.LimitReader(r, int64(size+traceSize)))
 	if err != nil {
 		return Frame{}, errors.Wrap(err, "frame: body")
 	}
-	if len(rest) < int(size)+traceSize {
+	if len(rest) < size+traceSize {
 		return Frame{}, io.ErrUnexpectedEOF
 	}
 	return Frame{
@@ -127,7 +146,8 @@
 	return &Conn{net: c, reader: bufio.NewReader(c)}
 }
 
-// Read waits at most idle for a frame to start and at most Timeout for its rest.
+// Read waits at most idle for a frame to start, and for its rest as long as its size
+// takes.
 func (c *Conn) Read(idle time.Duration) (Frame, error) {
 	if err := c.net.SetReadDeadline(time.Now().Add(idle)); err != nil {
 		return Frame{}, err
@@ -138,10 +158,18 @@
 	if err := c.net.SetReadDeadline(time.Now().Add(Timeout)); err != nil {
 		return Frame{}, err
 	}
-	return Read(c.reader)
+	header, size, err := readHeader(c.reader)
+	if err != nil {
+		return Frame{}, err
+	}
+	if err := c.net.SetReadDeadline(time.Now().Add(timeLimit(size))); err != nil {
+		return Frame{}, err
+	}
+	return readBody(c.reader, header, size)
 }
 
-// Write writes one frame within Timeout and returns the number of bytes written.
+// Write writes one frame and returns the number of bytes written. Its time limit depends
+// on the size.
 func (c *Conn) Write(frameType Type, call uint32, message any) (int, error) {
 	return c.WriteTraced(frameType, call, nil, message)
 }
@@ -152,7 +180,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := c.net.SetWriteDeadline(time.Now().Add(Timeout)); err != nil {
+	if err := c.net.SetWriteDeadline(time.Now().Add(timeLimit(len(encoded)))); err != nil {
 		return 0, err
 	}
 	return c.net.Write(encoded)
--- a/fleet/connection/frame/frame_test.go
+++ b/fleet/connection/frame/frame_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"io"
+	"net"
+	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -33,6 +37,37 @@
 	assert.ErrorIs(t, err, ErrTooLarge)
 }
 
+// Guards against a large configuration that a slow link never carries to its end, and
+// against a peer that begins a frame and doesn't end it.
+func TestConnTimeLimitBySize(t *testing.T) {
+	for name, c := range map[string]struct {
+		rate    int
+		isWhole bool
+	}{"slow": {rate: 1 << 20, isWhole: true}, "trickling": {rate: 64 << 10}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				encoded, err := Encode(1, 1, make([]byte, 8<<20))
+				assert.NilError(t, err)
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					for part := range slices.Chunk(encoded, c.rate/10) {
+						if _, err := far.Write(part); err != nil {
+							return
+						}
+						time.Sleep(100 * time.Millisecond)
+					}
+				}()
+				_, err = NewConn(near).Read(time.Second)
+				assert.Equal(t, err == nil, c.isWhole, "%v", err)
+				_ = near.Close()
+				<-ended
+			})
+		})
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	whole, _ := Encode(1, 1, map[string]int{"a": 1})
 	f.Add(whole)
--- a/fleet/process/control/configuration.go
+++ b/fleet/process/control/configuration.go
@@ -78,9 +78,14 @@
 	l.Post(gossip.StoreRead{SentAt: sentAt, Revision: revision})
 }
 
+// fetchTransferTimeout bounds a fetch. The core tries another source after
+// config.FetchTimeout, but uses a later answer: a configuration that takes longer to
+// transfer would otherwise never arrive from any source.
+const fetchTransferTimeout = 30 * time.Second
+
 // fetch performs one fetch and posts its result or config.FetchFailed.
 func (l *Loop) fetch(ctx context.Context, fetch config.Fetch) {
-	ctx, cancel := context.WithTimeout(ctx, config.FetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTransferTimeout)
 	defer cancel()
 	from := l.fetchFromStore
 	if fetch.Source == config.SourcePeer {
