Send beacons without hints where they don't fit into a datagram

A digest of 1,000 engines that fail, or of 2,000 placements, exceeded 32 KB and was dropped, and with it the load of the group, round after round; one large row of another writer kept 39 others from being passed on. Change: a beacon that is too large is sent without placements, outcomes, unreachable endpoints and mentions, and counted; rows are divided by bytes as well.

--- a/core/process/presence/digest.go
+++ b/core/process/presence/digest.go
@@ -131,6 +131,18 @@
 	b.Work, b.Placed, b.Unreachable, b.Outcomes = load.Work, load.Placed, load.Unreachable, load.Outcomes
 }
 
+// WithoutHints returns the beacon without what only improves placement. It is smaller by the
+// parts that grow with the number of requests and of failing endpoints.
+func (b Beacon) WithoutHints() Beacon {
+	b.Placed, b.Unreachable, b.Outcomes, b.Mentions = nil, nil, nil, nil
+	if b.Digest != nil {
+		digest := *b.Digest
+		digest.Placed, digest.Unreachable, digest.Outcomes, digest.Reporters = nil, nil, nil, nil
+		b.Digest = &digest
+	}
+	return b
+}
+
 // CountsDirectly reports whether the load of a beacon's sender is counted as the
 // beacon states it. Otherwise its group's digests include it.
 func (c *Core) CountsDirectly(b *Beacon) bool {
--- a/fleet/connection/beacon/beacon.go
+++ b/fleet/connection/beacon/beacon.go
@@ -43,9 +43,14 @@
 // Address returns the address of the socket.
 func (c *Conn) Address() string { return c.conn.LocalAddr().String() }
 
-// Send sends a beacon to a router. Failures are only counted.
+// Send sends a beacon to a router. One that is too large is sent without its hints.
+// Failures are only counted.
 func (c *Conn) Send(beacon presence.Beacon, to string) {
 	encoded, err := msgpack.Marshal(beacon)
+	if err == nil && len(encoded) > maxBytes {
+		reduced.Add(1)
+		encoded, err = msgpack.Marshal(beacon.WithoutHints())
+	}
 	if err != nil || len(encoded) > maxBytes {
 		unsent.Add(1)
 		return
--- a/fleet/connection/beacon/beacon_test.go
+++ b/fleet/connection/beacon/beacon_test.go
@@ -1,6 +1,7 @@
 package beacon
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"reflect"
@@ -118,3 +119,31 @@
 		_ = msgpack.Unmarshal(datagram, &b)
 	})
 }
+
+// Guards against a group whose load nobody knows any more, just when many endpoints fail or
+// many requests are placed: its digest no longer fits into a datagram.
+func TestDigestOfLargeFleetFitsDatagram(t *testing.T) {
+	const endpoints, placements, routers = 1000, 2000, 32
+	digest := &presence.Digest{Work: make(map[presence.Key]presence.Work)}
+	random := rand.New(rand.NewPCG(1, 1))
+	for range endpoints {
+		key := presence.Key(random.Uint32())
+		digest.Work[key] = presence.Work{Running: 20, Prefill: 100_000}
+		digest.Unreachable = append(digest.Unreachable, key, key)
+		digest.Outcomes = append(digest.Outcomes, presence.Outcomes{Endpoint: key, Failed: 200, Succeeded: 200})
+		digest.Reporters = append(digest.Reporters, routers)
+	}
+	for range placements {
+		digest.Placed = append(digest.Placed, presence.Placed{Part: presence.Key(random.Uint32()), Endpoint: presence.Key(random.Uint32())})
+	}
+	for range routers {
+		digest.Members = append(digest.Members, presence.MemberState{Peer: presence.Key(random.Uint32()), Start: random.Uint32(), Stamp: random.Uint32(), Age: 200})
+	}
+	sender, _ := listen(t)
+	receiver, address := listen(t)
+	beacons := receivedBeacons(receiver)
+	sender.Send(presence.Beacon{Instance: "r-1", Peer: "127.0.0.1:2", Group: 1, Version: 3, Digest: digest}, address)
+	received := <-beacons
+	assert.Equal(t, len(received.Digest.Work), endpoints)
+	assert.Equal(t, len(received.Digest.Members), routers)
+}
--- a/fleet/process/hosted/entries.go
+++ b/fleet/process/hosted/entries.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -15,9 +14,12 @@
 	"gentianhead/platform"
 )
 
-// maxRowsPerBeacon limits the rows in one beacon. An entry takes a few hundred bytes
-// of the datagram.
-const maxRowsPerBeacon = 40
+// maxRowsPerBeacon and maxRowBytesPerBeacon limit the rows in one beacon, whose datagram is
+// limited. An entry takes a few hundred bytes, but other writers' rows may be larger.
+const (
+	maxRowsPerBeacon     = 40
+	maxRowBytesPerBeacon = 16 << 10
+)
 
 // maxLoggedEntries is the number of entries changed at once above which only those of
 // draining endpoints are logged: at a start, each router reads the whole table. The
@@ -112,11 +114,31 @@
 }
 
 func (c *control) sendRows(now time.Duration, to []string, rows []table.Row, isSettled bool) {
-	for part := range slices.Chunk(rows, maxRowsPerBeacon) {
+	for _, part := range partsOf(rows) {
 		c.sendBeacons(now, to, func(b *presence.Beacon) { b.EndpointChanges, b.IsSettled = part, isSettled })
 	}
 }
 
+// partsOf divides rows into parts that fit into one beacon each. It leaves out rows that
+// don't fit into any: other routers notice by their hash that they lack them.
+func partsOf(rows []table.Row) [][]table.Row {
+	var parts [][]table.Row
+	bytes := 0
+	for _, row := range rows {
+		size := len(row.Key) + len(row.Value)
+		if size > maxRowBytesPerBeacon {
+			continue
+		}
+		last := len(parts) - 1
+		if last < 0 || len(parts[last]) == maxRowsPerBeacon || bytes+size > maxRowBytesPerBeacon {
+			parts, last, bytes = append(parts, nil), last+1, 0
+		}
+		parts[last] = append(parts[last], row)
+		bytes += size
+	}
+	return parts
+}
+
 func (c *control) endpointsChanged(reason string) {
 	view := c.endpoints.View()
 	c.balancer.SetView(view)
--- a/fleet/process/hosted/sync_test.go
+++ b/fleet/process/hosted/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -106,3 +107,21 @@
 		assert.Equal(t, c.state.endpointCount, 0)
 	}
 }
+
+// Guards against one large row that keeps the others of a change from being passed on.
+func TestLargeRowDoesNotHoldUpOthers(t *testing.T) {
+	rows := []table.Row{{Key: "too-large", Value: make([]byte, 40<<10)}}
+	for i := range 100 {
+		rows = append(rows, table.Row{Key: fmt.Sprint("e-", i), Value: make([]byte, 300+10*i), Version: 1})
+	}
+	sent := 0
+	for _, part := range partsOf(rows) {
+		bytes := 0
+		for _, row := range part {
+			bytes += len(row.Key) + len(row.Value)
+		}
+		assert.Assert(t, len(part) <= maxRowsPerBeacon && bytes <= maxRowBytesPerBeacon)
+		sent += len(part)
+	}
+	assert.Equal(t, sent, 100)
+}
