Bound the bytes of endpoints that are no answer

Seen in TestEndlessBytesOfEndpoint on the code before, 16 requests at a time: a head took 50 to 310 MB of allocations a request, as net/http reads 10 MB of it; a refusal whose body trickled held its request, which could have gone elsewhere, until the route's 5 s; a stream of comments or of empty lines was forwarded for 5 s as if it were an answer.

Change: heads are limited to 64 KiB towards endpoints, the store and other routers; the rest of a refusal is read for 50 ms; between two events of a stream 64 KiB may lie, and what lies before the first is not forwarded, so that the request can go elsewhere. In the product's own fleet: an event counts with all its lines, a load report has 16 KiB, an answer 16 MiB instead of 64. A plain body without end is cut with the route's time limit as before and does not look complete (TestEndlessBodyEndsWithRoute). TestEndlessBytesOfEndpoint and TestAnswerWithoutEnd bound time and memory.

--- a/fleet/connection/engine/engine.go
+++ b/fleet/connection/engine/engine.go
@@ -55,8 +55,9 @@
 	ErrWithdrawn = errors.New("engine: endpoint is withdrawn")
 )
 
-// MaxAnswerBytes is the largest body that ReadBody accepts.
-const MaxAnswerBytes = 64 << 20
+// MaxAnswerBytes is the largest body that ReadBody accepts, as much as one router passes to
+// another in a frame. An endpoint may send a body without end.
+const MaxAnswerBytes = 16 << 20
 
 // Connection limits of the client.
 const (
--- a/fleet/connection/engine/engine_test.go
+++ b/fleet/connection/engine/engine_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -278,3 +279,39 @@
 		t.Fatal("the stream does not end")
 	})
 }
+
+// Guards against a router that reads what is no answer for as long as an engine sends it.
+func TestAnswerWithoutEnd(t *testing.T) {
+	for name, part := range map[string]string{"line": "data: x", "comments": ":\n\n", "blank": "\n"} {
+		t.Run(name, func(t *testing.T) {
+			block := []byte(strings.Repeat(part, 4096))
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+				for {
+					if _, err := w.Write(block); err != nil {
+						return
+					}
+				}
+			}))
+			defer server.Close()
+			client := NewClient()
+			defer client.Close()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			response, err := client.Do(t.Context(), Request{Method: http.MethodPost, URL: server.URL + ChatPath, ID: "a", Resumable: true})
+			assert.NilError(t, err)
+			stream := client.NewStream(response)
+			_, err = stream.Next(t.Context())
+			assert.ErrorIs(t, err, ErrTruncated)
+			stream.Close(t.Context())
+
+			response, err = client.Do(t.Context(), Request{Method: http.MethodPost, URL: server.URL + "/service", ID: "b"})
+			assert.NilError(t, err)
+			_, err = ReadBody(response)
+			assert.ErrorIs(t, err, ErrTruncated)
+			runtime.ReadMemStats(&after)
+			// A buffer that grows to the largest body is copied several times.
+			assert.Assert(t, after.TotalAlloc-before.TotalAlloc < 8*MaxAnswerBytes, "%d bytes allocated", after.TotalAlloc-before.TotalAlloc)
+		})
+	}
+}
--- a/fleet/connection/engine/sse.go
+++ b/fleet/connection/engine/sse.go
@@ -38,9 +38,13 @@
 // until the next call.
 func (r *eventReader) next() (answer.Event, []byte) {
 	r.data = r.data[:0]
-	number, hasData := 0, false
+	number, hasData, size := 0, false, 0
 	for r.scanner.Scan() {
 		line := r.scanner.Bytes()
+		if size += len(line) + 1; size > MaxEventBytes {
+			// Comments and empty lines count as well: an engine may send them without end.
+			return answer.End{IsBroken: true}, nil
+		}
 		switch {
 		case bytes.HasPrefix(line, dataField):
 			if hasData {
@@ -53,9 +57,6 @@
 		case len(line) == 0 && hasData:
 			return parseChunk(number, r.data), r.data
 		}
-		if len(r.data) > MaxEventBytes {
-			break
-		}
 	}
 	return answer.End{IsBroken: r.scanner.Err() != nil || hasData}, nil
 }
--- a/fleet/connection/sse/sse.go
+++ b/fleet/connection/sse/sse.go
@@ -14,11 +14,15 @@
 const (
 	// MaxEventBytes is the largest accepted event.
 	MaxEventBytes = 1 << 20
+	// maxFillerBytes is how much may lie between two events: comments, which keep a
+	// connection alive, and empty lines.
+	maxFillerBytes = 64 << 10
 	// bufferBytes holds several typical events.
 	bufferBytes = 4 << 10
 )
 
-// ErrTooLarge means that an event exceeds MaxEventBytes.
+// ErrTooLarge means that an event exceeds MaxEventBytes, or that too much lies between two
+// events.
 var ErrTooLarge = errors.New("sse: event too large")
 
 // ErrPartial means that the stream ended inside an event.
@@ -29,12 +33,16 @@
 type Event struct {
 	ID  string
 	Raw []byte
+	// IsFiller is set if Raw has no field: only comments or empty lines.
+	IsFiller bool
 }
 
 // Reader reads events. It is not safe for concurrent use.
 type Reader struct {
 	buffered *bufio.Reader
 	raw      []byte
+	// fillerBytes is the number of bytes since the latest event with a field.
+	fillerBytes int
 }
 
 // NewReader returns a reader of the stream r.
@@ -53,7 +61,7 @@
 // stream, ErrPartial if the stream ends inside an event, or the stream's error.
 func (r *Reader) Next() (Event, error) {
 	r.raw = r.raw[:0]
-	event := Event{}
+	event := Event{IsFiller: true}
 	for {
 		start := len(r.raw)
 		if err := r.readLine(); err != nil {
@@ -65,7 +73,10 @@
 		line := bytes.TrimRight(r.raw[start:], "\r\n")
 		if len(line) == 0 && start > 0 {
 			event.Raw = r.raw
-			return event, nil
+			return event, r.countFiller(event)
+		}
+		if len(line) > 0 && line[0] != ':' {
+			event.IsFiller = false
 		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			event.ID = string(bytes.TrimSpace(id))
@@ -73,6 +84,18 @@
 	}
 }
 
+// countFiller returns ErrTooLarge if there has been too much without an event with a field.
+func (r *Reader) countFiller(event Event) error {
+	if !event.IsFiller {
+		r.fillerBytes = 0
+		return nil
+	}
+	if r.fillerBytes += len(event.Raw); r.fillerBytes > maxFillerBytes {
+		return ErrTooLarge
+	}
+	return nil
+}
+
 // readLine appends a line including its terminator to raw.
 func (r *Reader) readLine() error {
 	for {
--- a/fleet/connection/transport/transport.go
+++ b/fleet/connection/transport/transport.go
@@ -17,8 +17,13 @@
 	ErrNoAnswer = errors.New("no answer")
 )
 
-// maxIdleConnsPerHost bounds the idle connections to one endpoint.
-const maxIdleConnsPerHost = 256
+const (
+	// maxIdleConnsPerHost bounds the idle connections to one endpoint.
+	maxIdleConnsPerHost = 256
+	// maxHeaderBytes bounds the head of a response, with the interim responses before it. An
+	// endpoint may send bytes without end.
+	maxHeaderBytes = 64 << 10
+)
 
 // Options are the settings of a transport.
 type Options struct {
@@ -39,10 +44,11 @@
 			Timeout:         options.DialTimeout,
 			KeepAliveConfig: options.KeepAlive,
 		}),
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     options.IdleTimeout,
-		Protocols:           new(http.Protocols),
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        options.IdleTimeout,
+		Protocols:              new(http.Protocols),
 	}
 	transport.Protocols.SetHTTP1(true)
 	return transport
--- a/fleet/process/control/load.go
+++ b/fleet/process/control/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -15,6 +16,8 @@
 	// loadInterval is the time between reads of an engine's load.
 	loadInterval = 5 * time.Second
 	loadTimeout  = 2 * time.Second
+	// maxLoadBytes bounds a load report.
+	maxLoadBytes = 16 << 10
 )
 
 // engineLoad is the load that an engine reports.
@@ -68,7 +71,7 @@
 	}
 	defer response.Body.Close()
 	var report engineLoad
-	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&report) != nil {
+	if response.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&report) != nil {
 		return
 	}
 	r.mu.Lock()
--- a/fleet/process/hosted/copy.go
+++ b/fleet/process/hosted/copy.go
@@ -108,9 +108,10 @@
 func newCopier() copier {
 	dialer := &net.Dialer{Timeout: copyDialTimeout}
 	return copier{&http.Client{Timeout: copyTimeout, Transport: &http.Transport{
-		DialContext:        dialImpatient(dialer, copyReadTimeout),
-		DisableCompression: true,
-		DisableKeepAlives:  true,
+		DialContext:            dialImpatient(dialer, copyReadTimeout),
+		DisableCompression:     true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}}
 }
 
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -249,7 +249,12 @@
 // connection reusable.
 const maxDiscardBytes = 16 << 10
 
+// discardTimeout limits the time for that. The request waits to be sent elsewhere.
+const discardTimeout = 50 * time.Millisecond
+
 func discardBody(response *http.Response) {
+	timer := time.AfterFunc(discardTimeout, func() { _ = response.Body.Close() })
+	defer timer.Stop()
 	_, _ = io.CopyN(io.Discard, response.Body, maxDiscardBytes)
 	_ = response.Body.Close()
 }
--- a/fleet/request/relay/relay_test.go
+++ b/fleet/request/relay/relay_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -166,7 +168,7 @@
 	err error
 }
 
-func (f *fixture) sendRequest(method, path, body string, headers ...string) answer {
+func (f *fixture) newRequest(method, path, body string, headers ...string) *http.Request {
 	f.t.Helper()
 	request, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
 	assert.NilError(f.t, err)
@@ -176,6 +178,12 @@
 	for i := 0; i < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
+	return request
+}
+
+func (f *fixture) sendRequest(method, path, body string, headers ...string) answer {
+	f.t.Helper()
+	request := f.newRequest(method, path, body, headers...)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(request)
 	if err != nil {
@@ -362,6 +370,74 @@
 	})
 }
 
+// Guards against a router that reads bytes that are no answer for as long as an endpoint
+// sends them: until its memory is used up, or until the caller's time is, where the head or
+// the first megabyte shows that no answer will come.
+func TestEndlessBytesOfEndpoint(t *testing.T) {
+	const (
+		requests = 16
+		// maxAllocatedBytes is for a request at one endpoint: an event of at most a megabyte,
+		// several times while its buffer grows, and a head.
+		maxAllocatedBytes = 6 << 20
+		endpoints         = 2
+		// maxTime is well below the route's time limit.
+		maxTime = routeTimeout / 2
+	)
+	for _, fault := range platformtest.EndlessFaults {
+		for _, path := range []string{pathUnsafe, pathSafe, pathStream, pathResume} {
+			isStream := path == pathStream || path == pathResume
+			if !isStream && (fault == platformtest.EndlessLine || fault == platformtest.EndlessComments || fault == platformtest.EndlessBlank) {
+				// For a plain response, these are a body like any other.
+				continue
+			}
+			t.Run(string(fault)+path, func(t *testing.T) {
+				f := newFixture(t, endpoints)
+				f.faults(fault, fault)
+				var before, after runtime.MemStats
+				runtime.ReadMemStats(&before)
+				startedAt := time.Now()
+				var wg sync.WaitGroup
+				for range requests {
+					wg.Go(func() {
+						got := f.sendRequest(http.MethodPost, path, "prompt", "Gentianhead-Model", "m")
+						assert.Check(t, got.err != nil || got.status >= http.StatusInternalServerError, "%v, %d bytes", got.status, len(got.body))
+						assert.Check(t, len(got.body) < 10_000, "%d bytes were forwarded", len(got.body))
+					})
+				}
+				wg.Wait()
+				assert.Check(t, time.Since(startedAt) < maxTime, "%v", time.Since(startedAt))
+				runtime.ReadMemStats(&after)
+				allocated := (after.TotalAlloc - before.TotalAlloc) / requests
+				assert.Check(t, allocated < maxAllocatedBytes*endpoints, "%d bytes allocated a request", allocated)
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					for _, run := range f.runs() {
+						if !run.IsInterrupted {
+							return poll.Continue("the endpoint still sends")
+						}
+					}
+					return poll.Success()
+				})
+			})
+		}
+	}
+}
+
+// Guards against memory and time that the body of a plain response takes without end, where
+// no head tells that it is no answer.
+func TestEndlessBodyEndsWithRoute(t *testing.T) {
+	f := newFixture(t, 1)
+	f.faults(platformtest.EndlessLine)
+	response, err := http.DefaultClient.Do(f.newRequest(http.MethodPost, pathShort, "b"))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	received, err := io.Copy(io.Discard, response.Body)
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, err != nil, "a body without end looks complete after %d bytes", received)
+	assert.Assert(t, after.TotalAlloc-before.TotalAlloc < 4<<20, "%d bytes allocated", after.TotalAlloc-before.TotalAlloc)
+}
+
 // Guards against an endpoint that loses trust since callers had little time left.
 func TestShortDeadlineNotHeldAgainstEndpoint(t *testing.T) {
 	f := newFixture(t, 1)
--- a/fleet/request/relay/stream.go
+++ b/fleet/request/relay/stream.go
@@ -33,6 +33,10 @@
 		if err != nil {
 			return r.streamErrorResult(ctx, c, err)
 		}
+		if event.IsFiller && !c.isCommitted {
+			// It says nothing of whether an answer will come.
+			continue
+		}
 		if sse.IsAfter(c.lastEventID, event.ID) {
 			if !c.isCommitted {
 				r.writeStreamHeader(c, response)
