Keep a router whose copy port is taken, and tests off the ports of others

The new port for copies was chosen free for UDP only, and among the ports that outgoing connections get, as were the other ports of these tests before.

--- a/fleet/process/hosted/copy.go
+++ b/fleet/process/hosted/copy.go
@@ -94,6 +94,21 @@
 	return mux
 }
 
+// serveCopies serves copies of the configuration at this router's address for others. A
+// listen error is only logged, since callers can be served without.
+func (r *Router) serveCopies() {
+	listener, err := net.Listen("tcp", r.settings.Peers.String())
+	if err != nil {
+		r.log.Warn("The listener for copies of the configuration can't be opened.", "address", r.settings.Peers.String(), "error", err)
+		return
+	}
+	go func() {
+		if err := r.copies.Serve(listener); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+			r.log.Warn("Serving copies of the configuration ended.", "error", err)
+		}
+	}()
+}
+
 // configurationCopied is the event that a copy from another router has ended.
 type configurationCopied struct {
 	from              string
--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -125,10 +125,11 @@
 	metricsSource.Store(r.control)
 	metricsServer := r.serveMetrics()
 	defer metricsServer.Close()
-	failed := make(chan error, 4)
+	failed := make(chan error, 3)
 	if err := r.listen(failed); err != nil {
 		return err
 	}
+	r.serveCopies()
 	r.log.Info("Started.", "instance", r.settings.Instance, "zone", r.settings.Zone, "callers", r.settings.Callers, "store", r.settings.Store)
 	select {
 	case <-ctx.Done():
@@ -144,7 +145,7 @@
 	for _, port := range []struct {
 		server  *serving.Server
 		address string
-	}{{r.callers, r.settings.Callers}, {r.readiness, r.settings.Readiness}, {r.directory, r.settings.Directory}, {r.copies, r.settings.Peers.String()}} {
+	}{{r.callers, r.settings.Callers}, {r.readiness, r.settings.Readiness}, {r.directory, r.settings.Directory}} {
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
 			return errors.Wrap(err, "listen")
--- a/fleet/process/hosted/hosted_test.go
+++ b/fleet/process/hosted/hosted_test.go
@@ -6,13 +6,16 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -35,6 +38,9 @@
 
 const hostName = "a.example"
 
+// maxTestRouters is the largest number of routers in a fleet.
+const maxTestRouters = 8
+
 func configuration(version int, secret string) map[string]any {
 	return map[string]any{
 		"Version": version,
@@ -55,28 +61,49 @@
 	t.Cleanup(f.endpoint.Close)
 	f.store.Put(platform.TableOperator, platform.KeyConfiguration, configuration(1, "first"))
 	f.store.Put(platform.TableEndpoints, f.endpoint.ID, f.endpoint.Entry("plain", "ready"))
-	f.port = freePort(t)
+	f.port = freePort(t, lo.Times(maxTestRouters, routerIP)...)
 	for number := range size {
 		f.start(number)
 	}
 	return f
 }
 
-// freePort returns a free UDP port on the loopback addresses.
-func freePort(t *testing.T) uint16 {
+// freePort returns a port that is free for TCP and UDP on the addresses. It is below those that
+// the kernel gives to outgoing connections: one of them could take the port before a router
+// listens on it, which then ends.
+func freePort(t *testing.T, ips ...netip.Addr) uint16 {
 	t.Helper()
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer conn.Close()
-	return conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	const from, to = 15000, 32000
+	for range 1000 {
+		port := uint16(from + rand.IntN(to-from))
+		if slices.IndexFunc(ips, func(ip netip.Addr) bool { return !isFree(netip.AddrPortFrom(ip, port)) }) < 0 {
+			return port
+		}
+	}
+	t.Fatal("no free port")
+	return 0
 }
 
+func isFree(address netip.AddrPort) bool {
+	packets, err := net.ListenPacket("udp4", address.String())
+	if err != nil {
+		return false
+	}
+	defer packets.Close()
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return false
+	}
+	defer listener.Close()
+	return true
+}
+
+// routerIP returns the address of a router.
+func routerIP(number int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 0, byte(number + 1)}) }
+
 func freeAddress(t *testing.T, ip netip.Addr) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return netip.AddrPortFrom(ip, freePort(t, ip)).String()
 }
 
 func (f *fleet) start(number int) {
@@ -87,7 +114,7 @@
 // startAt starts a router that uses the store at the given address.
 func (f *fleet) startAt(number int, store string) {
 	f.t.Helper()
-	ip := netip.AddrFrom4([4]byte{127, 0, 0, byte(number + 1)})
+	ip := routerIP(number)
 	settings := &platform.Settings{
 		Instance: fmt.Sprintf("router-%d", number), Zone: "zone-1", Region: "region-1",
 		Callers: freeAddress(f.t, ip), Readiness: freeAddress(f.t, ip), Directory: freeAddress(f.t, ip),
@@ -102,7 +129,11 @@
 	abort, cancelAbort := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
-		ended <- router.Run(ctx, abort)
+		err := router.Run(ctx, abort)
+		if err != nil {
+			f.t.Logf("router %d ended: %v", number, err)
+		}
+		ended <- err
 		close(ended)
 	}()
 	f.routers, f.stops, f.ended = append(f.routers, router), append(f.stops, cancel), append(f.ended, ended)
@@ -238,32 +269,38 @@
 	assert.Assert(t, len(f.store.Keys(tableRouters)) <= 2)
 }
 
-// The load on the store must not grow with the fleet.
-func TestWatcherCountInLargerFleet(t *testing.T) {
-	f := newFleet(t, 6)
-	f.eventually("watcher count reached", func() bool {
+// awaitWatchers waits until all routers know each other and maxWatchers of them watch.
+func (f *fleet) awaitWatchers() {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
 		watching := 0
+		var states []string
 		for number, router := range f.routers {
-			if len(f.resolve(number)) == 6 && router.control.sync.isWatcher.Load() {
+			current := router.control.current.Load()
+			resolved, isWatcher := len(f.resolve(number)), router.control.sync.isWatcher.Load()
+			if resolved == len(f.routers) && isWatcher {
 				watching++
 			}
+			states = append(states, fmt.Sprintf("%d: resolves %d, watcher %v, version %v, ready %v, behind %v, live %d",
+				number, resolved, isWatcher, current.table != nil, current.isReady(boottime.Now()), current.isBehind, len(current.live)))
 		}
-		return watching == maxWatchers
-	})
+		if watching == maxWatchers {
+			return poll.Success()
+		}
+		return poll.Continue("%d watchers: %s", watching, strings.Join(states, "; "))
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// The load on the store must not grow with the fleet.
+func TestWatcherCountInLargerFleet(t *testing.T) {
+	f := newFleet(t, 6)
+	f.awaitWatchers()
 }
 
 // Routers that are not watchers must receive changes of entries from the watchers.
 func TestEntryChangesReachNonWatchers(t *testing.T) {
 	f := newFleet(t, 6)
-	f.eventually("watcher count reached", func() bool {
-		watching := 0
-		for number, router := range f.routers {
-			if len(f.resolve(number)) == 6 && router.control.sync.isWatcher.Load() {
-				watching++
-			}
-		}
-		return watching == maxWatchers
-	})
+	f.awaitWatchers()
 	f.store.Put(platform.TableEndpoints, f.endpoint.ID, f.endpoint.Entry("plain", "draining"))
 	for number := range 6 {
 		f.eventually("endpoint not used", func() bool { return f.routers[number].control.current.Load().endpointCount == 0 })
