Soak: open connections, series of changes, large configurations on slow links

Half of the callers now use an address, with its open connection, until an attempt fails there, whatever they resolve. Stops, reloads and configurations also come in series that overlap. Every fourth configuration has 6,000 more routes, every second router reads the store over 10 Mbit/s, and each version adds a route: a router without a fault that answers 404 for one added more than 3 s before fails the run. Endpoints send bytes without end.

--- a/fleet/soak/caller_test.go
+++ b/fleet/soak/caller_test.go
@@ -25,17 +25,22 @@
 
 var kinds = []kind{kindUnsafe, kindSafe, kindStream, kindResume}
 
+// addedKind is the route that a version of the configuration added.
+func addedKind(version int) kind { return kind(fmt.Sprint("added-", version)) }
+
 // attempt is one request and the response that its caller received.
 type attempt struct {
 	id     string
 	kind   kind
 	secret string
 	router *process
-	sentAt time.Time
-	status int
-	header http.Header
-	body   string
-	err    error
+	// version is the one that added the route, zero for the others.
+	version int
+	sentAt  time.Time
+	status  int
+	header  http.Header
+	body    string
+	err     error
 }
 
 // recorder records the attempts of all callers.
@@ -59,8 +64,15 @@
 	client    *http.Client
 	addresses []string
 	expiresAt time.Time
+	// isSticky callers use an address, with its open connection, until an attempt there
+	// fails, whatever they resolve.
+	isSticky bool
+	sticksTo string
 }
 
+// addedShare is the share of requests, one in so many, on a route that some version added.
+const addedShare = 5
+
 // deadline is the request timeout of a caller.
 const deadline = 3 * time.Second
 
@@ -74,7 +86,12 @@
 		case <-time.After(time.Duration(c.random.IntN(20)) * time.Millisecond):
 		}
 		if address := c.pick(); address != "" {
-			c.harness.recorder.add(c.send(address, fmt.Sprintf("a-%d-%d", c.number, number)))
+			a := c.send(address, fmt.Sprintf("a-%d-%d", c.number, number))
+			c.harness.recorder.add(a)
+			c.sticksTo = ""
+			if c.isSticky && a.err == nil {
+				c.sticksTo = address
+			}
 		}
 	}
 }
@@ -82,6 +99,9 @@
 // pick returns a random resolved address. Addresses are cached for one to three
 // times their TTL.
 func (c *caller) pick() string {
+	if c.sticksTo != "" {
+		return c.sticksTo
+	}
 	if time.Now().After(c.expiresAt) {
 		if addresses, ttl := c.resolve(); len(addresses) > 0 {
 			c.addresses = addresses
@@ -114,6 +134,10 @@
 
 func (c *caller) send(address, id string) *attempt {
 	a := &attempt{id: id, kind: kinds[c.random.IntN(len(kinds))], secret: c.harness.secret(), router: c.harness.byAddress[address], sentAt: time.Now()}
+	if c.random.IntN(addedShare) == 0 {
+		a.version = 1 + c.random.IntN(c.harness.newestVersion())
+		a.kind = addedKind(a.version)
+	}
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/"+string(a.kind)+"/1", strings.NewReader("body of "+id))
 	if err != nil {
 		panic(err)
--- a/fleet/soak/check_test.go
+++ b/fleet/soak/check_test.go
@@ -83,6 +83,13 @@
 			h.t.Errorf("%s (%s) got status %d but ran", a.id, a.kind, a.status)
 		}
 	}
+	if a.version > 0 && a.status == http.StatusNotFound {
+		configuredAt := h.configuredAt[a.version]
+		isInTouch := a.router.faults.isFaultFree(configuredAt, a.sentAt) && h.storeFaults.isFaultFree(configuredAt, a.sentAt)
+		if isInTouch && a.sentAt.After(configuredAt.Add(activationDelay+maxTransitTime)) {
+			h.t.Errorf("%s got 404 from %s for a route added %v before it was sent", a.id, a.router.name, a.sentAt.Sub(configuredAt))
+		}
+	}
 	if removedAt, isRemoved := h.removedAt[a.secret]; isRemoved && runs > 0 && a.sentAt.After(removedAt.Add(revocationDelay+maxTransitTime)) {
 		h.t.Errorf("%s ran with a secret that was removed %v before it was sent", a.id, a.sentAt.Sub(removedAt))
 	}
--- a/fleet/soak/process_test.go
+++ b/fleet/soak/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -25,6 +24,8 @@
 	gracePeriod     = 8 * time.Second
 	revocationDelay = 5 * time.Second
 	quietPeriod     = 3 * time.Second
+	// activationDelay is how long after its acceptance a configuration may not be in force.
+	activationDelay = 3 * time.Second
 )
 
 // process is a router process that is restarted whenever it exits.
@@ -47,7 +48,7 @@
 func newProcess(t *testing.T, directory string, ip netip.Addr, seeds, store string, port uint16) *process {
 	name := "router-" + ip.String()
 	p := &process{
-		name: name, callers: freeAddress(t, ip), directory: freeAddress(t, ip),
+		name: name, callers: netip.AddrPortFrom(ip, port+1).String(), directory: netip.AddrPortFrom(ip, port+2).String(),
 		settings: filepath.Join(directory, name+".conf"), logs: filepath.Join(directory, name+".log"), ended: make(chan struct{}),
 	}
 	text := fmt.Sprintf(`NodeName=%s
@@ -71,8 +72,9 @@
 Bounds.ReuseWindowS=10
 Bounds.RevokeStrict=true
 Bounds.RevokeMs=%d
+Bounds.ConfigMs=%d
 Platform.Address=%s
-`, name, ip, p.callers, freeAddress(t, ip), p.directory, port, port, seeds, int(gracePeriod.Seconds()), revocationDelay.Milliseconds(), store)
+`, name, ip, p.callers, netip.AddrPortFrom(ip, port+3), p.directory, port, port, seeds, int(gracePeriod.Seconds()), revocationDelay.Milliseconds(), activationDelay.Milliseconds(), store)
 	assert.NilError(t, os.WriteFile(p.settings, []byte(text), 0o600))
 	_, err := os.Stat(program)
 	assert.NilError(t, err, "build the binaries first with make build")
@@ -81,13 +83,6 @@
 	return p
 }
 
-func freeAddress(t *testing.T, ip netip.Addr) string {
-	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func (p *process) run() {
 	defer close(p.ended)
 	logs, err := os.Create(p.logs)
--- a/fleet/soak/proxy_test.go
+++ b/fleet/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -8,6 +9,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/time/rate"
 	"gotest.tools/v3/assert"
 )
 
@@ -32,9 +34,11 @@
 type proxy struct {
 	address, target string
 	fault           atomic.Int32
-	listener        net.Listener
-	mu              sync.Mutex
-	conns           map[*net.TCPConn]struct{}
+	// link limits the rate of all responses together; nil means no limit.
+	link     *rate.Limiter
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[*net.TCPConn]struct{}
 }
 
 func newProxy(t *testing.T, target string) *proxy {
@@ -49,6 +53,18 @@
 	return p
 }
 
+const (
+	// slowLinkRate is the rate of the slowest machines' links, in bytes a second.
+	slowLinkRate = 10e6 / 8
+	proxyBuffer  = 16 << 10
+)
+
+// limit limits the rate of responses, in bytes a second. It must be called before the first
+// connection.
+func (p *proxy) limit(bytesPerSecond float64) {
+	p.link = rate.NewLimiter(rate.Limit(bytesPerSecond), proxyBuffer)
+}
+
 func (p *proxy) accept() {
 	for {
 		conn, err := p.listener.Accept()
@@ -77,7 +93,7 @@
 // copyOneWay copies in one direction until either side closes. directionFault is
 // the fault that blocks only this direction.
 func (p *proxy) copyOneWay(to, from *net.TCPConn, directionFault linkFault) {
-	buffer := make([]byte, 16<<10)
+	buffer := make([]byte, proxyBuffer)
 	for {
 		n, err := from.Read(buffer)
 		for {
@@ -93,6 +109,10 @@
 		if linkFault(p.fault.Load()) == linkDelayed {
 			<-time.After(linkDelay)
 		}
+		if n > 0 && p.link != nil && directionFault == linkResponsesBlocked {
+			// The limiter returns an error only for more bytes than its burst.
+			_ = p.link.WaitN(context.Background(), n)
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				break
--- a/fleet/soak/soak_test.go
+++ b/fleet/soak/soak_test.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -59,6 +58,8 @@
 	// secrets are all secrets ever configured; removedAt is when each was removed.
 	secrets   []string
 	removedAt map[string]time.Time
+	// configuredAt is when each version was stored.
+	configuredAt map[int]time.Time
 	// hasOnlyPlannedFaults limits the faults to planned stops and changes.
 	hasOnlyPlannedFaults bool
 }
@@ -69,7 +70,35 @@
 	return h.secrets[len(h.secrets)-1-rand.IntN(min(2, len(h.secrets)))]
 }
 
-// configure stores the next configuration version, with the two latest secrets.
+// newestVersion returns the latest version that was stored.
+func (h *harness) newestVersion() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.version
+}
+
+const (
+	// largeEvery is the interval of versions from one that has largeRoutes additional
+	// routes to the next.
+	largeEvery  = 4
+	largeRoutes = 6000
+)
+
+// fillerRoutes returns routes that nobody uses.
+var fillerRoutes = sync.OnceValue(func() []any {
+	random := rand.New(rand.NewPCG(1, 1))
+	var routes []any
+	for range largeRoutes {
+		routes = append(routes, map[string]any{
+			"Name": fmt.Sprintf("r-%08x", random.Uint32()), "Hostname": "b.example", "Prefix": fmt.Sprintf("/%010x/", random.Uint64()>>24), "RouteType": "safe",
+			"TimeoutMs": 2500, "TargetLatencyMs": 300, "Service": "pool", "MaxAttempts": 2, "Anonymous": false, "StreamResume": false,
+		})
+	}
+	return routes
+})
+
+// configure stores the next configuration version, with the two latest secrets and a route
+// for each version so far.
 func (h *harness) configure() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -82,15 +111,23 @@
 			"TargetLatencyMs": 300, "Service": "pool", "MaxAttempts": attempts, "StreamResume": isResumable,
 		}
 	}
+	routes := []any{
+		route(kindUnsafe, "unsafe", 2, false), route(kindSafe, "safe", 3, false),
+		route(kindStream, "streaming", 2, false), route(kindResume, "streaming", 3, true),
+	}
+	for version := 1; version <= h.version; version++ {
+		routes = append(routes, route(addedKind(version), "safe", 3, false))
+	}
+	if h.version%largeEvery == 0 {
+		routes = append(routes, fillerRoutes()...)
+	}
 	h.store.Put(platform.TableOperator, platform.KeyConfiguration, map[string]any{
-		"Version": h.version * 3,
-		"RouteTable": []any{
-			route(kindUnsafe, "unsafe", 2, false), route(kindSafe, "safe", 3, false),
-			route(kindStream, "streaming", 2, false), route(kindResume, "streaming", 3, true),
-		},
-		"Services": []any{map[string]any{"Name": "pool"}},
-		"Tenants":  []any{map[string]any{"Name": "mill", "ApiKeys": valid}},
+		"Version":    h.version * 3,
+		"RouteTable": routes,
+		"Services":   []any{map[string]any{"Name": "pool"}},
+		"Tenants":    []any{map[string]any{"Name": "mill", "ApiKeys": valid}},
 	})
+	h.configuredAt[h.version] = time.Now()
 	if gone := len(h.secrets) - 3; gone >= 0 {
 		h.removedAt[h.secrets[gone]] = time.Now()
 	}
@@ -99,7 +136,7 @@
 func newHarness(t *testing.T, seed uint64) *harness {
 	h := &harness{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), store: platformtest.NewStore(),
-		byAddress: make(map[string]*process), removedAt: make(map[string]time.Time),
+		byAddress: make(map[string]*process), removedAt: make(map[string]time.Time), configuredAt: make(map[int]time.Time),
 		reservedUntil: make(map[*platformtest.Endpoint]time.Time), hasOnlyPlannedFaults: seed%3 == 0,
 	}
 	t.Cleanup(h.store.Close)
@@ -116,13 +153,16 @@
 		h.store.Put(platform.TableEndpoints, endpoint.ID, endpoint.Entry("pool", "ready"))
 	}
 	directory := t.TempDir()
-	port := freePort(t)
+	port := uint16(15000 + 10*(seed%1500)) // Below the ports of outgoing connections.
 	// Parallel soak runs use other loopback addresses.
 	ip := func(number int) netip.Addr {
-		return netip.AddrFrom4([4]byte{127, 1 + byte(port>>8)%200, byte(port), byte(number + 1)})
+		return netip.AddrFrom4([4]byte{127, 1 + byte(seed%1500/250), byte(seed % 250), byte(number + 1)})
 	}
 	for number := range intFromEnv(t, "SOAK_ROUTERS", routers) {
 		h.storeProxies = append(h.storeProxies, newProxy(t, h.store.Address))
+		if number%2 == 1 {
+			h.storeProxies[number].limit(slowLinkRate)
+		}
 		router := newProcess(t, directory, ip(number), ip(0).String()+":1", h.storeProxies[number].address, port) // Only the IP of a seed node is used.
 		h.routers = append(h.routers, router)
 		h.byAddress[router.callers] = router
@@ -145,20 +185,13 @@
 	}
 }
 
-func freePort(t *testing.T) uint16 {
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer conn.Close()
-	return conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
-}
-
 // injectFault injects one random fault, schedules its end, and returns its description.
 func (h *harness) injectFault() string {
 	number := h.random.IntN(len(h.routers))
 	router, length := h.routers[number], time.Duration(500+h.random.IntN(4000))*time.Millisecond
-	choice := h.random.IntN(13)
+	choice := h.random.IntN(14)
 	if h.hasOnlyPlannedFaults {
-		choice = []int{0, 1, 9, 10}[h.random.IntN(4)]
+		choice = []int{0, 1, 9, 10, seriesChoice}[h.random.IntN(5)]
 	}
 	endpoint := h.random.IntN(endpoints)
 	switch choice {
@@ -192,8 +225,9 @@
 		fault := []platformtest.Fault{
 			platformtest.NotExecuted, platformtest.Failing, platformtest.ResetAfterRun, platformtest.NoResponse, platformtest.WrongAttemptID,
 			platformtest.DuplicateResponse, platformtest.Truncated, platformtest.Unsigned, platformtest.NotHTTP, platformtest.Misdirected,
-			platformtest.Shedding, platformtest.Trickling,
-		}[h.random.IntN(12)]
+			platformtest.Shedding, platformtest.Trickling, platformtest.EndlessGarbage, platformtest.EndlessHead, platformtest.EndlessInterim,
+			platformtest.EndlessRefusal,
+		}[h.random.IntN(16)]
 		h.endpoints[endpoint].SetFault(fault)
 		time.AfterFunc(length, func() { h.endpoints[endpoint].SetFault("") })
 		return h.endpoints[endpoint].ID + " " + string(fault)
@@ -205,12 +239,44 @@
 	case 10:
 		return h.reloadSettings(router)
 	}
-	if choice == 11 {
+	switch choice {
+	case 11:
 		return h.restoreStore(length)
+	case seriesChoice:
+		return h.injectSeries()
 	}
 	return h.expireDuringOutage(endpoint, length)
 }
 
+// seriesChoice is the fault choice of a series of planned changes.
+const seriesChoice = 12
+
+// injectSeries starts planned changes that overlap: of the configuration, of settings, or
+// stops of most routers one shortly after the other.
+func (h *harness) injectSeries() string {
+	const (
+		steps   = 6
+		maxStep = 400
+	)
+	what := h.random.IntN(3)
+	delay := time.Duration(0)
+	for range steps {
+		router := h.routers[h.random.IntN(len(h.routers))]
+		delay += time.Duration(20+h.random.IntN(maxStep)) * time.Millisecond
+		time.AfterFunc(delay, func() {
+			switch what {
+			case 0:
+				h.configure()
+			case 1:
+				router.signal(syscall.SIGHUP)
+			default:
+				router.signal(syscall.SIGTERM)
+			}
+		})
+	}
+	return "series of " + []string{"configurations", "reloads", "stops"}[what]
+}
+
 const (
 	// drillOutage is how long the store is away in a drill, and rewriteDelay how much
 	// later the operator and the endpoints write their rows again.
@@ -249,7 +315,7 @@
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for number := range callers {
-		c := &caller{harness: h, number: number, random: rand.New(rand.NewPCG(h.random.Uint64(), 0))}
+		c := &caller{harness: h, number: number, random: rand.New(rand.NewPCG(h.random.Uint64(), 0)), isSticky: number%2 == 1}
 		wg.Go(func() { c.run(stop) })
 	}
 	var done []string
@@ -264,11 +330,11 @@
 	return done
 }
 
-// seeds returns the seeds to run, from SOAK_SEEDS (such as 1-50) or 1 to 3.
+// seeds returns the seeds to run, from SOAK_SEEDS (such as 1-50) or 1 to 6.
 func seeds(t *testing.T) (first, last uint64) {
 	text, isSet := os.LookupEnv("SOAK_SEEDS")
 	if !isSet {
-		return 1, 3
+		return 1, 6
 	}
 	from, to, _ := strings.Cut(text, "-")
 	var err error
