--- a/fleet/process/hosted/slowlink_test.go
+++ b/fleet/process/hosted/slowlink_test.go
@@ -207,3 +207,25 @@
 	cancel()
 	f.eventually("served as no router has a newer one", func() bool { return f.status(0, "first", "e") == http.StatusOK })
 }
+
+// Guards against a series of large configurations, faster than a link carries one, that never
+// ends for the watchers: each read of the changes would hold more versions than the one before.
+func TestSeriesOfLargeConfigurationsTakesEffect(t *testing.T) {
+	const size, versions = 4, 12
+	f := newFleet(t, 0)
+	for number := range size {
+		f.startAt(number, slowLink(t, f.store))
+	}
+	for number := range size {
+		f.eventually("all routers resolved", func() bool { return len(f.resolve(number)) == size })
+	}
+	value := largeConfiguration(2, 6000)
+	for version := 2; version < 2+versions; version++ {
+		value["Version"] = version
+		f.store.Put(platform.TableOperator, platform.KeyConfiguration, value)
+		time.Sleep(330 * time.Millisecond)
+	}
+	storedAt := boottime.Now()
+	f.eventuallyVersion(1 + versions)
+	t.Logf("in force %v after the last one was stored", boottime.Now()-storedAt)
+}
