--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -223,7 +223,7 @@
 	c.raiseEra(now, received.StoreEra)
 	c.state.newestVersion = max(c.state.newestVersion, received.Version)
 	if received.Version > c.version() {
-		c.catchUpWithFleet(now)
+		c.catchUpWithFleet(now, c.presence.Live(now))
 	}
 	c.reportLoad(&received)
 	c.adoptConfiguration(now, received)
@@ -491,11 +491,12 @@
 		c.state.configuration = newEncodedConfiguration(table.Version, value)
 	}
 	c.balancer.SetTable(table)
-	c.catchUpWithFleet(boottime.Now())
+	now := boottime.Now()
+	c.catchUpWithFleet(now, c.presence.Live(now))
 	c.publish()
 	c.log.Info("Configuration in force.", "version", spec.Version, "routes", len(spec.Routes), "accounts", len(spec.Accounts))
 	if c.sync.isWatcher.Load() {
-		c.broadcastConfiguration(boottime.Now())
+		c.broadcastConfiguration(now)
 	}
 	return spec.Version, nil
 }
--- a/fleet/process/hosted/copy.go
+++ b/fleet/process/hosted/copy.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gentianhead/core/process/presence"
 	"gentianhead/core/version/catchup"
 	"gentianhead/fleet/process/boottime"
 )
@@ -166,11 +167,11 @@
 	return compressed.Bytes(), nil
 }
 
-// catchUpWithFleet gets a configuration that another router already has.
-func (c *control) catchUpWithFleet(now time.Duration) {
+// catchUpWithFleet gets a configuration that another of the live routers already has.
+func (c *control) catchUpWithFleet(now time.Duration, live []*presence.Member) {
 	var peers []catchup.Peer
 	own := c.version()
-	for _, member := range c.presence.Live(now) {
+	for _, member := range live {
 		if member.Version > own {
 			peers = append(peers, catchup.Peer{Address: member.Peer, Zone: member.Zone, Version: member.Version})
 		}
--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -182,7 +182,7 @@
 			c.catchUp(now, platform.TableEndpoints)
 		}
 	}
-	c.catchUpWithFleet(now)
+	c.catchUpWithFleet(now, live)
 	if c.hasOtherEntries(now, live, entriesDelay+c.turn(entriesSpread)) {
 		c.refresh(now, platform.TableEndpoints, "another router has different entries")
 	}
