Let the routers with the fastest links watch the store

Change: beacons state the link; faster ones come first, then names. Beside a previous release, which goes by name, more or fewer routers may watch, as after a change. TestWatchersHaveFastLinks fails with the order by name: a router of 10 Mbit/s watches though three others have 200.

--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -107,6 +107,8 @@
 	IsServing bool `msgpack:"v,omitempty"`
 	// HasStore reports whether the store responds to the sender.
 	HasStore bool `msgpack:"h,omitempty"`
+	// LinkMbps is the bandwidth of the sender's link. Releases before this field leave it out.
+	LinkMbps uint32 `msgpack:"L,omitempty"`
 	// Version is the configuration version in force on the sender.
 	Version int64 `msgpack:"c,omitempty"`
 	// Configuration is the compressed version in force, set if the receiver may not
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -334,6 +334,7 @@
 		Start:     c.start,
 		IsServing: c.state.isReady(now),
 		HasStore:  c.hasStore(),
+		LinkMbps:  linkMbps(settings),
 		Mentions:  c.presence.Mentions(),
 		Stamp:     now,
 		Group:     c.presence.Group(),
--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync/atomic"
@@ -203,8 +204,9 @@
 	c.sync.followers[name].Wake()
 }
 
-// shouldWatch reports whether this router is among the first, by name, of those with
-// contact to the store. Routers may disagree for a while; then more or fewer of them
+// shouldWatch reports whether this router is among the first, by link and then by name, of
+// those with contact to the store. Routers may disagree for a while, or while releases
+// before Beacon.LinkMbps, which go by name, run beside this one; then more or fewer of them
 // watch, and those without a confirmation call the store themselves.
 func (c *control) shouldWatch(live []*presence.Member) bool {
 	rank, _ := c.rankWithStore(live)
@@ -212,21 +214,25 @@
 }
 
 // rankWithStore returns how many of the other routers with contact to the store sort
-// before this one by name, and how many there are.
+// before this one, those with faster links first and then by name, and how many there are.
+// What a watcher reads, all others wait for.
 func (c *control) rankWithStore(live []*presence.Member) (rank, others int) {
-	self := c.settings.Load().Instance
+	settings := c.settings.Load()
 	for _, member := range live {
 		if !member.HasStore {
 			continue
 		}
 		others++
-		if member.Instance <= self {
+		if cmp.Or(cmp.Compare(linkMbps(settings), member.LinkMbps), cmp.Compare(member.Instance, settings.Instance)) <= 0 {
 			rank++
 		}
 	}
 	return rank, others
 }
 
+// linkMbps returns the bandwidth of a router's link as beacons state it.
+func linkMbps(settings *platform.Settings) uint32 { return uint32(settings.LinkMbps) }
+
 // hasOtherEntries reports whether another router has had different entries, no older than
 // this one's, for delay.
 func (c *control) hasOtherEntries(now time.Duration, live []*presence.Member, delay time.Duration) bool {
--- a/fleet/process/hosted/sync_test.go
+++ b/fleet/process/hosted/sync_test.go
@@ -125,3 +125,30 @@
 	}
 	assert.Equal(t, sent, 100)
 }
+
+// Guards against watchers with slow links where others have fast ones: all routers wait for
+// what the watchers read (inc1).
+func TestWatchersHaveFastLinks(t *testing.T) {
+	for _, example := range []struct {
+		own uint32
+		// others are the links of r-001 to r-004, which sort after this router by name.
+		others [4]uint32
+		want   bool
+	}{
+		{10, [4]uint32{10, 10, 10, 10}, true},
+		{10, [4]uint32{10, 10, 200, 10}, true},
+		{10, [4]uint32{200, 200, 200, 10}, false},
+		{200, [4]uint32{200, 200, 200, 1000}, true},
+		{10, [4]uint32{0, 0, 0, 0}, true},
+	} {
+		c, others := newControlWithPeers(t, 4)
+		settings := *c.settings.Load()
+		settings.LinkMbps = float64(example.own)
+		c.settings.Store(&settings)
+		for i := range others {
+			others[i].LinkMbps = example.others[i]
+			c.handleBeacon(boottime.Now(), others[i])
+		}
+		assert.Equal(t, c.shouldWatch(c.presence.Live(boottime.Now())), example.want, "%+v", example)
+	}
+}
