--- a/fleet/process/hosted/slowlink_test.go
+++ b/fleet/process/hosted/slowlink_test.go
@@ -30,12 +30,15 @@
 
 // slowLink passes connections on to the store at the rate of one machine's link, which
 // they share. It returns its address.
-func slowLink(t *testing.T, store *platformtest.Store) string {
+func slowLink(t *testing.T, store *platformtest.Store) string { return linkOf(t, store, slowLinkRate) }
+
+// linkOf is slowLink with a rate, in bytes a second.
+func linkOf(t *testing.T, store *platformtest.Store, bytesPerSecond float64) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	link := rate.NewLimiter(slowLinkRate, slowLinkBurst)
+	link := rate.NewLimiter(rate.Limit(bytesPerSecond), slowLinkBurst)
 	go func() {
 		for {
 			near, err := listener.Accept()
@@ -211,15 +214,20 @@
 // Guards against a series of large configurations, faster than a link carries one, that never
 // ends for the watchers: each read of the changes would hold more versions than the one before.
 func TestSeriesOfLargeConfigurationsTakesEffect(t *testing.T) {
-	const size, versions = 4, 12
+	const (
+		size, versions = 4, 12
+		// scale makes configurations and links smaller than the largest and slowest ones: the
+		// race detector makes decoding, not the links, the longest part otherwise.
+		scale = 4
+	)
 	f := newFleet(t, 0)
 	for number := range size {
-		f.startAt(number, slowLink(t, f.store))
+		f.startAt(number, linkOf(t, f.store, slowLinkRate/scale))
 	}
 	for number := range size {
 		f.eventually("all routers resolved", func() bool { return len(f.resolve(number)) == size })
 	}
-	value := largeConfiguration(2, 6000)
+	value := largeConfiguration(2, 6000/scale)
 	for version := 2; version < 2+versions; version++ {
 		value["Version"] = version
 		f.store.Put(platform.TableOperator, platform.KeyConfiguration, value)
