Name what the catching up of routers does by its effect

Names only: the reading of the configuration from the store no longer shares its name with the reload of settings; a connection with a time limit on reads says so.

--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -92,8 +92,8 @@
 	// isUnavailable reports, by table, whether the last store call failed.
 	isUnavailable map[string]bool
 	isFresh       bool
-	// isStopped is set while this router is behind and does not serve.
-	isStopped bool
+	// isOutdated is set while this router has been behind for too long to serve.
+	isOutdated bool
 	// tableEra is the store's era when the configuration was activated or last confirmed by
 	// the store.
 	tableEra uint64
@@ -364,9 +364,9 @@
 	}
 	c.keepInSync(now, c.publishLive(now))
 	c.queryCaches(now)
-	if isStopped := !c.state.isUpToDate(now); isStopped != c.isStopped {
-		c.isStopped = isStopped
-		c.log.Warn("Serving with the configuration in force changed.", "isServing", !isStopped, "version", c.version(),
+	if isOutdated := !c.state.isUpToDate(now); isOutdated != c.isOutdated {
+		c.isOutdated = isOutdated
+		c.log.Warn("Serving with the configuration in force changed.", "isServing", !isOutdated, "version", c.version(),
 			"newest", c.state.newestVersion, "behindFor", now-c.state.behindSince)
 	}
 }
--- a/fleet/process/hosted/copy.go
+++ b/fleet/process/hosted/copy.go
@@ -124,7 +124,7 @@
 func newCopier() copier {
 	dialer := &net.Dialer{Timeout: copyDialTimeout}
 	return copier{&http.Client{Timeout: copyTimeout, Transport: &http.Transport{
-		DialContext:            dialImpatient(dialer, copyReadTimeout),
+		DialContext:            dialWithReadTimeout(dialer, copyReadTimeout),
 		DisableCompression:     true,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -182,7 +182,7 @@
 		c.publish()
 	}
 	if decision.ReadStore {
-		c.reload(now, "another router has a newer version")
+		c.readConfiguration(now, "another router has a newer version")
 	}
 	if decision.CopyFrom != "" {
 		go func() { c.events <- c.copier.copyFrom(decision.CopyFrom, own) }()
@@ -218,27 +218,27 @@
 	return c.state.table.Version
 }
 
-// dialImpatient returns a function that opens connections on which each read must return
+// dialWithReadTimeout returns a function that opens connections on which each read must return
 // within limit.
-func dialImpatient(dialer *net.Dialer, limit time.Duration) dialFunc {
+func dialWithReadTimeout(dialer *net.Dialer, limit time.Duration) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return impatientConn{conn, limit}, nil
+		return readTimeoutConn{conn, limit}, nil
 	}
 }
 
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-type impatientConn struct {
+type readTimeoutConn struct {
 	net.Conn
 	limit time.Duration
 }
 
 // Read implements net.Conn.
-func (c impatientConn) Read(buffer []byte) (int, error) {
+func (c readTimeoutConn) Read(buffer []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(c.limit)); err != nil {
 		return 0, err
 	}
--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -278,8 +278,8 @@
 	c.sync.followers[name].Refresh()
 }
 
-// reload reads the configuration from the store, without its history.
-func (c *control) reload(now time.Duration, reason string) {
+// readConfiguration reads the configuration from the store, without its history.
+func (c *control) readConfiguration(now time.Duration, reason string) {
 	const name = platform.TableOperator
 	if last, done := c.sync.refreshedAt[name]; done && now-last < refreshInterval {
 		return
--- a/fleet/process/watch/watch.go
+++ b/fleet/process/watch/watch.go
@@ -55,8 +55,8 @@
 	// isUrgent makes the next call return at once, and isWhole makes it read the whole
 	// table.
 	isUrgent, isWhole bool
-	// isAnswering is set during a call that returns at once.
-	isAnswering bool
+	// isCallImmediate is set during a call that returns at once.
+	isCallImmediate bool
 	// cancel cancels the pending long poll; nil if there is none.
 	cancel context.CancelFunc
 	// wakeup makes an idle follower check wait and isUrgent again.
@@ -85,7 +85,7 @@
 func (f *Follower) request(isWhole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.isAnswering {
+	if f.isCallImmediate {
 		return
 	}
 	f.isUrgent, f.isWhole = true, f.isWhole || isWhole
@@ -184,7 +184,7 @@
 	f.isStale = f.isStale || f.isWhole
 	if f.isUrgent || f.isStale {
 		// The call has a timeout of its own, so it needs no cancel.
-		f.isUrgent, f.isWhole, f.isAnswering = false, false, true
+		f.isUrgent, f.isWhole, f.isCallImmediate = false, false, true
 		return ctx, 0
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -196,7 +196,7 @@
 func (f *Follower) finishCall() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.isAnswering = false
+	f.isCallImmediate = false
 	if f.cancel == nil {
 		return false
 	}
