Log the prompt parts and the progress of failed requests

The line of a failed request now has the ids of its prompt's parts, and each attempt the time of the response head and the number of events; a change of trust says whether the endpoint could not be connected to. gentianheadctl explain prints them.

--- a/core/request/outcome/attempt.go
+++ b/core/request/outcome/attempt.go
@@ -16,6 +16,10 @@
 	CopyFrom string `json:"copyFrom,omitempty"`
 	// Took is the duration of the attempt.
 	Took time.Duration `json:"took"`
+	// Head is the time until the head of the response, and Events the number of stream
+	// events that arrived; both are zero if there were none.
+	Head   time.Duration `json:"head,omitempty"`
+	Events int           `json:"events,omitempty"`
 	// Ended is why the attempt failed; empty if its response was relayed. Cause is
 	// the underlying error, if any.
 	Ended string `json:"ended,omitempty"`
--- a/fleet/explain/explain_test.go
+++ b/fleet/explain/explain_test.go
@@ -15,7 +15,7 @@
 edge-2 {"time":"2026-06-22T05:52:42Z","msg":"balance: Trust in an endpoint changed.","endpoint":"e-1","isTrusted":false}
 edge-2 {"time":"2026-06-22T05:52:42Z","msg":"control: Configuration in force.","version":2}
 starting up
-edge-1 {"time":"2026-06-22T05:52:43Z","msg":"relay: Request failed.","request":"r1","took":43000000,"version":2,"confirmedAgo":1500000000,"route":"orders","service":"plain","account":"mill","attempts":[{"endpoint":"e-1","at":1000,"running":4,"took":42000000,"ended":"the endpoint refused the request"}],"code":"overloaded","outcome":"not-run","detail":"the endpoint refused the request","retryAfter":500000000}
+edge-1 {"time":"2026-06-22T05:52:43Z","msg":"relay: Request failed.","request":"r1","took":43000000,"version":2,"confirmedAgo":1500000000,"route":"orders","service":"plain","account":"mill","attempts":[{"endpoint":"e-1","at":1000,"running":4,"took":42000000,"head":41000000,"ended":"the endpoint refused the request"}],"parts":["aa","bb"],"code":"overloaded","outcome":"not-run","detail":"the endpoint refused the request","retryAfter":500000000}
 edge-1 {"time":"2026-06-22T05:52:44Z","msg":"balance: Trust in an endpoint changed.","endpoint":"e-1","isTrusted":true}
 edge-1 {"time":"2026-06-22T05:52:53Z","msg":"relay: Request answered.","request":"r2","took":10000000,"attempts":[{"endpoint":"e-1","ended":"the endpoint can't be reached"},{"endpoint":"e-2"}]}
 `
@@ -46,7 +46,7 @@
 	})
 	var printed strings.Builder
 	report.Print(&printed)
-	for _, part := range []string{"r1 on router edge-1", "overloaded, not-run", "to e-1, which had 4 requests", "retry after 500ms", "-1.000 s edge-2"} {
+	for _, part := range []string{"r1 on router edge-1", "overloaded, not-run", "to e-1, which had 4 requests", "retry after 500ms", "-1.000 s edge-2", "head after 41ms and no event", "prompt parts: aa, bb"} {
 		assert.Assert(t, strings.Contains(printed.String(), part), "%q is missing in\n%s", part, printed.String())
 	}
 }
--- a/fleet/explain/print.go
+++ b/fleet/explain/print.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"gentianhead/core/request/outcome"
@@ -24,8 +25,11 @@
 		if end == "" {
 			end = "answered"
 		}
-		p.line("  %d. at %v to %s, which had %d requests and %d prompt tokens to prefill%s: %s after %v",
-			number+1, a.At, a.Endpoint, a.Running, a.Prefill, copySource(a), end, a.Took)
+		p.line("  %d. at %v to %s, which had %d requests and %d prompt tokens to prefill%s: %s after %v%s",
+			number+1, a.At, a.Endpoint, a.Running, a.Prefill, copySource(a), end, a.Took, progressOf(a))
+	}
+	if len(s.Parts) > 0 {
+		p.line("  prompt parts: %s", strings.Join(s.Parts, ", "))
 	}
 	if s.RetryAfter > 0 {
 		p.line("  the caller was told to retry after %v", s.RetryAfter)
@@ -38,6 +42,17 @@
 	}
 }
 
+// progressOf returns a clause that says how far a failed attempt's response had come.
+func progressOf(a outcome.Attempt) string {
+	switch {
+	case a.Ended == "" || a.Head == 0 && a.Events == 0:
+		return ""
+	case a.Events == 0:
+		return fmt.Sprintf(", with a response head after %v and no event", a.Head)
+	}
+	return fmt.Sprintf(", with a response head after %v and %d events", a.Head, a.Events)
+}
+
 func copySource(a outcome.Attempt) string {
 	if a.CopyFrom == "" {
 		return ""
--- a/fleet/explain/report.go
+++ b/fleet/explain/report.go
@@ -35,6 +35,7 @@
 	Service         string            `json:"service"`
 	Account         string            `json:"account"`
 	Attempts        []outcome.Attempt `json:"attempts"`
+	Parts           []string          `json:"parts"`
 	Code            outcome.Code      `json:"code"`
 	Outcome         outcome.Outcome   `json:"outcome"`
 	Detail          string            `json:"detail"`
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -187,7 +187,7 @@
 func (b *Balancer) logTrustChange(p *balance.Placement, isChanged bool, result breaker.Outcome) {
 	if isChanged {
 		b.log.Info("Trust in an endpoint changed.", "endpoint", p.Endpoint.ID, "service", p.Endpoint.Service,
-			"isTrusted", result == breaker.Succeeded)
+			"isTrusted", result == breaker.Succeeded, "isUnreachable", result == breaker.Unreachable)
 	}
 }
 
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -62,6 +62,7 @@
 		}
 		c.excluded = append(c.excluded, placement.Endpoint.ID)
 		startedAt := boottime.Now()
+		c.progress = progress{}
 		result := r.attempt(ctx, c, &placement)
 		c.recordAttempt(&placement, startedAt, result)
 		r.options.Balancer.recordResult(&placement, result.breakerOutcome)
@@ -130,6 +131,9 @@
 	startedAt := boottime.Now()
 	response, err := r.send(attemptCtx, c, placement)
 	timer.Stop()
+	if err == nil {
+		c.progress.headAt = boottime.Now()
+	}
 	result := r.handleResponse(ctx, c, placement, response, err)
 	isShort := boottime.Now()-startedAt < c.route.TargetLatency
 	if result.failure != nil && result.failure.kind == kindDeadline && isShort {
--- a/fleet/request/relay/log.go
+++ b/fleet/request/relay/log.go
@@ -5,9 +5,11 @@
 	"log/slog"
 	"time"
 
+	"github.com/samber/lo"
 	"golang.org/x/time/rate"
 
 	"gentianhead/core/request/balance"
+	"gentianhead/core/request/exchange"
 	"gentianhead/core/request/outcome"
 	"gentianhead/fleet/process/boottime"
 )
@@ -17,6 +19,7 @@
 	// and of successful requests. The burst is one second's worth.
 	failedLinesPerSecond   = 100
 	answeredLinesPerSecond = 20
+	maxLoggedParts         = 16
 )
 
 // linesDropped counts the log lines dropped by the rate limits.
@@ -48,7 +51,10 @@
 func (c *call) recordAttempt(placement *balance.Placement, startedAt time.Duration, result result) {
 	a := outcome.Attempt{
 		Endpoint: placement.Endpoint.ID, At: startedAt - c.startedAt, Running: placement.Running, Prefill: placement.Prefill,
-		CopyFrom: placement.CopyFrom, Took: boottime.Now() - startedAt,
+		CopyFrom: placement.CopyFrom, Took: boottime.Now() - startedAt, Events: c.progress.events,
+	}
+	if c.progress.headAt != 0 {
+		a.Head = c.progress.headAt - startedAt
 	}
 	if result.failure != nil {
 		a.Ended = result.failure.detail
@@ -59,6 +65,11 @@
 	c.attempts = append(c.attempts, a)
 }
 
+// partIDs returns the ids of a prompt's parts, at most maxLoggedParts.
+func partIDs(prompt *exchange.Prompt) []string {
+	return lo.Map(prompt.Parts[:min(len(prompt.Parts), maxLoggedParts)], func(p exchange.Part, _ int) string { return p.ID })
+}
+
 // log writes the log line of a request, within the rate limits, with its outcome,
 // the configuration version it was authorized with, and its attempts.
 func (r *Relay) log(c *call, f *failure) {
@@ -88,6 +99,9 @@
 	}
 	attributes = append(attributes, slog.String("code", string(codes[f.kind].code)), slog.String("outcome", string(c.outcome())),
 		slog.String("detail", f.detail), slog.Duration("retryAfter", f.retryAfter))
+	if c.metadata.Prompt != nil {
+		attributes = append(attributes, slog.Any("parts", partIDs(c.metadata.Prompt)))
+	}
 	if c.fallback != nil {
 		attributes = append(attributes, slog.Int("handedOn", c.fallback.status))
 	}
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -98,6 +98,8 @@
 	// attempts are the sends with the reason why each ended, logged when the request
 	// ends.
 	attempts []outcome.Attempt
+	// progress is that of the latest attempt.
+	progress progress
 	// firstByte is the time from the request's arrival to the first byte of the
 	// response; zero until then.
 	firstByte time.Duration
@@ -114,6 +116,14 @@
 	fallback *bufferedResponse
 }
 
+// progress is how far the response of one attempt has come.
+type progress struct {
+	// headAt and firstEventAt are when the response's head and its first event arrived;
+	// zero until then.
+	headAt, firstEventAt time.Duration
+	events               int
+}
+
 // ServeHTTP sends a caller's request to an endpoint and forwards the response. If no
 // endpoint provides one, it responds with an error. If a response fails after it has
 // begun, it panics with http.ErrAbortHandler to abort the connection.
--- a/fleet/request/relay/stream.go
+++ b/fleet/request/relay/stream.go
@@ -11,6 +11,7 @@
 	"gentianhead/core/request/balance"
 	"gentianhead/core/request/breaker"
 	"gentianhead/fleet/connection/sse"
+	"gentianhead/fleet/process/boottime"
 )
 
 // writeTimeout is the time limit for one write to the caller.
@@ -37,6 +38,7 @@
 			// It says nothing of whether an answer will come.
 			continue
 		}
+		c.recordEvent(event)
 		if sse.IsAfter(c.lastEventID, event.ID) {
 			if !c.isCommitted {
 				r.writeStreamHeader(c, response)
@@ -58,6 +60,17 @@
 	}
 }
 
+// recordEvent records that an event arrived.
+func (c *call) recordEvent(event sse.Event) {
+	if event.IsFiller {
+		return
+	}
+	c.progress.events++
+	if c.progress.firstEventAt == 0 {
+		c.progress.firstEventAt = boottime.Now()
+	}
+}
+
 // writeStreamHeader writes the response header. A stream that is resumed at another
 // endpoint keeps the header of the first.
 func (r *Relay) writeStreamHeader(c *call, response *http.Response) {
