Refuse requests with a prompt part that crashes endpoints

Cause: breakers, suspicion and the retry budget judge endpoints only. A request that ends the process that answers it looks like a failing endpoint each time, so the endpoint is avoided and the next request with the same content is sent to a sound one. Class: blame for a failure falls on the place where it is seen, and the input that causes it travels on.

Change: core/request/quarantine finds parts that are in progress at crashes and not served otherwise, from what all routers saw, and refuses requests with them (503, not run). Beacons and digests carry the evidence and the verdicts, which are ordered by revision. A broken connection counts as a crash once the endpoint refuses a connection or its entry expires, so that broken links don't count. A request interrupted by a crash is not sent on if its parts were in progress at another.

Ruled out: counting by route or account, which sound requests share; trusting single routers' counts without those of served requests, as sound parts are in progress at crashes too.

--- /dev/null
+++ b/core/process/presence/crashes.go
@@ -0,0 +1,155 @@
+package presence
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Bounds of what one beacon or digest states about crashes. The latest are kept.
+const (
+	maxCrashes     = 32
+	maxSuspects    = 48
+	maxServedParts = 256
+	maxVerdicts    = 64
+)
+
+// PartKey identifies a prompt part, or a request without one. It is longer than Key, since
+// a collision would refuse sound requests.
+type PartKey uint64
+
+// Suspect is a part of a request that an endpoint was answering when it crashed.
+type Suspect struct {
+	//lint:ignore U1000 tells the codec to leave out names
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Part PartKey
+	// Position is the part's index in its prompt.
+	Position uint8
+}
+
+// Crash is an endpoint's process that ended while it answered requests.
+type Crash struct {
+	//lint:ignore U1000 tells the codec to leave out names
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Process Key
+	// Age is the time since the crash in milliseconds.
+	Age      uint32
+	Suspects []Suspect
+}
+
+// ServedPart counts the requests with a part that endpoints survived.
+type ServedPart struct {
+	//lint:ignore U1000 tells the codec to leave out names
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Part  PartKey
+	Count uint32
+}
+
+// Verdict is the decision to refuse requests with a part, or to accept them again.
+type Verdict struct {
+	//lint:ignore U1000 tells the codec to leave out names
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Part PartKey
+	// Revision orders the verdicts on a part.
+	Revision uint32
+	IsLifted bool
+	// Crashes is the number of crashes that it is based on.
+	Crashes uint32
+	// Age is the time since the decision, MatchedAge that since some router last got a
+	// request with the part, and Period the time after which one request may test the
+	// verdict, all in milliseconds.
+	Age, MatchedAge, Period uint32
+}
+
+// IsNewer reports whether a verdict replaces another on the same part. Of two verdicts of
+// one revision, the one that accepts requests does.
+func (v Verdict) IsNewer(other Verdict) bool {
+	return v.Revision > other.Revision || v.Revision == other.Revision && v.IsLifted && !other.IsLifted
+}
+
+// CrashEvidence is what routers tell each other about crashes of endpoints.
+type CrashEvidence struct {
+	Crashes  []Crash      `msgpack:"C,omitempty"`
+	Served   []ServedPart `msgpack:"A,omitempty"`
+	Verdicts []Verdict    `msgpack:"Q,omitempty"`
+}
+
+// Older returns the evidence with its ages increased.
+func (e CrashEvidence) Older(by time.Duration) CrashEvidence {
+	added := milliseconds(max(0, by))
+	older := CrashEvidence{Crashes: slices.Clone(e.Crashes), Served: e.Served, Verdicts: slices.Clone(e.Verdicts)}
+	for i := range older.Crashes {
+		older.Crashes[i].Age += added
+	}
+	for i := range older.Verdicts {
+		older.Verdicts[i].Age += added
+		older.Verdicts[i].MatchedAge += added
+	}
+	return older
+}
+
+// limited returns the evidence within the bounds of a beacon.
+func (e CrashEvidence) limited() CrashEvidence {
+	slices.SortFunc(e.Crashes, func(a, b Crash) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Process, b.Process)) })
+	slices.SortFunc(e.Served, func(a, b ServedPart) int { return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Part, b.Part)) })
+	slices.SortFunc(e.Verdicts, func(a, b Verdict) int {
+		return cmp.Or(cmp.Compare(a.MatchedAge, b.MatchedAge), cmp.Compare(a.Part, b.Part))
+	})
+	e.Crashes = e.Crashes[:min(len(e.Crashes), maxCrashes)]
+	e.Served = e.Served[:min(len(e.Served), maxServedParts)]
+	e.Verdicts = e.Verdicts[:min(len(e.Verdicts), maxVerdicts)]
+	return e
+}
+
+// SumEvidence merges the evidence of several routers. A crash that several saw counts once.
+func SumEvidence(all ...CrashEvidence) CrashEvidence {
+	crashes := make(map[Key]Crash)
+	served := make(map[PartKey]uint32)
+	verdicts := make(map[PartKey]Verdict)
+	for _, e := range all {
+		for _, crash := range e.Crashes {
+			crashes[crash.Process] = mergeCrash(crashes[crash.Process], crash)
+		}
+		for _, s := range e.Served {
+			served[s.Part] += s.Count
+		}
+		for _, v := range e.Verdicts {
+			known, isKnown := verdicts[v.Part]
+			matched := v.MatchedAge
+			if isKnown {
+				matched = min(matched, known.MatchedAge)
+				if !v.IsNewer(known) {
+					v = known
+				}
+			}
+			v.MatchedAge = matched
+			verdicts[v.Part] = v
+		}
+	}
+	var sum CrashEvidence
+	for _, crash := range crashes {
+		sum.Crashes = append(sum.Crashes, crash)
+	}
+	for part, count := range served {
+		sum.Served = append(sum.Served, ServedPart{Part: part, Count: count})
+	}
+	for _, v := range verdicts {
+		sum.Verdicts = append(sum.Verdicts, v)
+	}
+	return sum.limited()
+}
+
+// mergeCrash merges what two routers saw of one crash.
+func mergeCrash(a, b Crash) Crash {
+	merged := Crash{Process: b.Process, Age: max(a.Age, b.Age), Suspects: slices.Clone(a.Suspects)}
+	for _, s := range b.Suspects {
+		if len(merged.Suspects) < maxSuspects && !slices.ContainsFunc(merged.Suspects, func(known Suspect) bool { return known.Part == s.Part }) {
+			merged.Suspects = append(merged.Suspects, s)
+		}
+	}
+	return merged
+}
--- a/core/process/presence/digest.go
+++ b/core/process/presence/digest.go
@@ -20,6 +20,7 @@
 	Placed      []Placed
 	Unreachable []Key
 	Outcomes    []Outcomes
+	Evidence    CrashEvidence
 }
 
 // Digest is the sum of the beacons of a group, including the sender's own. A digest that a
@@ -34,6 +35,7 @@
 	// that saw the failures in Outcomes[i].
 	Outcomes  []Outcomes `msgpack:"j,omitempty"`
 	Reporters []int      `msgpack:"k,omitempty"`
+	CrashEvidence
 	// Age is the mean age of the summed beacons, and Routers their number.
 	Age     time.Duration `msgpack:"a"`
 	Routers int           `msgpack:"r"`
@@ -107,6 +109,7 @@
 
 func (d *Digest) setLoad(load Load) {
 	d.Work, d.Placed, d.Unreachable, d.Outcomes = load.Work, load.Placed, load.Unreachable, load.Outcomes
+	d.CrashEvidence = load.Evidence
 	for _, outcomes := range load.Outcomes {
 		d.Reporters = append(d.Reporters, outcomes.Reporters)
 	}
@@ -114,7 +117,7 @@
 
 // Load returns the group's load.
 func (d *Digest) Load() Load {
-	load := Load{Work: d.Work, Placed: d.Placed, Unreachable: d.Unreachable, Outcomes: slices.Clone(d.Outcomes)}
+	load := Load{Work: d.Work, Placed: d.Placed, Unreachable: d.Unreachable, Outcomes: slices.Clone(d.Outcomes), Evidence: d.CrashEvidence}
 	for i := range min(len(load.Outcomes), len(d.Reporters)) {
 		load.Outcomes[i].Reporters = d.Reporters[i]
 	}
@@ -123,21 +126,23 @@
 
 // Load returns the load of the beacon's sender.
 func (b *Beacon) Load() Load {
-	return Load{Work: b.Work, Placed: b.Placed, Unreachable: b.Unreachable, Outcomes: b.Outcomes}
+	return Load{Work: b.Work, Placed: b.Placed, Unreachable: b.Unreachable, Outcomes: b.Outcomes, Evidence: b.CrashEvidence}
 }
 
 // SetLoad sets the load of the beacon's sender.
 func (b *Beacon) SetLoad(load Load) {
 	b.Work, b.Placed, b.Unreachable, b.Outcomes = load.Work, load.Placed, load.Unreachable, load.Outcomes
+	b.CrashEvidence = load.Evidence
 }
 
 // WithoutHints returns the beacon without what only improves placement. It is smaller by the
-// parts that grow with the number of requests and of failing endpoints.
+// parts that grow with the number of requests and of failing endpoints. Verdicts stay.
 func (b Beacon) WithoutHints() Beacon {
-	b.Placed, b.Unreachable, b.Outcomes, b.Mentions = nil, nil, nil, nil
+	b.Placed, b.Unreachable, b.Outcomes, b.Mentions, b.Crashes, b.Served = nil, nil, nil, nil, nil, nil
 	if b.Digest != nil {
 		digest := *b.Digest
 		digest.Placed, digest.Unreachable, digest.Outcomes, digest.Reporters = nil, nil, nil, nil
+		digest.Crashes, digest.Served = nil, nil
 		b.Digest = &digest
 	}
 	return b
@@ -169,6 +174,7 @@
 	placed      map[Placed]bool
 	unreachable map[Key]int
 	outcomes    map[Key]Outcomes
+	evidence    []CrashEvidence
 }
 
 func newSum() *sum {
@@ -192,6 +198,9 @@
 			s.unreachable[endpoint] = min(s.unreachable[endpoint]+1, maxRepeats)
 		}
 	}
+	if e := load.Evidence; len(e.Crashes)+len(e.Served)+len(e.Verdicts) > 0 {
+		s.evidence = append(s.evidence, e.Older(age))
+	}
 	for _, outcomes := range load.Outcomes {
 		total := s.outcomes[outcomes.Endpoint]
 		total.Endpoint = outcomes.Endpoint
@@ -203,7 +212,7 @@
 }
 
 func (s *sum) result() Load {
-	load := Load{Work: s.work}
+	load := Load{Work: s.work, Evidence: SumEvidence(s.evidence...)}
 	for placed := range s.placed {
 		load.Placed = append(load.Placed, placed)
 	}
--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -136,6 +136,7 @@
 	Unreachable []Key `msgpack:"u,omitempty"`
 	// Outcomes cover endpoints at which some router has recently seen failures.
 	Outcomes []Outcomes `msgpack:"j,omitempty"`
+	CrashEvidence
 	// Stamp is the sender's clock, for the receiver to echo.
 	Stamp time.Duration `msgpack:"t"`
 	// Echo forwards the sender's confirmation of Version to the router process
--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -227,6 +227,13 @@
 	return c.notices.MayReceive(now, p.Endpoint)
 }
 
+// IsInService reports whether a process of an endpoint may be sent requests. It may have
+// asked for none for a time.
+func (c *Core) IsInService(e endpoints.Entry) bool {
+	current, known := c.view.Find(e.ID)
+	return known && current.StartedAt == e.StartedAt && current.Address == e.Address && !c.notices.IsLeaving(e)
+}
+
 // AwayFor returns the time until the first endpoint of a service takes requests again,
 // and whether no endpoint that takes some is left because of notices. The time is zero
 // if all are leaving.
--- a/core/request/outcome/outcome.go
+++ b/core/request/outcome/outcome.go
@@ -48,6 +48,7 @@
 	CodeInternal          Code = "internal"
 	CodeMethodNotAllowed  Code = "method-not-allowed"
 	CodeAccountNotAllowed Code = "account-not-allowed"
+	CodeQuarantined       Code = "quarantined"
 )
 
 // Problem is a refusal or a failure, modeled on the problem details of RFC 9457.
--- /dev/null
+++ b/core/request/quarantine/judge.go
@@ -0,0 +1,197 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gentianhead/core/process/presence"
+)
+
+// seenCrash is a crash in the evidence of all routers.
+type seenCrash struct {
+	at       time.Duration
+	suspects []presence.Suspect
+}
+
+// evidence returns all known crashes that no quarantine explains.
+func (c *Core) evidence(now time.Duration) map[presence.Key]*seenCrash {
+	all := make(map[presence.Key]*seenCrash)
+	add := func(process presence.Key, at time.Duration, suspects ...presence.Suspect) {
+		seen, known := all[process]
+		if !known {
+			seen = &seenCrash{at: at}
+			all[process] = seen
+		}
+		seen.at = min(seen.at, at)
+		seen.suspects = append(seen.suspects, suspects...)
+	}
+	for process, own := range c.own {
+		for _, part := range own.parts {
+			add(process, own.at, presence.Suspect{Part: part.Key, Position: uint8(part.Position)})
+		}
+	}
+	for _, source := range c.sources {
+		for _, reported := range source.evidence.Crashes {
+			if at := source.at - time.Duration(reported.Age)*time.Millisecond; now-at <= evidenceTTL {
+				add(reported.Process, at, reported.Suspects...)
+			}
+		}
+	}
+	for process, seen := range all {
+		if slices.ContainsFunc(seen.suspects, func(s presence.Suspect) bool { return c.isQuarantined(s.Part) }) {
+			delete(all, process)
+		}
+	}
+	return all
+}
+
+// servedCount returns how many requests with a part all routers know to be served.
+func (c *Core) servedCount(now time.Duration, part presence.PartKey) int {
+	count := c.served.count(now, part)
+	for _, source := range c.sources {
+		for _, s := range source.evidence.Served {
+			if s.Part == part {
+				count += int(s.Count)
+			}
+		}
+	}
+	return count
+}
+
+// crashesNeeded returns how many crashes put a part in quarantine.
+func (c *Core) crashesNeeded(now time.Duration, part presence.PartKey) int {
+	return minCrashes * (1 + c.servedCount(now, part))
+}
+
+// candidate is a part that may be the cause of crashes.
+type candidate struct {
+	part            presence.PartKey
+	position        uint8
+	times           []time.Duration
+	crashes, served int
+}
+
+// candidates returns the suspects of the evidence.
+func (c *Core) candidates(now time.Duration) []*candidate {
+	byPart := make(map[presence.PartKey]*candidate)
+	for _, seen := range c.evidence(now) {
+		counted := make(map[presence.PartKey]bool, len(seen.suspects))
+		for _, s := range seen.suspects {
+			if counted[s.Part] {
+				continue
+			}
+			counted[s.Part] = true
+			known, isKnown := byPart[s.Part]
+			if !isKnown {
+				known = &candidate{part: s.Part, position: s.Position}
+				byPart[s.Part] = known
+			}
+			known.times = append(known.times, seen.at)
+		}
+	}
+	list := make([]*candidate, 0, len(byPart))
+	for _, one := range byPart {
+		one.crashes = independent(one.times)
+		list = append(list, one)
+	}
+	return list
+}
+
+// independent counts the crashes that are further apart than commonCauseWindow.
+func independent(times []time.Duration) int {
+	slices.Sort(times)
+	count := 0
+	var last time.Duration
+	for _, at := range times {
+		if count == 0 || at-last >= commonCauseWindow {
+			count++
+			last = at
+		}
+	}
+	return count
+}
+
+// judge puts parts in quarantine, the one that explains most crashes first. A deeper part
+// of equally many crashes goes first, since fewer requests share it.
+func (c *Core) judge(now time.Duration) {
+	if len(c.own)+len(c.sources) == 0 {
+		clear(c.suspectSince)
+		return
+	}
+	list := c.candidates(now)
+	c.updateSuspects(now, list)
+	for len(list) > 0 {
+		var guilty []*candidate
+		for _, one := range list {
+			if one.crashes < minCrashes || now-c.suspectSince[one.part] < settleTime {
+				continue
+			}
+			one.served = c.servedCount(now, one.part)
+			if one.crashes >= minCrashes*(1+one.served) {
+				guilty = append(guilty, one)
+			}
+		}
+		if len(guilty) == 0 {
+			return
+		}
+		worst := slices.MaxFunc(guilty, func(a, b *candidate) int {
+			return cmp.Or(cmp.Compare(a.crashes, b.crashes), cmp.Compare(b.served, a.served), cmp.Compare(a.position, b.position), cmp.Compare(a.part, b.part))
+		})
+		c.decide(now, worst.part, c.idOf(worst.part), false, worst.crashes, ReasonCrashes)
+		list = c.candidates(now)
+	}
+}
+
+// updateSuspects notes when suspects became known, and forgets those without evidence.
+func (c *Core) updateSuspects(now time.Duration, list []*candidate) {
+	current := make(map[presence.PartKey]time.Duration, len(list))
+	for _, one := range list {
+		since, known := c.suspectSince[one.part]
+		if !known {
+			since = now
+		}
+		current[one.part] = since
+	}
+	c.suspectSince = current
+}
+
+// idOf returns the id of a part that this router has seen in a crash, or an empty text.
+func (c *Core) idOf(part presence.PartKey) string {
+	for _, seen := range c.own {
+		for _, p := range seen.parts {
+			if p.Key == part {
+				return p.ID
+			}
+		}
+	}
+	return ""
+}
+
+// decide replaces the verdict on a part.
+func (c *Core) decide(now time.Duration, part presence.PartKey, id string, isLifted bool, crashes int, reason string) {
+	known, isKnown := c.verdicts[part]
+	if !isKnown && len(c.verdicts) >= maxVerdicts {
+		c.dropOldestVerdict()
+	}
+	next := &verdict{id: id, decidedAt: now, matchedAt: now}
+	next.Verdict = presence.Verdict{Part: part, Revision: 1, IsLifted: isLifted, Crashes: uint32(crashes), Period: milliseconds(firstPeriod)}
+	if isKnown {
+		next.Revision = known.Revision + 1
+		next.id = cmp.Or(id, known.id)
+	}
+	c.verdicts[part] = next
+	c.changes = append(c.changes, Change{
+		Part: part, ID: next.id, IsQuarantined: !isLifted, Crashes: crashes, Served: c.servedCount(now, part), Period: next.period(), Reason: reason,
+	})
+}
+
+func (c *Core) dropOldestVerdict() {
+	var oldest *verdict
+	for _, v := range c.verdicts {
+		if oldest == nil || v.matchedAt < oldest.matchedAt {
+			oldest = v
+		}
+	}
+	delete(c.verdicts, oldest.Part)
+}
--- /dev/null
+++ b/core/request/quarantine/quarantine.go
@@ -0,0 +1,428 @@
+// Package quarantine decides which requests are refused because a part of their prompt
+// crashes the endpoints that answer them.
+//
+// Load pattern: requests that share one prompt part, and nothing else, arrive at any router.
+// Each ends the endpoint that begins to answer it, along with the sound requests that are in
+// progress there; the next one goes to another endpoint. Endpoints that crash for other
+// reasons have sound requests in progress as well.
+//
+// A crash is a broken connection of a request whose answer had hardly begun, at an endpoint
+// that is found gone shortly after: it refuses a connection, or its entry in the store
+// expires. A broken link shows neither. The parts of such requests are its suspects. Routers tell
+// each other the crashes they saw and, for the parts under suspicion, how many requests
+// endpoints survived. A part is put in quarantine if it is a suspect in several crashes that
+// nothing else explains and requests with it are not served. Of several parts, the one
+// that explains most crashes is chosen, and its crashes no longer count against others.
+//
+// While a quarantine lasts, requests with the part are refused. After its period, one router
+// at a time may let one request through. If that is served, the quarantine is lifted
+// everywhere; otherwise it lasts twice as long. It is forgotten once no request with the part
+// has arrived for matchTTL.
+//
+// Invariants: a verdict's revision only grows; a part that was served since the last verdict
+// on it is not in quarantine; the state is bounded, and each entry expires.
+//
+// The core has no I/O, clock or goroutine and is not safe for concurrent use. Times are read
+// from a clock that keeps running during suspend.
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianhead/core/process/endpoints"
+	"gentianhead/core/process/presence"
+	"gentianhead/core/request/exchange"
+)
+
+const (
+	// SurvivalTime is how long after the first event of its answer a request is no longer a
+	// suspect if its endpoint crashes.
+	SurvivalTime = time.Second
+	// evidenceTTL is how long a crash and a served request count.
+	evidenceTTL = time.Minute
+	// minCrashes is how many crashes put a part in quarantine, for each request with it that
+	// was served plus one.
+	minCrashes = 3
+	// commonCauseWindow is the time within which several crashes count as one: a lost rack
+	// ends all its endpoints at once.
+	commonCauseWindow = 100 * time.Millisecond
+	// settleTime is the time for other routers to report served requests of a new suspect:
+	// two rounds of beacons and their way through groups.
+	settleTime = time.Second
+	// confirmTimeout is the time within which the endpoint of a broken connection must be
+	// found gone. Its entry in the store expires after less.
+	confirmTimeout = 5 * time.Second
+	// firstPeriod and maxPeriod bound the time until a quarantine is tested.
+	firstPeriod = 30 * time.Second
+	maxPeriod   = 10 * time.Minute
+	// matchTTL is how long after its period a quarantine lasts without requests, and how
+	// long a lifted one is remembered, so that late reports don't revive it.
+	matchTTL = time.Minute
+	// testSlot is the time for which one router may test a quarantine: longer than the news
+	// of a test takes to reach the router of the next slot.
+	testSlot = 3 * time.Second
+	// relayDelay is added to the age of a match for each hop, so that routers don't keep a
+	// quarantine alive by reports of each other.
+	relayDelay = 100 * time.Millisecond
+)
+
+// Bounds of the state.
+const (
+	maxParts     = 8192
+	maxPending   = 256
+	maxOwn       = 64
+	maxVerdicts  = 256
+	maxPartsEach = 32
+	// maxHopeless is the number of served requests from which a part isn't reported as a
+	// suspect: no number of crashes within evidenceTTL could outweigh them.
+	maxHopeless = 20
+)
+
+// Part is a part of a request that may be the cause of a crash.
+type Part struct {
+	Key presence.PartKey
+	// ID is the part's id for logs.
+	ID string
+	// Position is the index in the prompt.
+	Position int
+	// IsPlain marks a whole request without prompt parts. It counts as served only while it
+	// is a suspect, as most such requests never return.
+	IsPlain bool
+}
+
+// PartsOf returns the parts of a prompt that other requests may share: all but the last.
+func PartsOf(prompt *exchange.Prompt) []Part {
+	if prompt == nil || len(prompt.Parts) < 2 {
+		return nil
+	}
+	parts := make([]Part, 0, min(len(prompt.Parts)-1, maxPartsEach))
+	for i, part := range prompt.Parts[:min(len(prompt.Parts)-1, maxPartsEach)] {
+		parts = append(parts, Part{Key: presence.PartKey(xxhash.Sum64String(part.ID)), ID: part.ID, Position: i})
+	}
+	return parts
+}
+
+// PlainPart returns the part that stands for a whole request without prompt parts, which
+// callers may repeat. service and target tell requests with the same body apart.
+func PlainPart(service, method, target string, body []byte) Part {
+	digest := xxhash.New()
+	for _, text := range []string{service, method, target} {
+		_, _ = digest.WriteString(text)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(body)
+	return Part{Key: presence.PartKey(digest.Sum64()), ID: method + " " + target, IsPlain: true}
+}
+
+// pendingBreak is a broken connection whose endpoint has not been found gone yet.
+type pendingBreak struct {
+	at       time.Duration
+	endpoint endpoints.Entry
+	process  presence.Key
+	parts    []Part
+}
+
+// crash is a crash that this router saw.
+type crash struct {
+	at    time.Duration
+	parts []Part
+}
+
+// verdict is a verdict with this router's times.
+type verdict struct {
+	presence.Verdict
+	id        string
+	decidedAt time.Duration
+	matchedAt time.Duration
+}
+
+func (v *verdict) period() time.Duration { return time.Duration(v.Period) * time.Millisecond }
+func (v *verdict) until() time.Duration  { return v.decidedAt + v.period() }
+
+func (v *verdict) isExpired(now time.Duration) bool {
+	if v.IsLifted {
+		return now-v.decidedAt > 2*evidenceTTL
+	}
+	return now > v.until() && now-v.matchedAt > matchTTL
+}
+
+type source struct {
+	at       time.Duration
+	evidence presence.CrashEvidence
+}
+
+// Core holds one router's evidence and verdicts.
+type Core struct {
+	self    string
+	routers []string
+	pending []pendingBreak
+	own     map[presence.Key]*crash
+	served  counts
+	sources map[string]source
+	// suspectSince is when each suspect of the crashes in the evidence became known here.
+	suspectSince map[presence.PartKey]time.Duration
+	verdicts     map[presence.PartKey]*verdict
+	changes      []Change
+}
+
+// New returns a core without evidence.
+func New() *Core {
+	return &Core{
+		own:          make(map[presence.Key]*crash),
+		served:       newCounts(),
+		sources:      make(map[string]source),
+		suspectSince: make(map[presence.PartKey]time.Duration),
+		verdicts:     make(map[presence.PartKey]*verdict),
+	}
+}
+
+// Change is a new verdict.
+type Change struct {
+	Part presence.PartKey
+	// ID is the part's id, or empty if this router has not seen it.
+	ID            string
+	IsQuarantined bool
+	// Crashes and Served are the counts that decided, and Period is the time until a test.
+	Crashes, Served int
+	Period          time.Duration
+	Reason          string
+}
+
+// Reasons of changes.
+const (
+	ReasonCrashes  = "crashes"
+	ReasonReported = "reported by another router"
+	ReasonServed   = "a request was served"
+	ReasonTest     = "one request may test it"
+	ReasonExpired  = "no request has arrived"
+)
+
+// SetRouters sets this router's name and those of the live routers, itself included.
+func (c *Core) SetRouters(self string, live []string) {
+	c.self, c.routers = self, slices.Clone(live)
+}
+
+// ProcessOf identifies a process of an endpoint.
+func ProcessOf(e endpoints.Entry) presence.Key {
+	return presence.KeyOf(fmt.Sprintf("%s/%s/%d", e.ID, e.Address, e.StartedAt))
+}
+
+// Broken records that the connection of a request broke when its answer had not begun, or
+// less than SurvivalTime before. It is called for endpoints in service only. If it returns
+// true, the owner should find out whether the endpoint accepts connections, and call Probed.
+func (c *Core) Broken(now time.Duration, endpoint endpoints.Entry, parts []Part) (shouldProbe bool) {
+	if len(parts) == 0 {
+		return false
+	}
+	process := ProcessOf(endpoint)
+	if seen, isConfirmed := c.own[process]; isConfirmed {
+		seen.parts = append(seen.parts, parts[:min(len(parts), max(0, maxPartsEach-len(seen.parts)))]...)
+		return false
+	}
+	shouldProbe = !slices.ContainsFunc(c.pending, func(p pendingBreak) bool { return p.process == process })
+	if len(c.pending) >= maxPending {
+		c.pending = c.pending[1:]
+	}
+	c.pending = append(c.pending, pendingBreak{at: now, endpoint: endpoint, process: process, parts: parts})
+	return shouldProbe
+}
+
+// Probed records whether an endpoint with a broken connection refused or accepted a new
+// one. The owner doesn't call it if neither is known.
+func (c *Core) Probed(now time.Duration, endpoint endpoints.Entry, isRefused bool) {
+	process := ProcessOf(endpoint)
+	c.pending = slices.DeleteFunc(c.pending, func(p pendingBreak) bool {
+		if p.process == process && isRefused {
+			c.recordCrash(p)
+		}
+		return p.process == process
+	})
+	c.judge(now)
+}
+
+// Served records that an endpoint survived a request with these parts.
+func (c *Core) Served(now time.Duration, parts []Part) {
+	for _, part := range parts {
+		if _, isSuspect := c.suspectSince[part.Key]; !part.IsPlain || isSuspect {
+			c.served.add(now, part.Key)
+		}
+		if v, known := c.verdicts[part.Key]; known && !v.IsLifted {
+			c.decide(now, part.Key, part.ID, true, 0, ReasonServed)
+		}
+	}
+}
+
+// Step confirms broken connections as crashes of endpoints that are no longer listed,
+// forgets what has expired, and updates the verdicts. The owner calls it several times a
+// second.
+func (c *Core) Step(now time.Duration, isListed func(endpoints.Entry) bool) {
+	c.pending = slices.DeleteFunc(c.pending, func(p pendingBreak) bool {
+		if isListed(p.endpoint) {
+			return now-p.at > confirmTimeout
+		}
+		c.recordCrash(p)
+		return true
+	})
+	for process, seen := range c.own {
+		if now-seen.at > evidenceTTL {
+			delete(c.own, process)
+		}
+	}
+	for name, s := range c.sources {
+		if now-s.at > evidenceTTL {
+			delete(c.sources, name)
+		}
+	}
+	for part, v := range c.verdicts {
+		if v.isExpired(now) {
+			if !v.IsLifted {
+				c.changes = append(c.changes, Change{Part: part, ID: v.id, Reason: ReasonExpired})
+			}
+			delete(c.verdicts, part)
+		}
+	}
+	c.judge(now)
+}
+
+func (c *Core) recordCrash(p pendingBreak) {
+	seen, known := c.own[p.process]
+	if !known {
+		if len(c.own) >= maxOwn {
+			c.dropOldestCrash()
+		}
+		seen = &crash{at: p.at}
+		c.own[p.process] = seen
+	}
+	seen.at = min(seen.at, p.at)
+	seen.parts = append(seen.parts, p.parts...)
+}
+
+func (c *Core) dropOldestCrash() {
+	var oldest presence.Key
+	for process, seen := range c.own {
+		if known, ok := c.own[oldest]; !ok || seen.at < known.at {
+			oldest = process
+		}
+	}
+	delete(c.own, oldest)
+}
+
+// Report replaces the evidence of another router or of a group of routers.
+func (c *Core) Report(now time.Duration, name string, evidence presence.CrashEvidence) {
+	if len(evidence.Crashes)+len(evidence.Served) == 0 {
+		delete(c.sources, name)
+	} else {
+		c.sources[name] = source{at: now, evidence: evidence}
+	}
+	for _, v := range evidence.Verdicts {
+		c.adopt(now, v)
+	}
+}
+
+// ForgetSource drops the evidence of one router or group, and Forget that of all. Verdicts
+// stay.
+func (c *Core) ForgetSource(name string) { delete(c.sources, name) }
+
+// Forget drops the evidence of all other routers.
+func (c *Core) Forget() { clear(c.sources) }
+
+// adopt takes over a newer verdict.
+func (c *Core) adopt(now time.Duration, reported presence.Verdict) {
+	received := &verdict{
+		Verdict: reported, decidedAt: now - time.Duration(reported.Age)*time.Millisecond,
+		matchedAt: now - time.Duration(reported.MatchedAge)*time.Millisecond - relayDelay,
+	}
+	known, isKnown := c.verdicts[reported.Part]
+	if received.isExpired(now) || !isKnown && len(c.verdicts) >= maxVerdicts {
+		return
+	}
+	if isKnown {
+		received.id = known.id
+		received.matchedAt = max(received.matchedAt, known.matchedAt)
+		if !reported.IsNewer(known.Verdict) {
+			known.matchedAt = received.matchedAt
+			if reported.Revision == known.Revision {
+				known.decidedAt = min(known.decidedAt, received.decidedAt)
+			}
+			return
+		}
+	}
+	c.verdicts[reported.Part] = received
+	wasQuarantined := isKnown && !known.IsLifted
+	if !received.IsLifted && int(received.Crashes) < c.crashesNeeded(now, reported.Part) {
+		c.decide(now, reported.Part, received.id, true, 0, ReasonServed)
+		return
+	}
+	if wasQuarantined == received.IsLifted {
+		c.changes = append(c.changes, Change{
+			Part: reported.Part, ID: received.id, IsQuarantined: !received.IsLifted, Crashes: int(reported.Crashes),
+			Period: received.period(), Reason: ReasonReported,
+		})
+	}
+}
+
+// Evidence returns what this router reports to others.
+func (c *Core) Evidence(now time.Duration) presence.CrashEvidence {
+	var e presence.CrashEvidence
+	for process, seen := range c.own {
+		if c.isExplained(seen.parts) {
+			continue
+		}
+		reported := presence.Crash{Process: process, Age: milliseconds(now - seen.at)}
+		for _, part := range seen.parts {
+			if c.served.count(now, part.Key) < maxHopeless {
+				reported.Suspects = append(reported.Suspects, presence.Suspect{Part: part.Key, Position: uint8(part.Position)})
+			}
+		}
+		if len(reported.Suspects) > 0 {
+			e.Crashes = append(e.Crashes, reported)
+		}
+	}
+	for part := range c.suspectSince {
+		if count := c.served.count(now, part); count > 0 {
+			e.Served = append(e.Served, presence.ServedPart{Part: part, Count: uint32(count)})
+		}
+	}
+	for _, v := range c.verdicts {
+		stated := v.Verdict
+		stated.Age, stated.MatchedAge = milliseconds(now-v.decidedAt), milliseconds(now-v.matchedAt)
+		e.Verdicts = append(e.Verdicts, stated)
+	}
+	if len(e.Crashes)+len(e.Served)+len(e.Verdicts) == 0 {
+		return e
+	}
+	return presence.SumEvidence(e)
+}
+
+func (c *Core) isExplained(parts []Part) bool {
+	return slices.ContainsFunc(parts, func(p Part) bool { return c.isQuarantined(p.Key) })
+}
+
+func (c *Core) isQuarantined(part presence.PartKey) bool {
+	v, known := c.verdicts[part]
+	return known && !v.IsLifted
+}
+
+// TakeChanges returns the changes of verdicts since the previous call.
+func (c *Core) TakeChanges() []Change {
+	taken := c.changes
+	c.changes = nil
+	return taken
+}
+
+// Size returns the number of parts in quarantine.
+func (c *Core) Size() int {
+	size := 0
+	for _, v := range c.verdicts {
+		if !v.IsLifted {
+			size++
+		}
+	}
+	return size
+}
+
+func milliseconds(d time.Duration) uint32 { return uint32(max(0, d) / time.Millisecond) }
--- a/fleet/connection/beacon/beacon_test.go
+++ b/fleet/connection/beacon/beacon_test.go
@@ -33,6 +33,11 @@
 	sender, _ := listen(t)
 	receiver, address := listen(t)
 	beacons := receivedBeacons(receiver)
+	evidence := presence.CrashEvidence{
+		Crashes:  []presence.Crash{{Process: 1, Age: 2, Suspects: []presence.Suspect{{Part: 1 << 60, Position: 3}}}},
+		Served:   []presence.ServedPart{{Part: 1 << 61, Count: 4}},
+		Verdicts: []presence.Verdict{{Part: 1 << 62, Revision: 5, IsLifted: true, Crashes: 6, Age: 7, MatchedAge: 8, Period: 9}},
+	}
 	sent := presence.Beacon{
 		Instance: "r-1", Zone: "a", Address: "127.0.0.1:1", Peer: "127.0.0.1:2", Start: 3, IsServing: true, HasStore: true, LinkMbps: 10, IsSettled: true, KnowsCaches: true,
 		Version: 4, EndpointsVersion: 5, EndpointsHash: 6,
@@ -42,10 +47,12 @@
 		Outcomes:        []presence.Outcomes{{Endpoint: 14, Failed: 2, Succeeded: 1}},
 		Unreachable:     []presence.Key{12}, Configuration: []byte("packed"), Stamp: time.Second, EchoStart: 13,
 		Mentions: []string{"127.0.0.1:3"}, Introduces: true, Group: 15, StoreEra: 16,
+		CrashEvidence: evidence,
 		Digest: &presence.Digest{
 			Work: map[presence.Key]presence.Work{9: {Running: 3, Prefill: 4}}, Placed: []presence.Placed{{Part: 1, Endpoint: 2}},
 			Unreachable: []presence.Key{12, 12}, Outcomes: []presence.Outcomes{{Endpoint: 14, Failed: 2, Succeeded: 1}}, Reporters: []int{2},
-			Age: time.Millisecond, Routers: 3, Members: []presence.MemberState{{Peer: 1, Start: 2, Stamp: 3, Age: 4, Flags: 5}},
+			CrashEvidence: evidence,
+			Age:           time.Millisecond, Routers: 3, Members: []presence.MemberState{{Peer: 1, Start: 2, Stamp: 3, Age: 4, Flags: 5}},
 		},
 	}
 	sender.Send(sent, address)
--- a/fleet/explain/explain_test.go
+++ b/fleet/explain/explain_test.go
@@ -77,7 +77,7 @@
 	for _, code := range []outcome.Code{
 		outcome.CodeNotReady, outcome.CodeIsolated, outcome.CodeBadRequest, outcome.CodeNotFound, outcome.CodeUnauthenticated,
 		outcome.CodeBodyTooLarge, outcome.CodeOverloaded, outcome.CodeNoEndpoint, outcome.CodeLoadBound, outcome.CodeDeadline,
-		outcome.CodeEndpointFailed, outcome.CodeAbandoned,
+		outcome.CodeEndpointFailed, outcome.CodeAbandoned, outcome.CodeQuarantined,
 	} {
 		for _, attempts := range [][]outcome.Attempt{nil, {{Endpoint: "e-1", Ended: "it failed"}}} {
 			report := Report{Code: code, Service: "s", Attempts: attempts}
--- a/fleet/explain/line.go
+++ b/fleet/explain/line.go
@@ -26,6 +26,8 @@
 	Request  string `json:"request"`
 	Endpoint string `json:"endpoint"`
 	Instance string `json:"instance"`
+	// PartID is the prompt part that the line concerns; empty if there is none.
+	PartID string `json:"partId"`
 	// text is the line's JSON.
 	text []byte
 }
--- a/fleet/explain/report.go
+++ b/fleet/explain/report.go
@@ -43,7 +43,7 @@
 	ForwardedStatus int               `json:"handedOn"`
 	Cause           string            `json:"cause"`
 	// Events holds state changes of its router, and events of all routers that
-	// concern its endpoints, until the request's end, oldest first.
+	// concern its endpoints or the parts of its prompt, until the request's end, oldest first.
 	Events []Line
 }
 
@@ -96,7 +96,7 @@
 			continue
 		}
 		isStateChange := line.Router == report.Router && slices.Contains(stateMessages, line.Message)
-		if isStateChange || report.usedEndpoint(line.Endpoint) {
+		if isStateChange || report.usedEndpoint(line.Endpoint) || line.PartID != "" && slices.Contains(report.Parts, line.PartID) {
 			found = append(found, line)
 		}
 	}
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"gentianhead/core/process/endpoints"
 	"gentianhead/core/process/freshness"
 	"gentianhead/core/process/handover"
@@ -353,6 +355,7 @@
 
 func (c *control) tick() {
 	now := boottime.Now()
+	c.balancer.Tick()
 	c.sendRound(now)
 	if c.endpoints.Tick(now) {
 		c.endpointsChanged("a lapsed entry was not renewed")
@@ -514,7 +517,7 @@
 	}
 	c.state.live = live
 	c.logLive(now)
-	c.balancer.SetRouters(len(live) + 1)
+	c.balancer.SetFleet(c.settings.Load().Instance, lo.Map(live, func(m *presence.Member, _ int) string { return m.Instance }))
 	c.publish()
 	return live
 }
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -12,6 +12,7 @@
 	"gentianhead/core/request/breaker"
 	"gentianhead/core/request/exchange"
 	"gentianhead/core/request/notice"
+	"gentianhead/core/request/quarantine"
 	"gentianhead/core/request/retry"
 	"gentianhead/core/request/retrydelay"
 	"gentianhead/core/version/routetable"
@@ -21,25 +22,27 @@
 // Balancer guards the placement core for concurrent use. Its methods take
 // microseconds and never wait for another router.
 type Balancer struct {
-	mu      sync.Mutex
-	core    *balance.Core
-	limits  retry.FleetLimits
-	budgets map[string]*retry.FleetBudget
-	delays  map[string]*retrydelay.Schedule
-	routers int
-	log     *slog.Logger
+	mu         sync.Mutex
+	core       *balance.Core
+	quarantine *quarantine.Core
+	limits     retry.FleetLimits
+	budgets    map[string]*retry.FleetBudget
+	delays     map[string]*retrydelay.Schedule
+	routers    int
+	log        *slog.Logger
 }
 
 // NewBalancer returns a balancer. It keeps each engine below loadFactor times the
 // mean load and assumes that a prompt part stays cached for prefixTTL.
 func NewBalancer(loadFactor float64, prefixTTL time.Duration, limits retry.FleetLimits, log *slog.Logger) *Balancer {
 	b := &Balancer{
-		core:    balance.New(loadFactor, prefixTTL, rand.Float64),
-		limits:  limits,
-		budgets: make(map[string]*retry.FleetBudget),
-		delays:  make(map[string]*retrydelay.Schedule),
-		routers: 1,
-		log:     log,
+		core:       balance.New(loadFactor, prefixTTL, rand.Float64),
+		quarantine: quarantine.New(),
+		limits:     limits,
+		budgets:    make(map[string]*retry.FleetBudget),
+		delays:     make(map[string]*retrydelay.Schedule),
+		routers:    1,
+		log:        log,
 	}
 	b.core.SetView(endpoints.New().View())
 	return b
@@ -73,32 +76,30 @@
 	b.core.SetTable(table)
 }
 
-// SetRouters sets how many routers share the retry budgets.
-func (b *Balancer) SetRouters(routers int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.routers = routers
-}
-
-// Report records the load that another router, or a group of them, reported.
+// Report records the load and the evidence of crashes that another router, or a group of
+// them, reported.
 func (b *Balancer) Report(source string, report balance.WorkReport) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.core.Report(boottime.Now(), source, report)
+	now := boottime.Now()
+	b.core.Report(now, source, report)
+	b.quarantine.Report(now, source, report.Evidence)
 }
 
-// ForgetSource drops the reported load of one router or group.
+// ForgetSource drops the report of one router or group.
 func (b *Balancer) ForgetSource(source string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.core.ForgetSource(source)
+	b.quarantine.ForgetSource(source)
 }
 
-// Forget drops all reported loads.
+// Forget drops all reports.
 func (b *Balancer) Forget() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.core.Forget()
+	b.quarantine.Forget()
 }
 
 // RecordCachedParts records the prompt parts that an engine reports as cached and
@@ -116,11 +117,14 @@
 	return b.core.Cached(boottime.Now())
 }
 
-// Work returns the load to report to other routers, with the placements made after since.
+// Work returns what to report to other routers, with the placements made after since.
 func (b *Balancer) Work(since time.Duration) balance.WorkReport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.core.Work(boottime.Now(), since)
+	now := boottime.Now()
+	report := b.core.Work(now, since)
+	report.Evidence = b.quarantine.Evidence(now)
+	return report
 }
 
 func (b *Balancer) place(request balance.PlacementRequest) (balance.Placement, balance.Refusal) {
--- a/fleet/request/relay/buffered.go
+++ b/fleet/request/relay/buffered.go
@@ -7,7 +7,10 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"gentianhead/core/request/breaker"
+	"gentianhead/fleet/connection/sse"
 )
 
 // bufferedResponse is a fully buffered response of an endpoint.
@@ -45,7 +48,7 @@
 	if ctx.Err() != nil {
 		return canceledResult(ctx)
 	}
-	return result{failure: newFailure(kindFailed, "reading the response failed").withCause(err), mayHaveRun: true, breakerOutcome: breaker.Failed}
+	return result{failure: newFailure(kindFailed, "reading the response failed").withCause(err), mayHaveRun: true, isBroken: !errors.Is(err, sse.ErrTooLarge), breakerOutcome: breaker.Failed}
 }
 
 // canceledResult returns the result for a response canceled by the caller or the
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -47,8 +47,19 @@
 // requests that did not run or are safe to run twice, within the route's attempts
 // and the retry budget; unreachable endpoints count toward neither.
 func (r *Relay) dispatch(ctx context.Context, c *call) *failure {
+	c.parts = c.quarantineParts()
+	defer func() {
+		if c.isTest && c.sends == 0 {
+			r.options.Balancer.untested(c.parts)
+		}
+	}()
 	unreachable := 0
 	for {
+		if !c.isTest {
+			if failure := r.admit(c); failure != nil {
+				return failure
+			}
+		}
 		placement, refusal := r.options.Balancer.place(balance.PlacementRequest{
 			Service: c.service, Prompt: c.metadata.Prompt, Target: c.route.TargetLatency, Excluded: c.excluded,
 			Flow: fairness.Flow{Account: c.accountName(), Rank: c.priority()},
@@ -98,7 +109,9 @@
 	// mayHaveRun is set when the endpoint may have run the request.
 	mayHaveRun bool
 	// isFinal is set when another endpoint would not help.
-	isFinal        bool
+	isFinal bool
+	// isBroken is set when the endpoint broke the connection off, as it does when it crashes.
+	isBroken       bool
 	breakerOutcome breaker.Outcome
 }
 
@@ -114,6 +127,8 @@
 		return false
 	case c.sends >= c.route.MaxAttempts:
 		return false
+	case result.isBroken && !r.options.Balancer.mayRepeat(c.parts):
+		return false
 	}
 	return r.options.Balancer.allowRetry(c.service)
 }
@@ -135,6 +150,10 @@
 		c.progress.headAt = boottime.Now()
 	}
 	result := r.handleResponse(ctx, c, placement, response, err)
+	if errors.Is(context.Cause(attemptCtx), errAttemptTimeout) {
+		result.isBroken = false
+	}
+	r.recordSurvival(c, placement, result)
 	isShort := boottime.Now()-startedAt < c.route.TargetLatency
 	if result.failure != nil && result.failure.kind == kindDeadline && isShort {
 		// The deadline was near when the endpoint got the request.
@@ -187,7 +206,7 @@
 		Header:      r.options.Dialect.ForwardHeader(c.r.Header, send),
 		Body:        c.body,
 		IsSingleUse: !c.route.IsRetryable(),
-		MayWrite:    func() bool { return r.options.Balancer.mayReceive(placement) },
+		MayWrite:    func() bool { return r.options.Balancer.mayReceive(placement) && !r.isQuarantined(c) },
 	})
 	if !errors.Is(err, transport.ErrNotSent) {
 		c.sends++
@@ -198,7 +217,7 @@
 // handleResponse checks the response header and forwards the response.
 func (r *Relay) handleResponse(ctx context.Context, c *call, placement *balance.Placement, response *http.Response, err error) result {
 	if err != nil {
-		return r.sendErrorResult(ctx, placement, err)
+		return r.sendErrorResult(ctx, c, placement, err)
 	}
 	info := r.options.Dialect.ResponseInfo(response.StatusCode, response.Header)
 	r.options.Balancer.recordLoad(placement.Endpoint.ID, info.Load)
@@ -223,7 +242,7 @@
 }
 
 // sendErrorResult returns the result of an attempt without a response.
-func (r *Relay) sendErrorResult(ctx context.Context, placement *balance.Placement, err error) result {
+func (r *Relay) sendErrorResult(ctx context.Context, c *call, placement *balance.Placement, err error) result {
 	isUnsent := errors.Is(err, transport.ErrNotSent)
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -232,10 +251,13 @@
 		return result{failure: newFailure(kindCallerGone, "the caller closed the connection"), isUnsent: isUnsent, mayHaveRun: !isUnsent, isFinal: true, breakerOutcome: breaker.Neutral}
 	case isUnsent && !r.options.Balancer.mayReceive(placement):
 		return result{failure: newFailure(kindRefused, "the endpoint asked for no requests before this one was sent").withRetryAfter(retryOverloaded), isUnsent: true, breakerOutcome: breaker.Neutral}
+	case isUnsent && r.isQuarantined(c):
+		// The next admission refuses it.
+		return result{failure: newFailure(kindQuarantined, "a part of the request was put in quarantine before it was sent"), isUnsent: true, breakerOutcome: breaker.Neutral}
 	case isUnsent:
 		return result{failure: newFailure(kindFailed, "the endpoint can't be reached").withCause(err).withRetryAfter(retryOverloaded), isUnsent: true, breakerOutcome: breaker.Unreachable}
 	}
-	return result{failure: newFailure(kindFailed, "the endpoint sent no response").withCause(err), mayHaveRun: true, breakerOutcome: breaker.Failed}
+	return result{failure: newFailure(kindFailed, "the endpoint sent no response").withCause(err), mayHaveRun: true, isBroken: true, breakerOutcome: breaker.Failed}
 }
 
 // notRunResult returns the result for a response stating that the request did not run.
--- a/fleet/request/relay/failure.go
+++ b/fleet/request/relay/failure.go
@@ -34,6 +34,8 @@
 	// kindFailed: an endpoint failed or sent an invalid response.
 	kindFailed
 	kindCallerGone
+	// kindQuarantined: requests with a part of this one crash the endpoints that answer them.
+	kindQuarantined
 )
 
 // codes maps each kind to its code in responses, logs and metrics, and to its
@@ -56,6 +58,7 @@
 	kindDeadline:        {outcome.CodeDeadline, http.StatusServiceUnavailable},
 	kindFailed:          {outcome.CodeEndpointFailed, http.StatusServiceUnavailable},
 	kindCallerGone:      {outcome.CodeAbandoned, statusCallerGone},
+	kindQuarantined:     {outcome.CodeQuarantined, http.StatusServiceUnavailable},
 }
 
 // statusCallerGone is the non-standard status for a connection closed by the client.
--- a/fleet/request/relay/metrics.go
+++ b/fleet/request/relay/metrics.go
@@ -17,6 +17,8 @@
 	undelivered = expvar.NewInt("relay_undelivered")
 	// noticesReceived counts notices of endpoints that are leaving or want no requests.
 	noticesReceived = expvar.NewInt("relay_endpoint_notices")
+	// quarantined is the number of prompt parts in quarantine.
+	quarantined = expvar.NewInt("relay_quarantined_parts")
 	// firstByteTime and requestTime cover successful requests only.
 	firstByteTime = telemetry.NewHistogram("relay_first_byte_seconds")
 	requestTime   = telemetry.NewHistogram("relay_request_seconds")
--- a/fleet/request/relay/quarantine_test.go
+++ b/fleet/request/relay/quarantine_test.go
@@ -62,6 +62,7 @@
 
 // replaceCrashed replaces endpoints that crashed replaceAfter ago.
 func (f *replacing) replaceCrashed() {
+	f.balancer.Tick()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := 0; i < len(f.serving); i++ {
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -16,6 +16,7 @@
 	"gentianhead/core/process/freshness"
 	"gentianhead/core/request/exchange"
 	"gentianhead/core/request/outcome"
+	"gentianhead/core/request/quarantine"
 	"gentianhead/core/version/routetable"
 	"gentianhead/fleet/connection/upstream"
 	"gentianhead/fleet/process/boottime"
@@ -98,6 +99,10 @@
 	// attempts are the sends with the reason why each ended, logged when the request
 	// ends.
 	attempts []outcome.Attempt
+	// parts are the parts of the request that may crash an endpoint, and isTest is set if it
+	// tests their quarantine.
+	parts  []quarantine.Part
+	isTest bool
 	// progress is that of the latest attempt.
 	progress progress
 	// firstByte is the time from the request's arrival to the first byte of the
@@ -122,6 +127,8 @@
 	// zero until then.
 	headAt, firstEventAt time.Duration
 	events               int
+	// isServed is set once the endpoint is known to have survived the request.
+	isServed bool
 }
 
 // ServeHTTP sends a caller's request to an endpoint and forwards the response. If no
@@ -178,7 +185,7 @@
 
 // finish records the end of a request and writes the error response if it failed.
 func (r *Relay) finish(c *call, failure *failure) {
-	if failure != nil && failure.retryAfter > 0 {
+	if failure != nil && failure.retryAfter > 0 && failure.kind != kindQuarantined {
 		failure.retryAfter = r.options.Balancer.retryDelay(c.service, failure.retryAfter, c.callerTimeLeft())
 	}
 	recordMetrics(c, failure)
--- a/fleet/request/relay/stream.go
+++ b/fleet/request/relay/stream.go
@@ -10,6 +10,7 @@
 
 	"gentianhead/core/request/balance"
 	"gentianhead/core/request/breaker"
+	"gentianhead/core/request/quarantine"
 	"gentianhead/fleet/connection/sse"
 	"gentianhead/fleet/process/boottime"
 )
@@ -38,7 +39,7 @@
 			// It says nothing of whether an answer will come.
 			continue
 		}
-		c.recordEvent(event)
+		r.recordEvent(c, event)
 		if sse.IsAfter(c.lastEventID, event.ID) {
 			if !c.isCommitted {
 				r.writeStreamHeader(c, response)
@@ -61,13 +62,17 @@
 }
 
 // recordEvent records that an event arrived.
-func (c *call) recordEvent(event sse.Event) {
+func (r *Relay) recordEvent(c *call, event sse.Event) {
 	if event.IsFiller {
 		return
 	}
 	c.progress.events++
-	if c.progress.firstEventAt == 0 {
-		c.progress.firstEventAt = boottime.Now()
+	now := boottime.Now()
+	switch {
+	case c.progress.firstEventAt == 0:
+		c.progress.firstEventAt = now
+	case now-c.progress.firstEventAt >= quarantine.SurvivalTime:
+		r.recordServed(c)
 	}
 }
 
