Test the quarantine's rules; count repeated crashes of one endpoint; bound reported verdicts

TestRepeatedCrashOfOneEndpoint and TestStateBoundedAndExpires failed before: crashes were kept by process, so that an endpoint that starts again under its id without a start time counted once; and a verdict from a beacon could state a period of weeks or a revision that no later one can exceed. Crashes of a process are now told apart by their times, periods of other routers' verdicts are limited, and absurd revisions ignored.

--- a/core/process/presence/crashes.go
+++ b/core/process/presence/crashes.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// sameCrashWindow is the difference of two routers' times up to which they mean the same
+// crash of a process. An endpoint that starts again under its id takes longer.
+const sameCrashWindow = time.Second
+
 // Bounds of what one beacon or digest states about crashes. The latest are kept.
 const (
 	maxCrashes     = 32
@@ -107,13 +111,10 @@
 
 // SumEvidence merges the evidence of several routers. A crash that several saw counts once.
 func SumEvidence(all ...CrashEvidence) CrashEvidence {
-	crashes := make(map[Key]Crash)
+	sum := CrashEvidence{Crashes: MergeCrashes(all...)}
 	served := make(map[PartKey]uint32)
 	verdicts := make(map[PartKey]Verdict)
 	for _, e := range all {
-		for _, crash := range e.Crashes {
-			crashes[crash.Process] = mergeCrash(crashes[crash.Process], crash)
-		}
 		for _, s := range e.Served {
 			served[s.Part] += s.Count
 		}
@@ -130,10 +131,6 @@
 			verdicts[v.Part] = v
 		}
 	}
-	var sum CrashEvidence
-	for _, crash := range crashes {
-		sum.Crashes = append(sum.Crashes, crash)
-	}
 	for part, count := range served {
 		sum.Served = append(sum.Served, ServedPart{Part: part, Count: count})
 	}
@@ -143,6 +140,38 @@
 	return sum.limited()
 }
 
+// MergeCrashes returns the crashes in the evidence of several routers, in no order.
+func MergeCrashes(all ...CrashEvidence) []Crash {
+	byProcess := make(map[Key][]Crash)
+	for _, e := range all {
+		for _, crash := range e.Crashes {
+			byProcess[crash.Process] = addCrash(byProcess[crash.Process], crash)
+		}
+	}
+	var merged []Crash
+	for _, crashes := range byProcess {
+		merged = append(merged, crashes...)
+	}
+	return merged
+}
+
+// IsSame reports whether two routers' reports are of one crash, at the same moment.
+func (c Crash) IsSame(other Crash) bool {
+	apart := max(c.Age, other.Age) - min(c.Age, other.Age)
+	return c.Process == other.Process && apart <= milliseconds(sameCrashWindow)
+}
+
+// addCrash adds a report to the crashes of a process.
+func addCrash(known []Crash, crash Crash) []Crash {
+	for i := range known {
+		if known[i].IsSame(crash) {
+			known[i] = mergeCrash(known[i], crash)
+			return known
+		}
+	}
+	return append(known, mergeCrash(Crash{Process: crash.Process, Age: crash.Age}, crash))
+}
+
 // mergeCrash merges what two routers saw of one crash.
 func mergeCrash(a, b Crash) Crash {
 	merged := Crash{Process: b.Process, Age: max(a.Age, b.Age), Suspects: slices.Clone(a.Suspects)}
--- a/core/request/quarantine/admit.go
+++ b/core/request/quarantine/admit.go
@@ -102,10 +102,10 @@
 			return false
 		}
 		processes := make(map[presence.Key]bool)
-		for process, seen := range all {
-			for _, s := range seen.suspects {
+		for _, crash := range all {
+			for _, s := range crash.Suspects {
 				if s.Part == part.Key {
-					processes[process] = true
+					processes[crash.Process] = true
 				}
 			}
 		}
--- a/core/request/quarantine/judge.go
+++ b/core/request/quarantine/judge.go
@@ -8,42 +8,24 @@
 	"gentianhead/core/process/presence"
 )
 
-// seenCrash is a crash in the evidence of all routers.
-type seenCrash struct {
-	at       time.Duration
-	suspects []presence.Suspect
-}
-
-// evidence returns all known crashes that no quarantine explains.
-func (c *Core) evidence(now time.Duration) map[presence.Key]*seenCrash {
-	all := make(map[presence.Key]*seenCrash)
-	add := func(process presence.Key, at time.Duration, suspects ...presence.Suspect) {
-		seen, known := all[process]
-		if !known {
-			seen = &seenCrash{at: at}
-			all[process] = seen
-		}
-		seen.at = min(seen.at, at)
-		seen.suspects = append(seen.suspects, suspects...)
-	}
-	for process, own := range c.own {
-		for _, part := range own.parts {
-			add(process, own.at, presence.Suspect{Part: part.Key, Position: uint8(part.Position)})
+// evidence returns all known crashes that no quarantine explains, with their ages.
+func (c *Core) evidence(now time.Duration) []presence.Crash {
+	own := presence.CrashEvidence{}
+	for _, seen := range c.own {
+		crash := presence.Crash{Process: seen.process, Age: milliseconds(now - seen.at)}
+		for _, part := range seen.parts {
+			crash.Suspects = append(crash.Suspects, presence.Suspect{Part: part.Key, Position: uint8(part.Position)})
 		}
+		own.Crashes = append(own.Crashes, crash)
 	}
+	all := []presence.CrashEvidence{own}
 	for _, source := range c.sources {
-		for _, reported := range source.evidence.Crashes {
-			if at := source.at - time.Duration(reported.Age)*time.Millisecond; now-at <= evidenceTTL {
-				add(reported.Process, at, reported.Suspects...)
-			}
-		}
+		all = append(all, presence.CrashEvidence{Crashes: source.evidence.Crashes}.Older(now-source.at))
 	}
-	for process, seen := range all {
-		if slices.ContainsFunc(seen.suspects, func(s presence.Suspect) bool { return c.isQuarantined(s.Part) }) {
-			delete(all, process)
-		}
-	}
-	return all
+	return slices.DeleteFunc(presence.MergeCrashes(all...), func(crash presence.Crash) bool {
+		isExplained := slices.ContainsFunc(crash.Suspects, func(s presence.Suspect) bool { return c.isQuarantined(s.Part) })
+		return isExplained || crash.Age > milliseconds(evidenceTTL)
+	})
 }
 
 // servedCount returns how many requests with a part all routers know to be served.
@@ -68,7 +50,7 @@
 type candidate struct {
 	part            presence.PartKey
 	position        uint8
-	times           []time.Duration
+	ages            []uint32
 	crashes, served int
 }
 
@@ -76,8 +58,8 @@
 func (c *Core) candidates(now time.Duration) []*candidate {
 	byPart := make(map[presence.PartKey]*candidate)
 	for _, seen := range c.evidence(now) {
-		counted := make(map[presence.PartKey]bool, len(seen.suspects))
-		for _, s := range seen.suspects {
+		counted := make(map[presence.PartKey]bool, len(seen.Suspects))
+		for _, s := range seen.Suspects {
 			if counted[s.Part] {
 				continue
 			}
@@ -87,26 +69,26 @@
 				known = &candidate{part: s.Part, position: s.Position}
 				byPart[s.Part] = known
 			}
-			known.times = append(known.times, seen.at)
+			known.ages = append(known.ages, seen.Age)
 		}
 	}
 	list := make([]*candidate, 0, len(byPart))
 	for _, one := range byPart {
-		one.crashes = independent(one.times)
+		one.crashes = independent(one.ages)
 		list = append(list, one)
 	}
 	return list
 }
 
 // independent counts the crashes that are further apart than commonCauseWindow.
-func independent(times []time.Duration) int {
-	slices.Sort(times)
+func independent(ages []uint32) int {
+	slices.Sort(ages)
 	count := 0
-	var last time.Duration
-	for _, at := range times {
-		if count == 0 || at-last >= commonCauseWindow {
+	var last uint32
+	for _, age := range ages {
+		if count == 0 || age-last >= milliseconds(commonCauseWindow) {
 			count++
-			last = at
+			last = age
 		}
 	}
 	return count
--- a/core/request/quarantine/quarantine.go
+++ b/core/request/quarantine/quarantine.go
@@ -50,6 +50,9 @@
 	// commonCauseWindow is the time within which several crashes count as one: a lost rack
 	// ends all its endpoints at once.
 	commonCauseWindow = 100 * time.Millisecond
+	// sameCrashWindow is the time within which broken connections to a process belong to one
+	// crash.
+	sameCrashWindow = time.Second
 	// settleTime is the time for other routers to report served requests of a new suspect:
 	// two rounds of beacons and their way through groups.
 	settleTime = time.Second
@@ -77,6 +80,10 @@
 	maxOwn       = 64
 	maxVerdicts  = 256
 	maxPartsEach = 32
+	maxSuspects  = 64
+	// maxRevision is far above the verdicts on one part. A higher one is a mistake that
+	// no verdict could replace.
+	maxRevision = 1 << 20
 	// maxHopeless is the number of served requests from which a part isn't reported as a
 	// suspect: no number of crashes within evidenceTTL could outweigh them.
 	maxHopeless = 20
@@ -128,8 +135,9 @@
 
 // crash is a crash that this router saw.
 type crash struct {
-	at    time.Duration
-	parts []Part
+	process presence.Key
+	at      time.Duration
+	parts   []Part
 }
 
 // verdict is a verdict with this router's times.
@@ -160,7 +168,8 @@
 	self    string
 	routers []string
 	pending []pendingBreak
-	own     map[presence.Key]*crash
+	// own are the crashes that this router saw, in the order of their confirmation.
+	own     []*crash
 	served  counts
 	sources map[string]source
 	// suspectSince is when each suspect of the crashes in the evidence became known here.
@@ -172,7 +181,6 @@
 // New returns a core without evidence.
 func New() *Core {
 	return &Core{
-		own:          make(map[presence.Key]*crash),
 		served:       newCounts(),
 		sources:      make(map[string]source),
 		suspectSince: make(map[presence.PartKey]time.Duration),
@@ -219,8 +227,8 @@
 		return false
 	}
 	process := ProcessOf(endpoint)
-	if seen, isConfirmed := c.own[process]; isConfirmed {
-		seen.parts = append(seen.parts, parts[:min(len(parts), max(0, maxPartsEach-len(seen.parts)))]...)
+	if seen := c.ownCrash(process, now); seen != nil {
+		seen.add(parts)
 		return false
 	}
 	shouldProbe = !slices.ContainsFunc(c.pending, func(p pendingBreak) bool { return p.process == process })
@@ -267,11 +275,7 @@
 		c.recordCrash(p)
 		return true
 	})
-	for process, seen := range c.own {
-		if now-seen.at > evidenceTTL {
-			delete(c.own, process)
-		}
-	}
+	c.own = slices.DeleteFunc(c.own, func(seen *crash) bool { return now-seen.at > evidenceTTL })
 	for name, s := range c.sources {
 		if now-s.at > evidenceTTL {
 			delete(c.sources, name)
@@ -289,26 +293,31 @@
 }
 
 func (c *Core) recordCrash(p pendingBreak) {
-	seen, known := c.own[p.process]
-	if !known {
+	seen := c.ownCrash(p.process, p.at)
+	if seen == nil {
 		if len(c.own) >= maxOwn {
-			c.dropOldestCrash()
+			c.own = c.own[1:]
 		}
-		seen = &crash{at: p.at}
-		c.own[p.process] = seen
+		seen = &crash{process: p.process, at: p.at}
+		c.own = append(c.own, seen)
 	}
 	seen.at = min(seen.at, p.at)
-	seen.parts = append(seen.parts, p.parts...)
+	seen.add(p.parts)
 }
 
-func (c *Core) dropOldestCrash() {
-	var oldest presence.Key
-	for process, seen := range c.own {
-		if known, ok := c.own[oldest]; !ok || seen.at < known.at {
-			oldest = process
+// ownCrash returns the crash of a process at about a time, or nil. A process that started
+// again under its id may crash again.
+func (c *Core) ownCrash(process presence.Key, at time.Duration) *crash {
+	for _, seen := range c.own {
+		if seen.process == process && (at-seen.at).Abs() <= sameCrashWindow {
+			return seen
 		}
 	}
-	delete(c.own, oldest)
+	return nil
+}
+
+func (s *crash) add(parts []Part) {
+	s.parts = append(s.parts, parts[:min(len(parts), max(0, maxSuspects-len(s.parts)))]...)
 }
 
 // Report replaces the evidence of another router or of a group of routers.
@@ -332,6 +341,10 @@
 
 // adopt takes over a newer verdict.
 func (c *Core) adopt(now time.Duration, reported presence.Verdict) {
+	if reported.Revision > maxRevision {
+		return
+	}
+	reported.Period = min(reported.Period, milliseconds(maxPeriod))
 	received := &verdict{
 		Verdict: reported, decidedAt: now - time.Duration(reported.Age)*time.Millisecond,
 		matchedAt: now - time.Duration(reported.MatchedAge)*time.Millisecond - relayDelay,
@@ -368,11 +381,11 @@
 // Evidence returns what this router reports to others.
 func (c *Core) Evidence(now time.Duration) presence.CrashEvidence {
 	var e presence.CrashEvidence
-	for process, seen := range c.own {
+	for _, seen := range c.own {
 		if c.isExplained(seen.parts) {
 			continue
 		}
-		reported := presence.Crash{Process: process, Age: milliseconds(now - seen.at)}
+		reported := presence.Crash{Process: seen.process, Age: milliseconds(now - seen.at)}
 		for _, part := range seen.parts {
 			if c.served.count(now, part.Key) < maxHopeless {
 				reported.Suspects = append(reported.Suspects, presence.Suspect{Part: part.Key, Position: uint8(part.Position)})
--- /dev/null
+++ b/core/request/quarantine/quarantine_test.go
@@ -0,0 +1,357 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"gentianhead/core/process/endpoints"
+	"gentianhead/core/process/presence"
+	"gentianhead/core/request/exchange"
+)
+
+const start = time.Hour
+
+func listed(endpoints.Entry) bool { return true }
+
+func server(number int) endpoints.Entry {
+	return endpoints.Entry{ID: fmt.Sprint("e-", number), Address: fmt.Sprintf("10.0.0.%d:80", number)}
+}
+
+// parts returns the parts of a prompt with these ids and one of its own.
+func parts(ids ...string) []Part {
+	prompt := &exchange.Prompt{}
+	for _, id := range append(ids, "own") {
+		prompt.Parts = append(prompt.Parts, exchange.Part{ID: id})
+	}
+	return PartsOf(prompt)
+}
+
+// crash records the crash of an endpoint with requests in progress.
+func (c *Core) crash(now time.Duration, e endpoints.Entry, requests ...[]Part) {
+	for _, p := range requests {
+		c.Broken(now, e, p)
+	}
+	c.Probed(now, e, true)
+}
+
+// crashed returns a core that has the part in quarantine since start+2s.
+func crashed(part string) *Core {
+	c := New()
+	c.SetRouters("r-0", []string{"r-0"})
+	for number := range minCrashes {
+		c.crash(start+time.Duration(number)*time.Second, server(number), parts("shared", part))
+		c.Served(start, parts("shared"))
+	}
+	c.Step(start+3*time.Second, listed)
+	return c
+}
+
+func (c *Core) isRefused(now time.Duration, ids ...string) bool {
+	return c.Admit(now, parts(ids...)).Refusal != nil
+}
+
+// admittedAt returns when a request with a part is first admitted, trying every 100 ms.
+func (c *Core) admittedAt(t *testing.T, from, until time.Duration, part string) time.Duration {
+	t.Helper()
+	for now := from; now < until; now += 100 * time.Millisecond {
+		c.Step(now, listed)
+		if !c.isRefused(now, part) {
+			return now
+		}
+	}
+	t.Fatalf("no request was admitted until %v", until-start)
+	return 0
+}
+
+func TestCrashingPartRefusedAndSharedPartServed(t *testing.T) {
+	c := crashed("bad")
+	admission := c.Admit(start+4*time.Second, parts("other", "bad"))
+	assert.Equal(t, admission.Refusal.ID, "bad")
+	assert.Equal(t, admission.Refusal.Crashes, minCrashes)
+	assert.Equal(t, admission.Refusal.Wait, firstPeriod-2*time.Second)
+	assert.Assert(t, !c.isRefused(start+4*time.Second, "shared"))
+	changes := c.TakeChanges()
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].ID, "bad")
+}
+
+// Guards against a quarantine of the request's own part, which nobody else has, in place of
+// the one that others share.
+func TestLastPartIsNoSuspect(t *testing.T) {
+	assert.Equal(t, len(PartsOf(&exchange.Prompt{Parts: []exchange.Part{{ID: "own"}}})), 0)
+	assert.Equal(t, len(parts("a", "b")), 2)
+}
+
+// Guards against a broken link that looks like crashes of the endpoints behind it.
+func TestBrokenConnectionWithoutCrash(t *testing.T) {
+	c := New()
+	for number := range 20 {
+		now := start + time.Duration(number)*time.Second
+		c.Broken(now, server(number), parts("document"))
+		if number%2 == 0 {
+			c.Probed(now, server(number), false)
+		}
+		c.Step(now, listed)
+	}
+	assert.Assert(t, !c.isRefused(start+20*time.Second, "document"))
+	assert.Equal(t, len(c.Evidence(start+20*time.Second).Crashes), 0)
+}
+
+// Guards against crashes that are not counted where a crashed endpoint's machine doesn't
+// answer: its entry expires.
+func TestExpiredEntryConfirmsCrash(t *testing.T) {
+	c := New()
+	for number := range minCrashes {
+		now := start + time.Duration(number)*time.Second
+		c.Broken(now, server(number), parts("bad"))
+		c.Step(now, listed)
+	}
+	c.Step(start+4*time.Second, func(endpoints.Entry) bool { return false })
+	c.Step(start+4*time.Second+settleTime, listed)
+	assert.Assert(t, c.isRefused(start+6*time.Second, "bad"))
+}
+
+// Guards against a popular part that is refused since some of its requests are in progress
+// at each crash.
+func TestServedPartNotRefused(t *testing.T) {
+	c := New()
+	for number := range 30 {
+		now := start + time.Duration(number)*time.Second
+		c.crash(now, server(number), parts("popular"))
+		c.Served(now, parts("popular"))
+		c.Step(now, listed)
+		assert.Assert(t, !c.isRefused(now, "popular"))
+	}
+}
+
+// Guards against a part that is refused since a lost rack took its requests along.
+func TestLostRackCountsOnce(t *testing.T) {
+	c := New()
+	for number := range 12 {
+		c.crash(start+time.Duration(number)*5*time.Millisecond, server(number), parts("document"))
+	}
+	c.Step(start+2*settleTime, listed)
+	assert.Assert(t, !c.isRefused(start+2*settleTime, "document"))
+}
+
+// Guards against a quarantine before other routers can report that they serve the part.
+func TestOtherRoutersServePart(t *testing.T) {
+	c := New()
+	for number := range minCrashes {
+		c.crash(start+time.Duration(number)*commonCauseWindow, server(number), parts("document"))
+	}
+	now := start + settleTime/2
+	c.Step(now, listed)
+	assert.Assert(t, !c.isRefused(now, "document"))
+	c.Report(now, "r-1", presence.CrashEvidence{Served: []presence.ServedPart{{Part: parts("document")[0].Key, Count: 1}}})
+	c.Step(start+10*settleTime, listed)
+	assert.Assert(t, !c.isRefused(start+10*settleTime, "document"))
+}
+
+// Guards against sound parts that are refused since their requests were in progress at
+// crashes that a part in quarantine explains.
+func TestExplainedCrashesNotHeldAgainstOtherParts(t *testing.T) {
+	c := New()
+	for number := range 8 {
+		now := start + time.Duration(number)*time.Second
+		c.crash(now, server(number), parts("bad"), parts("document"))
+		if number == 0 {
+			c.crash(now+200*time.Millisecond, server(number+100), parts("bad"))
+		}
+		c.Step(now+900*time.Millisecond, listed)
+	}
+	now := start + 10*time.Second
+	assert.Assert(t, c.isRefused(now, "bad"))
+	assert.Assert(t, !c.isRefused(now, "document"))
+}
+
+// Guards against crashes of an endpoint that starts again under its id each time, which
+// look like one.
+func TestRepeatedCrashOfOneEndpoint(t *testing.T) {
+	c := New()
+	for number := range minCrashes {
+		now := start + time.Duration(number)*4*time.Second
+		c.crash(now, server(1), parts("bad"))
+		c.Step(now+settleTime, listed)
+	}
+	assert.Assert(t, c.isRefused(start+15*time.Second, "bad"))
+}
+
+// Guards against a quarantine for good: a request tests it, and if that is served, all are.
+func TestServedTestLiftsQuarantine(t *testing.T) {
+	c := crashed("bad")
+	now := c.admittedAt(t, start+4*time.Second, start+time.Minute, "bad")
+	assert.Assert(t, now >= start+2*time.Second+firstPeriod, "%v", now-start)
+	assert.Assert(t, c.isRefused(now, "bad"), "a second request was let through")
+	c.Served(now+time.Second, parts("bad"))
+	assert.Assert(t, !c.isRefused(now+time.Second, "bad"))
+	c.Step(now+2*time.Second, listed)
+	assert.Assert(t, !c.isRefused(now+2*time.Second, "bad"), "the old crashes count again")
+}
+
+// Guards against tests that end an endpoint each at a short interval.
+func TestFailedTestDoublesPeriod(t *testing.T) {
+	c := crashed("bad")
+	first := c.admittedAt(t, start+4*time.Second, start+time.Minute, "bad")
+	c.crash(first+time.Second, server(50), parts("bad"))
+	second := c.admittedAt(t, first+time.Second, first+5*time.Minute, "bad")
+	assert.Assert(t, second-first >= 2*firstPeriod, "%v", second-first)
+}
+
+// Guards against a quarantine whose test is spent on a request that was never sent.
+func TestUnsentRequestIsNoTest(t *testing.T) {
+	c := crashed("bad")
+	first := c.admittedAt(t, start+4*time.Second, start+time.Minute, "bad")
+	c.Untested(first, parts("bad"))
+	second := c.admittedAt(t, first+100*time.Millisecond, first+time.Minute, "bad")
+	assert.Assert(t, second-first <= 2*testSlot, "%v", second-first)
+}
+
+// Guards against several routers that test a quarantine at once.
+func TestOneRouterTests(t *testing.T) {
+	var routers []*Core
+	var names []string
+	for number := range 9 {
+		names = append(names, fmt.Sprint("r-", number))
+		routers = append(routers, crashed("bad"))
+	}
+	for number, c := range routers {
+		c.SetRouters(names[number], names)
+	}
+	admitted := 0
+	for now := start + 4*time.Second; now < start+2*time.Minute; now += 50 * time.Millisecond {
+		for number, c := range routers {
+			if !c.isRefused(now, "bad") {
+				admitted++
+				// The news reaches the others late.
+				evidence := c.Evidence(now)
+				for other, receiver := range routers {
+					if other != number {
+						receiver.Report(now, names[number], evidence.Older(time.Second))
+					}
+				}
+			}
+		}
+	}
+	assert.Equal(t, admitted, 2, "one test 30 s after the quarantine and one 60 s after that")
+}
+
+// Guards against routers that keep a quarantine alive by reports of each other, though no
+// request with the part arrives.
+func TestQuarantineExpiresWithoutRequests(t *testing.T) {
+	a, b := crashed("bad"), crashed("bad")
+	for now := start + 4*time.Second; now < start+5*time.Minute; now += 250 * time.Millisecond {
+		a.Report(now, "b", b.Evidence(now))
+		b.Report(now, "a", a.Evidence(now))
+		a.Step(now, listed)
+		b.Step(now, listed)
+	}
+	assert.Equal(t, a.Size(), 0)
+	assert.Equal(t, len(a.verdicts)+len(a.suspectSince)+len(a.own), 0)
+}
+
+// Guards against a quarantine that late reports revive after it was lifted.
+func TestLateReportDoesNotReviveQuarantine(t *testing.T) {
+	c, late := crashed("bad"), crashed("bad")
+	old := late.Evidence(start + 4*time.Second)
+	c.Served(start+5*time.Second, parts("bad"))
+	c.Report(start+6*time.Second, "late", old)
+	assert.Assert(t, !c.isRefused(start+6*time.Second, "bad"))
+	late.Report(start+6*time.Second, "c", c.Evidence(start+6*time.Second))
+	assert.Assert(t, !late.isRefused(start+6*time.Second, "bad"))
+}
+
+// Guards against a router that decides without the counts of those that serve the part.
+func TestVerdictWithoutCountsOfServedIsLifted(t *testing.T) {
+	c, cutOff := New(), crashed("document")
+	c.Served(start, parts("document"))
+	c.Report(start+4*time.Second, "cut-off", cutOff.Evidence(start+4*time.Second))
+	assert.Assert(t, !c.isRefused(start+4*time.Second, "document"))
+	cutOff.Report(start+5*time.Second, "c", c.Evidence(start+5*time.Second))
+	assert.Assert(t, !cutOff.isRefused(start+5*time.Second, "document"))
+}
+
+// Guards against a restarted router that sends what the others refuse.
+func TestRestartedRouterLearnsQuarantine(t *testing.T) {
+	c := New()
+	c.Report(start+4*time.Second, "r-0", crashed("bad").Evidence(start+4*time.Second))
+	assert.Assert(t, c.isRefused(start+4*time.Second, "bad"))
+}
+
+// Guards against a request that is sent from endpoint to endpoint and ends each.
+func TestRequestNotRepeatedAfterSecondCrash(t *testing.T) {
+	c := New()
+	c.crash(start, server(1), parts("bad"))
+	assert.Assert(t, c.MayRepeat(start, parts("bad")))
+	c.Broken(start+time.Second, server(2), parts("bad"))
+	assert.Assert(t, !c.MayRepeat(start+time.Second, parts("bad")))
+	c.Served(start+time.Second, parts("bad"))
+	assert.Assert(t, c.MayRepeat(start+time.Second, parts("bad")))
+}
+
+// Guards against repeats of one plain request that end one server after the other.
+func TestCrashingPlainRequestRefused(t *testing.T) {
+	c := New()
+	bad := []Part{PlainPart("orders", "GET", "/price/7", nil)}
+	for number := range minCrashes {
+		c.crash(start+time.Duration(number)*time.Second, server(number), bad)
+	}
+	c.Step(start+4*time.Second, listed)
+	assert.Assert(t, c.IsRefused(bad))
+	for _, other := range []Part{PlainPart("orders", "GET", "/price/8", nil), PlainPart("orders", "GET", "/price/7", []byte("x")), PlainPart("stock", "GET", "/price/7", nil)} {
+		assert.Assert(t, !c.IsRefused([]Part{other}))
+	}
+}
+
+// Guards against state that grows with requests, crashes or reports, and against state that
+// stays after they have ended.
+func TestStateBoundedAndExpires(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New()
+		c.SetRouters("r-0", []string{"r-0", "r-1"})
+		now := start
+		id := rapid.StringMatching("[a-z]{1,2}")
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
+			some := parts(id.Draw(t, "first"), id.Draw(t, "second"))
+			e := server(rapid.IntRange(0, 200).Draw(t, "endpoint"))
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				c.Broken(now, e, some)
+			case 1:
+				c.Probed(now, e, rapid.Bool().Draw(t, "isRefused"))
+			case 2:
+				c.Served(now, some)
+			case 3:
+				c.Admit(now, some)
+			case 4:
+				c.Untested(now, some)
+			case 5:
+				v := presence.Verdict{
+					Part: some[0].Key, Revision: rapid.Uint32().Draw(t, "revision"), IsLifted: rapid.Bool().Draw(t, "isLifted"),
+					Crashes: rapid.Uint32().Draw(t, "crashes"), Age: rapid.Uint32().Draw(t, "age"),
+					MatchedAge: rapid.Uint32().Draw(t, "matchedAge"), Period: rapid.Uint32().Draw(t, "period"),
+				}
+				c.Report(now, id.Draw(t, "source"), presence.CrashEvidence{
+					Crashes:  []presence.Crash{{Process: ProcessOf(e), Age: rapid.Uint32().Draw(t, "crashAge"), Suspects: []presence.Suspect{{Part: some[1].Key}}}},
+					Verdicts: []presence.Verdict{v},
+				})
+			}
+			c.Step(now, listed)
+			c.TakeChanges()
+			assert.Assert(t, len(c.pending) <= maxPending && len(c.own) <= maxOwn && len(c.verdicts) <= maxVerdicts)
+		}
+		// No verdict lasts longer than the longest period and the time without requests.
+		for range 4 {
+			now += maxPeriod + matchTTL
+			c.Step(now, listed)
+		}
+		assert.Equal(t, len(c.pending)+len(c.own)+len(c.sources)+len(c.suspectSince)+len(c.verdicts), 0)
+		c.served.advance(now)
+		assert.Equal(t, len(c.served.current)+len(c.served.previous), 0)
+	})
+}
