Treat a stream without length, chunks and events as broken off

A stream may come with neither a length nor chunks and end with its connection. One whose endpoint ended after the response head was delivered as a complete empty answer (TestStreamWithoutLengthBrokenOff/unframed-empty: 200 instead of 502). Only its events can show that such a stream is complete, so without any it counts as broken off. Streams cut inside an event and reset ones were recognized before; TestStreamCutAtAnyByte cuts at each byte.

--- a/fleet/connection/sse/sse_test.go
+++ b/fleet/connection/sse/sse_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -73,3 +74,24 @@
 		}
 	})
 }
+
+// Guards against a stream without a length that looks complete though it ends inside an event.
+func TestStreamCutAtAnyByte(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n"} {
+		event := strings.Join([]string{"id: 1", "data: piece", "", ""}, lineEnd)
+		stream := event + event + ": comment" + lineEnd + lineEnd + event
+		boundaries := map[int]bool{0: true, len(event): true, 2 * len(event): true, len(stream) - len(event): true, len(stream): true}
+		for length := range len(stream) + 1 {
+			reader := NewReader(strings.NewReader(stream[:length]))
+			var err error
+			for err == nil {
+				_, err = reader.Next()
+			}
+			want := ErrPartial
+			if boundaries[length] {
+				want = io.EOF
+			}
+			assert.Assert(t, errors.Is(err, want), "%q ends with %v", stream[:length], err)
+		}
+	}
+}
--- a/fleet/request/relay/relay_test.go
+++ b/fleet/request/relay/relay_test.go
@@ -244,6 +244,7 @@
 		{platformtest.NotHTTP, 502, 1, 200},
 		{platformtest.DuplicateResponse, 200, 1, 200},
 		{platformtest.NoContentLength, 200, 1, 200},
+		{platformtest.UnframedReset, 502, 1, 200},
 	} {
 		t.Run(string(c.fault), func(t *testing.T) {
 			for _, path := range []string{pathUnsafe, pathSafe} {
@@ -309,6 +310,43 @@
 	assert.Equal(t, f.requestCount(), 1)
 }
 
+func TestStreamWithoutLengthForwarded(t *testing.T) {
+	for _, path := range []string{pathStream, pathResume} {
+		f := newFixture(t, 1)
+		f.faults(platformtest.NoContentLength)
+		got := f.postStream(path)
+		assert.NilError(t, got.err, path)
+		assert.Equal(t, got.body, streamEvents(1, 3))
+		assert.Equal(t, f.requestCount(), 1)
+	}
+}
+
+// Guards against a stream that ends with its connection and looks complete though it was
+// broken off: inside an event, by a reset, or before the first event.
+func TestStreamWithoutLengthBrokenOff(t *testing.T) {
+	for fault, forwarded := range map[platformtest.Fault]int{
+		platformtest.UnframedCut: 2, platformtest.UnframedReset: 2, platformtest.UnframedEmpty: 0,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			f := newFixture(t, 2)
+			f.faults(fault, fault)
+			got := f.postStream(pathStream)
+			assert.Equal(t, f.requestCount(), 1)
+			if forwarded == 0 {
+				assert.Equal(t, got.status, http.StatusBadGateway)
+			} else {
+				assert.Assert(t, got.err != nil, "a stream that was broken off looks complete")
+				assert.Equal(t, got.body, streamEvents(1, forwarded))
+			}
+			f = newFixture(t, 2)
+			f.faultFirst(fault)
+			got = f.postStream(pathResume)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, streamEvents(1, 3), "the stream is resumed at the other endpoint")
+		})
+	}
+}
+
 func TestStreamResumedAtAnotherEndpoint(t *testing.T) {
 	f := newFixture(t, 2)
 	f.faultFirst(platformtest.Truncated)
--- a/fleet/request/relay/stream.go
+++ b/fleet/request/relay/stream.go
@@ -26,6 +26,10 @@
 	events := sse.NewReader(response.Body)
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && isUnframed(response) && c.progress.events == 0 {
+			// Only its events could show that it is complete.
+			err = errNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			if !c.isCommitted {
 				r.writeStreamHeader(c, response)
@@ -61,6 +65,15 @@
 	}
 }
 
+// errNoEvent means that a stream with neither a length nor chunks ended without an event.
+var errNoEvent = errors.New("the stream ended before its first event")
+
+// isUnframed reports whether a response has neither a length nor chunks and ends with its
+// connection.
+func isUnframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // recordEvent records that an event arrived.
 func (r *Relay) recordEvent(c *call, event sse.Event) {
 	if event.IsFiller {
