Refuse chats that crash engines at the product's own interface as well

The gateway has the same class of fault as the relay: a chat whose message ends the engine that answers it went to the next engine each time its caller repeated it or went on with it. Messages take the place of prompt parts, hashed with the account. Each router of the product's own fleet learns by itself.

--- a/fleet/connection/upstream/probe.go
+++ b/fleet/connection/transport/probe.go
@@ -1,4 +1,4 @@
-package upstream
+package transport
 
 import (
 	"context"
--- a/fleet/explain/cause.go
+++ b/fleet/explain/cause.go
@@ -63,7 +63,10 @@
 		return "The caller closed the connection while endpoint " + s.lastAttempt().Endpoint + " was processing it."
 	},
 	outcome.CodeQuarantined: func(s *Report) string {
-		return fmt.Sprintf("Refused without being sent: %s. They are refused until a request that tests it is served%s.", s.Detail, s.attemptCount())
+		if len(s.Attempts) > 0 {
+			return "Endpoint " + s.lastAttempt().Endpoint + " failed: " + attemptError(s.lastAttempt()) + ". It was not sent to another: " + s.Detail + s.attemptCount() + "."
+		}
+		return "Refused without being sent: " + s.Detail + ". Such requests are refused until one that tests it is served."
 	},
 	outcome.CodeBadRequest:   func(s *Report) string { return "The request is malformed: " + s.Detail + "." },
 	outcome.CodeBodyTooLarge: func(s *Report) string { return "Its body is larger than the configuration allows." },
--- a/fleet/explain/explain_test.go
+++ b/fleet/explain/explain_test.go
@@ -17,6 +17,8 @@
 starting up
 edge-1 {"time":"2026-06-22T05:52:43Z","msg":"relay: Request failed.","request":"r1","took":43000000,"version":2,"confirmedAgo":1500000000,"route":"orders","service":"plain","account":"mill","attempts":[{"endpoint":"e-1","at":1000,"running":4,"took":42000000,"head":41000000,"ended":"the endpoint refused the request"}],"parts":["aa","bb"],"code":"overloaded","outcome":"not-run","detail":"the endpoint refused the request","retryAfter":500000000}
 edge-1 {"time":"2026-06-22T05:52:44Z","msg":"balance: Trust in an endpoint changed.","endpoint":"e-1","isTrusted":true}
+edge-2 {"time":"2026-06-22T05:52:45Z","msg":"balance: Quarantine of a prompt part changed.","partId":"bad","isQuarantined":true,"crashes":3,"reason":"crashes"}
+edge-1 {"time":"2026-06-22T05:52:46Z","msg":"relay: Request failed.","request":"r4","took":90000,"parts":["shared","bad","own"],"code":"quarantined","outcome":"not-run","detail":"3 endpoints crashed while they answered requests with the part \"bad\"","retryAfter":29000000000}
 edge-1 {"time":"2026-06-22T05:52:53Z","msg":"relay: Request answered.","request":"r2","took":10000000,"attempts":[{"endpoint":"e-1","ended":"the endpoint can't be reached"},{"endpoint":"e-2"}]}
 `
 
@@ -51,6 +53,20 @@
 	}
 }
 
+// Guards against a refusal whose cause, crashes seen by other routers, can't be found.
+func TestReportQuarantinedRequest(t *testing.T) {
+	reports, err := Find(read(t, log), "r4")
+	assert.NilError(t, err)
+	var printed strings.Builder
+	reports[0].Print(&printed)
+	for _, part := range []string{
+		`Refused without being sent: 3 endpoints crashed while they answered requests with the part "bad"`, "prompt parts: shared, bad, own",
+		"retry after 29s", "edge-2: ", "Quarantine of a prompt part changed.",
+	} {
+		assert.Assert(t, strings.Contains(printed.String(), part), "%q is missing in\n%s", part, printed.String())
+	}
+}
+
 func TestReportRetriedRequest(t *testing.T) {
 	reports, err := Find(read(t, log), "r2")
 	assert.NilError(t, err)
--- a/fleet/process/control/control.go
+++ b/fleet/process/control/control.go
@@ -119,6 +119,9 @@
 	return l.state.Load()
 }
 
+// Self returns this router.
+func (l *Loop) Self() membership.Router { return l.options.Self }
+
 // Routing returns the component that places requests.
 func (l *Loop) Routing() *Routing {
 	return l.routing
--- a/fleet/request/gateway/answer.go
+++ b/fleet/request/gateway/answer.go
@@ -8,7 +8,9 @@
 	"github.com/cockroachdb/errors"
 
 	"gentianhead/core/request/outcome"
+	"gentianhead/core/request/quarantine"
 	"gentianhead/fleet/connection/engine"
+	"gentianhead/fleet/process/boottime"
 )
 
 // forwardWhole forwards the answer of a plain service once it is complete.
@@ -53,7 +55,11 @@
 	copyAnswerHeader(x.w.Header(), response.Header)
 	x.w.WriteHeader(http.StatusOK)
 	flusher := http.NewResponseController(x.w)
+	begunAt := boottime.Now()
 	for err == nil {
+		if boottime.Now()-begunAt >= quarantine.SurvivalTime {
+			g.recordServed(x)
+		}
 		if !x.writeEvent("data: ", data) || flusher.Flush() != nil {
 			x.abortProblem = callerDisconnected
 			return nil
--- a/fleet/request/gateway/chat.go
+++ b/fleet/request/gateway/chat.go
@@ -34,6 +34,7 @@
 		Account: x.account,
 		Prefix:  prefixKey(x.account, request.Messages),
 	}
+	x.parts = messageParts(x.account, request.Messages)
 	call := endpointCall{method: http.MethodPost, path: engine.ChatPath, isResumable: true}
 	return g.dispatch(ctx, x, info, call, func(response *http.Response) *outcome.Problem {
 		if request.Stream && response.StatusCode == http.StatusOK {
--- /dev/null
+++ b/fleet/request/gateway/crashes.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianhead/core/process/endpoints"
+	"gentianhead/core/process/entry"
+	"gentianhead/core/process/presence"
+	"gentianhead/core/request/outcome"
+	"gentianhead/core/request/quarantine"
+	"gentianhead/fleet/connection/transport"
+	"gentianhead/fleet/process/boottime"
+)
+
+const (
+	// probeTimeout is the time limit for the connection to an endpoint that broke another.
+	probeTimeout = time.Second
+	// quarantineStep is the least time between two updates of the quarantines.
+	quarantineStep = 100 * time.Millisecond
+	// maxMessageParts is how many messages of a chat are considered, the latest ones.
+	maxMessageParts = 32
+)
+
+// crashGuard refuses requests that crash endpoints. Each router learns by itself: routers
+// of a chat are few, since callers use its entry answer. It is safe for concurrent use.
+type crashGuard struct {
+	log *slog.Logger
+
+	mu        sync.Mutex
+	core      *quarantine.Core
+	steppedAt time.Duration
+}
+
+func newCrashGuard(instance string, log *slog.Logger) *crashGuard {
+	core := quarantine.New()
+	core.SetRouters(instance, []string{instance})
+	return &crashGuard{core: core, log: log}
+}
+
+// messageParts returns the messages of a chat as the parts that may crash an engine. Unlike
+// a prompt's, the last one counts: a repeated request has it again.
+func messageParts(account string, messages []json.RawMessage) []quarantine.Part {
+	first := max(0, len(messages)-maxMessageParts)
+	parts := make([]quarantine.Part, 0, len(messages)-first)
+	for i, message := range messages[first:] {
+		key := entry.Mix(xxhash.Sum64String(account), xxhash.Sum64(message))
+		parts = append(parts, quarantine.Part{Key: presence.PartKey(key), ID: fmt.Sprintf("message %016x", key), Position: i})
+	}
+	return parts
+}
+
+// admit returns a problem if a request with these parts may not be sent. isTest is set if
+// it tests a quarantine.
+func (g *crashGuard) admit(parts []quarantine.Part) (problem *outcome.Problem, isTest bool) {
+	now := boottime.Now()
+	g.mu.Lock()
+	if now-g.steppedAt >= quarantineStep {
+		g.steppedAt = now
+		// The list of endpoints doesn't show whether one has ended.
+		g.core.Step(now, func(endpoints.Entry) bool { return true })
+	}
+	admission := g.core.Admit(now, parts)
+	changes := g.core.TakeChanges()
+	g.mu.Unlock()
+	g.logChanges(changes)
+	refusal := admission.Refusal
+	if refusal == nil {
+		return nil, admission.IsTest
+	}
+	detail := fmt.Sprintf("%d endpoints crashed while they answered requests with the part %q", refusal.Crashes, refusal.ID)
+	return notRun(http.StatusServiceUnavailable, outcome.CodeQuarantined, detail).retryAfter(refusal.Wait), false
+}
+
+func (g *crashGuard) untested(parts []quarantine.Part) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Untested(boottime.Now(), parts)
+}
+
+func (g *crashGuard) served(parts []quarantine.Part) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Served(boottime.Now(), parts)
+}
+
+// broken records that an endpoint broke a request's connection, and finds out in the
+// background whether it has ended.
+func (g *crashGuard) broken(name, rawURL string, parts []quarantine.Part) {
+	address, err := addressOf(rawURL)
+	if err != nil {
+		g.log.Warn("The URL of an endpoint can't be read.", "endpoint", name, "error", err)
+		return
+	}
+	endpoint := endpoints.Entry{ID: name, Address: address}
+	g.mu.Lock()
+	shouldProbe := g.core.Broken(boottime.Now(), endpoint, parts)
+	g.mu.Unlock()
+	if shouldProbe {
+		go g.probe(endpoint)
+	}
+}
+
+func (g *crashGuard) probe(endpoint endpoints.Entry) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	result := transport.Probe(ctx, endpoint.Address)
+	if result == transport.NoAnswer {
+		return
+	}
+	isGone := result == transport.Refused
+	g.log.Info("An endpoint broke a connection.", "endpoint", endpoint.ID, "isGone", isGone)
+	g.mu.Lock()
+	g.core.Probed(boottime.Now(), endpoint, isGone)
+	changes := g.core.TakeChanges()
+	g.mu.Unlock()
+	g.logChanges(changes)
+}
+
+func (g *crashGuard) logChanges(changes []quarantine.Change) {
+	for _, c := range changes {
+		g.log.Info("Quarantine of a part changed.", "partId", c.ID, "isQuarantined", c.IsQuarantined, "crashes", c.Crashes,
+			"served", c.Served, "period", c.Period, "reason", c.Reason)
+	}
+}
+
+// addressOf returns the host and port of an endpoint's URL.
+func addressOf(rawURL string) (string, error) {
+	parsed, err := url.Parse(rawURL)
+	if err != nil {
+		return "", err
+	}
+	if parsed.Port() != "" {
+		return parsed.Host, nil
+	}
+	port := "80"
+	if parsed.Scheme == "https" {
+		port = "443"
+	}
+	return net.JoinHostPort(parsed.Hostname(), port), nil
+}
+
+// recordEnd records how an attempt at an endpoint ended: err is the error of sending it, or
+// nil, and problem that of forwarding its answer, or nil.
+func (g *Gateway) recordEnd(x *exchange, name, url string, err error, problem *outcome.Problem) {
+	if problem == nil {
+		problem = x.abortProblem
+	}
+	if err != nil {
+		problem = problemFromError(err)
+	}
+	switch {
+	case problem == nil:
+		g.recordServed(x)
+	case x.isServed || problem.Outcome != outcome.Unknown:
+	case problem.Code == outcome.CodeAnswerTruncated || problem.Code == outcome.CodeEndpointFailed:
+		g.crashes.broken(name, url, x.parts)
+	}
+}
+
+// recordServed records, once for each request, that its endpoint survived it.
+func (g *Gateway) recordServed(x *exchange) {
+	if !x.isServed {
+		x.isServed = true
+		g.crashes.served(x.parts)
+	}
+}
--- a/fleet/request/gateway/dispatch.go
+++ b/fleet/request/gateway/dispatch.go
@@ -15,6 +15,7 @@
 
 	"gentianhead/core/request/outcome"
 	"gentianhead/core/request/placement"
+	"gentianhead/core/request/quarantine"
 	"gentianhead/core/request/retry"
 	"gentianhead/core/request/routing"
 	"gentianhead/core/version/resource"
@@ -44,6 +45,18 @@
 // forwards the answer. A request that certainly did not run is retried on
 // another endpoint while the retry budgets allow.
 func (g *Gateway) dispatch(ctx context.Context, x *exchange, info placement.PickInfo, call endpointCall, forward forwardFunc) *outcome.Problem {
+	if len(x.parts) == 0 {
+		x.parts = []quarantine.Part{quarantine.PlainPart(info.Service, call.method, call.path, x.body)}
+	}
+	problem, isTest := g.crashes.admit(x.parts)
+	if problem != nil {
+		return problem
+	}
+	defer func() {
+		if isTest && !x.isSent {
+			g.crashes.untested(x.parts)
+		}
+	}()
 	if info.Service != "" {
 		return g.dispatchService(ctx, x, info, call, forward)
 	}
@@ -66,13 +79,16 @@
 		if placed.Refusal != nil {
 			return refusalProblem(placed.Refusal)
 		}
-		response, err := g.sendPlaced(ctx, x, placed.Engine, call)
+		response, url, err := g.sendPlaced(ctx, x, placed.Engine, call)
 		if err == nil {
 			defer router.Done(placed.Ticket)
-			return forward(response)
+			problem := forward(response)
+			g.recordEnd(x, placed.Engine, url, nil, problem)
+			return problem
 		}
 		if !isNotRun(err) {
 			router.Done(placed.Ticket)
+			g.recordEnd(x, placed.Engine, url, err, nil)
 			return problemFromError(err)
 		}
 		placed, ok = router.Failed(ctx, placed.Ticket, true)
@@ -82,13 +98,16 @@
 	}
 }
 
-// sendPlaced sends to the named engine, using the latest configuration in force.
-func (g *Gateway) sendPlaced(ctx context.Context, x *exchange, name string, call endpointCall) (*http.Response, error) {
+// sendPlaced sends to the named engine, using the latest configuration in force, and
+// returns its URL.
+func (g *Gateway) sendPlaced(ctx context.Context, x *exchange, name string, call endpointCall) (*http.Response, string, error) {
 	object, known := g.options.Control.State().Config.Get(resource.KindEndpoint, name)
 	if !known || object.Endpoint.Withdrawn {
-		return nil, engine.ErrWithdrawn
+		return nil, "", engine.ErrWithdrawn
 	}
-	return g.send(ctx, x, placement.PickResult{Endpoint: name, URL: object.Endpoint.URL}, call)
+	url := object.Endpoint.URL
+	response, err := g.send(ctx, x, placement.PickResult{Endpoint: name, URL: url}, call)
+	return response, url, err
 }
 
 // dispatchService sends to an endpoint of a plain service. Services have no load bound.
@@ -104,7 +123,12 @@
 		}
 		response, err := g.send(ctx, x, picked, call)
 		if err == nil {
-			return forward(response)
+			problem := forward(response)
+			g.recordEnd(x, picked.Endpoint, picked.URL, nil, problem)
+			return problem
+		}
+		if !isNotRun(err) {
+			g.recordEnd(x, picked.Endpoint, picked.URL, err, nil)
 		}
 		refusal := router.Retry(retry.Failure{
 			Account:   info.Account,
@@ -149,6 +173,7 @@
 
 		Resumable: call.isResumable,
 	})
+	x.isSent = x.isSent || !errors.Is(err, engine.ErrNotSent)
 	if err == nil {
 		err = refusedByEndpoint(response)
 	}
--- a/fleet/request/gateway/gateway.go
+++ b/fleet/request/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"gentianhead/core/request/outcome"
+	"gentianhead/core/request/quarantine"
 	"gentianhead/fleet/connection/engine"
 	"gentianhead/fleet/process/control"
 	"gentianhead/fleet/process/settings"
@@ -61,6 +62,7 @@
 	options   Options
 	tracer    trace.Tracer
 	bodies    *bodyMemory
+	crashes   *crashGuard
 	isLeaving atomic.Bool
 }
 
@@ -80,6 +82,7 @@
 		options: options,
 		tracer:  otel.Tracer(telemetry.TracerName),
 		bodies:  newBodyMemory(options.Limits.BodyMemoryBytes),
+		crashes: newCrashGuard(options.Control.Self().Instance, options.Log),
 	}
 }
 
@@ -121,6 +124,10 @@
 	abortProblem *outcome.Problem
 	// isClaimKnown reports whether the answer is based on the key's claim.
 	isClaimKnown bool
+	// parts are the parts of the request that may crash an endpoint. isSent is set once it
+	// was sent to one, and isServed once that is known to have survived it.
+	parts            []quarantine.Part
+	isSent, isServed bool
 	// state is the control state at the start of the request.
 	state *control.State
 }
--- a/fleet/request/relay/quarantine.go
+++ b/fleet/request/relay/quarantine.go
@@ -9,7 +9,7 @@
 	"gentianhead/core/request/balance"
 	"gentianhead/core/request/breaker"
 	"gentianhead/core/request/quarantine"
-	"gentianhead/fleet/connection/upstream"
+	"gentianhead/fleet/connection/transport"
 	"gentianhead/fleet/process/boottime"
 )
 
@@ -65,10 +65,10 @@
 func (r *Relay) probe(endpoint endpoints.Entry) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	switch result := upstream.Probe(ctx, endpoint.Address); result {
-	case upstream.Refused, upstream.Accepted:
-		r.options.Balancer.recordProbe(endpoint, result == upstream.Refused)
-	case upstream.NoAnswer:
+	switch result := transport.Probe(ctx, endpoint.Address); result {
+	case transport.Refused, transport.Accepted:
+		r.options.Balancer.recordProbe(endpoint, result == transport.Refused)
+	case transport.NoAnswer:
 		// A broken link. If the endpoint crashed, its entry expires.
 	}
 }
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -27,6 +27,7 @@
 	tokenDelay := flags.Duration("token-delay", 5*time.Millisecond, "time between two tokens")
 	slots := flags.Int("slots", 0, "concurrent requests that the engine reports as its capacity")
 	checksFencing := flags.Bool("checks-fencing", false, "refuse fencing numbers below the highest of an idempotency key")
+	crashText := flags.String("crash-text", "", "end when a chat with this text begins to be answered")
 	laggingTable := flags.String("lagging-table", "instances", "platform table whose changes become visible late")
 	lag := flags.Duration("lag", 2*time.Second, "delay before changes of that table become visible")
 	_ = flags.Parse(os.Args[2:])
@@ -44,6 +45,8 @@
 			TokenDelay:    *tokenDelay,
 			Slots:         *slots,
 			ChecksFencing: *checksFencing,
+			CrashText:     *crashText,
+			Exit:          func() { fatal("crashed by a request") },
 		}).Handler()
 	default:
 		fatal("unknown server " + os.Args[1] + "; allowed: platform, engine")
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -4,6 +4,7 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -36,6 +37,10 @@
 	// ChecksFencing makes the engine refuse fencing numbers below the highest of an
 	// idempotency key.
 	ChecksFencing bool
+	// CrashText ends the engine when it begins to answer a request whose body contains it;
+	// empty means never. Exit is called for that and must not return.
+	CrashText string
+	Exit      func()
 }
 
 // Faults are the failures that tests inject through PUT /faults.
@@ -185,6 +190,12 @@
 	if !ok {
 		return
 	}
+	if s.options.CrashText != "" && bytes.Contains(body, []byte(s.options.CrashText)) {
+		w.Header().Set(HeaderRequestID, responseID)
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		s.options.Exit()
+	}
 	generation := newGeneration(r.Header.Get(HeaderRequestID), request, s.options)
 	s.responses.add(generation)
 	go func() {
