Soak: engines that crash on prompt parts

Checked: at most three requests of routers in touch reach engines three seconds after the fifth crash, and no sound request is refused for a part.

--- a/fleet/soak/caller_test.go
+++ b/fleet/soak/caller_test.go
@@ -23,11 +23,17 @@
 	kindResume kind = "resume"
 )
 
-var kinds = []kind{kindUnsafe, kindSafe, kindStream, kindResume}
+var kinds = []kind{kindUnsafe, kindSafe, kindStream, kindResume, kindChat}
+
+// isStream reports whether requests of the kind get a stream of events.
+func (k kind) isStream() bool { return k == kindStream || k == kindResume || k == kindChat }
 
 // addedKind is the route that a version of the configuration added.
 func addedKind(version int) kind { return kind(fmt.Sprint("added-", version)) }
 
+// isAtMostOnce reports whether a request of the kind may run only once.
+func (k kind) isAtMostOnce() bool { return k == kindUnsafe || k == kindStream || k == kindChat }
+
 // attempt is one request and the response that its caller received.
 type attempt struct {
 	id     string
@@ -36,11 +42,13 @@
 	router *process
 	// version is the one that added the route, zero for the others.
 	version int
-	sentAt  time.Time
-	status  int
-	header  http.Header
-	body    string
-	err     error
+	// crashingPart is the part of the prompt that crashes engines; empty for sound requests.
+	crashingPart string
+	sentAt       time.Time
+	status       int
+	header       http.Header
+	body         string
+	err          error
 }
 
 // recorder records the attempts of all callers.
@@ -68,6 +76,8 @@
 	// fails, whatever they resolve.
 	isSticky bool
 	sticksTo string
+	// crashingPart is in the prompts of all requests of the caller; empty for none.
+	crashingPart string
 }
 
 // addedShare is the share of requests, one in so many, on a route that some version added.
@@ -134,7 +144,11 @@
 
 func (c *caller) send(address, id string) *attempt {
 	a := &attempt{id: id, kind: kinds[c.random.IntN(len(kinds))], secret: c.harness.secret(), router: c.harness.byAddress[address], sentAt: time.Now()}
-	if c.random.IntN(addedShare) == 0 {
+	a.crashingPart = c.crashingPart
+	switch {
+	case c.crashingPart != "":
+		a.kind = kindChat
+	case c.random.IntN(addedShare) == 0:
 		a.version = 1 + c.random.IntN(c.harness.newestVersion())
 		a.kind = addedKind(a.version)
 	}
@@ -146,10 +160,10 @@
 	request.Header.Set("Authorization", "Token "+a.secret)
 	request.Header.Set("Gentianhead-Attempt-Id", id)
 	request.Header.Set("Gentianhead-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	if a.kind == kindStream || a.kind == kindResume {
+	if a.kind.isStream() {
 		request.Header.Set("Gentianhead-Model", "m")
 		request.Header.Set("Gentianhead-Token-Usage", "100,20")
-		request.Header.Set("Gentianhead-Prompt-Prefix", fmt.Sprintf("base:50,doc-%d:40,%s:10", c.random.IntN(5), id))
+		request.Header.Set("Gentianhead-Prompt-Prefix", strings.Join(c.promptParts(id), ","))
 	}
 	// Without GetBody, net/http doesn't retry the request by itself.
 	request.GetBody = nil
@@ -163,3 +177,12 @@
 	a.status, a.header, a.body, a.err = response.StatusCode, response.Header, string(body), err
 	return a
 }
+
+// promptParts returns the parts of a prompt with their tokens.
+func (c *caller) promptParts(id string) []string {
+	parts := []string{"base:50", fmt.Sprintf("doc-%d:40", c.random.IntN(5))}
+	if c.crashingPart != "" {
+		parts = append(parts, c.crashingPart+":30")
+	}
+	return append(parts, id+":10")
+}
--- a/fleet/soak/check_test.go
+++ b/fleet/soak/check_test.go
@@ -15,7 +15,7 @@
 // check compares the responses that callers received with the requests that endpoints ran.
 func (h *harness) check() {
 	runs := make(map[string]int)
-	for _, endpoint := range h.endpoints {
+	for _, endpoint := range append(h.crashes.all, h.endpoints...) {
 		for _, run := range endpoint.Runs() {
 			id := run.Header.Get("Gentianhead-Attempt-Id")
 			runs[id]++
@@ -39,6 +39,7 @@
 		}
 	}
 	h.checkDrains()
+	h.checkCrashes()
 	h.t.Logf("%d requests, %d served", len(h.recorder.attempts), served)
 	if served == 0 {
 		h.t.Error("no request was served")
@@ -55,7 +56,7 @@
 		h.t.Errorf("%s (%s) got the response of another request: %v", a.id, a.kind, a.header)
 	}
 	want := platformtest.ResponseBody(signer, a.id)
-	if a.kind == kindStream || a.kind == kindResume {
+	if a.kind.isStream() {
 		want = wantStreamBody()
 	}
 	isWhole := a.body == want
@@ -74,12 +75,12 @@
 
 // checkRuns checks how often a request ran, and whether it was allowed to run.
 func (h *harness) checkRuns(a *attempt, runs int) {
-	if (a.kind == kindUnsafe || a.kind == kindStream) && runs > 1 {
+	if a.kind.isAtMostOnce() && runs > 1 {
 		h.t.Errorf("%s (%s) ran %d times", a.id, a.kind, runs)
 	}
 	switch a.status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		if runs > 0 && (a.kind == kindUnsafe || a.kind == kindStream) {
+		if runs > 0 && a.kind.isAtMostOnce() {
 			h.t.Errorf("%s (%s) got status %d but ran", a.id, a.kind, a.status)
 		}
 	}
@@ -94,7 +95,7 @@
 	if removedAt, isRemoved := h.removedAt[a.secret]; isRemoved && runs > 0 && a.sentAt.After(removedAt.Add(revocationDelay+maxTransitTime)) {
 		h.t.Errorf("%s ran with a secret that was removed %v before it was sent", a.id, a.sentAt.Sub(removedAt))
 	}
-	if h.hasOnlyPlannedFaults && a.err != nil && runs > 0 && a.router.isInPlannedStop(a.sentAt) {
+	if h.hasOnlyPlannedFaults && a.err != nil && runs > 0 && a.router.isInPlannedStop(a.sentAt) && !h.wasCutByCrash(a) {
 		h.t.Errorf("%s (%s) was cut off by a planned stop of %s: %v", a.id, a.kind, a.router.name, a.err)
 	}
 }
--- a/fleet/soak/soak_test.go
+++ b/fleet/soak/soak_test.go
@@ -45,6 +45,7 @@
 	routers         []*process
 	byAddress       map[string]*process
 	recorder        recorder
+	crashes         crashes
 	drains          []drain
 	// reservedUntil is the time until which the entry of an endpoint is reserved for a change.
 	reservedUntil map[*platformtest.Endpoint]time.Time
@@ -115,6 +116,9 @@
 		route(kindUnsafe, "unsafe", 2, false), route(kindSafe, "safe", 3, false),
 		route(kindStream, "streaming", 2, false), route(kindResume, "streaming", 3, true),
 	}
+	chat := route(kindChat, "streaming", 2, false)
+	chat["Service"], chat["SessionAffinity"] = "engines", true
+	routes = append(routes, chat)
 	for version := 1; version <= h.version; version++ {
 		routes = append(routes, route(addedKind(version), "safe", 3, false))
 	}
@@ -124,7 +128,7 @@
 	h.store.Put(platform.TableOperator, platform.KeyConfiguration, map[string]any{
 		"Version":    h.version * 3,
 		"RouteTable": routes,
-		"Services":   []any{map[string]any{"Name": "pool"}},
+		"Services":   []any{map[string]any{"Name": "pool"}, map[string]any{"Name": "engines"}},
 		"Tenants":    []any{map[string]any{"Name": "mill", "ApiKeys": valid}},
 	})
 	h.configuredAt[h.version] = time.Now()
@@ -152,6 +156,7 @@
 		h.endpoints, h.endpointProxies, h.linkFaults = append(h.endpoints, endpoint), append(h.endpointProxies, link), append(h.linkFaults, &intervals{})
 		h.store.Put(platform.TableEndpoints, endpoint.ID, endpoint.Entry("pool", "ready"))
 	}
+	h.startEngines(seed)
 	directory := t.TempDir()
 	port := uint16(15000 + 10*(seed%1500)) // Below the ports of outgoing connections.
 	// Parallel seeds, and test processes, use other loopback addresses.
@@ -328,6 +333,11 @@
 		c := &caller{harness: h, number: number, random: rand.New(rand.NewPCG(h.random.Uint64(), 0)), isSticky: number%2 == 1}
 		wg.Go(func() { c.run(stop) })
 	}
+	wg.Go(func() { h.replaceCrashed(stop) })
+	for _, part := range h.crashes.parts {
+		seed := h.random.Uint64()
+		wg.Go(func() { h.sendCrashing(part, seed, stop) })
+	}
 	var done []string
 	begun := time.Now()
 	for time.Since(begun) < faultDuration {
