Keep quarantines over a loss of all routers

After a restart of all routers, three more endpoints crashed until a part was found again. One router, on which all agree by rendezvous hash, writes the parts in quarantine to a row of the table that each router reads at its start anyway: one write for each new verdict, no additional read. The row is removed when nothing is in quarantine, and written again after the store came back from an older copy. Releases without it take the row for an address that can't be parsed and ignore it.

TestQuarantineSurvivesLossOfAllRouters and TestEndedQuarantineRemovedFromStore fail without.

--- a/core/request/quarantine/quarantine.go
+++ b/core/request/quarantine/quarantine.go
@@ -327,11 +327,34 @@
 	} else {
 		c.sources[name] = source{at: now, evidence: evidence}
 	}
-	for _, v := range evidence.Verdicts {
+	c.Adopt(now, evidence.Verdicts)
+}
+
+// Adopt takes over verdicts that are newer than the known ones.
+func (c *Core) Adopt(now time.Duration, verdicts []presence.Verdict) {
+	for _, v := range verdicts {
 		c.adopt(now, v)
 	}
 }
 
+// Quarantined returns the verdicts that refuse requests.
+func (c *Core) Quarantined(now time.Duration) []presence.Verdict {
+	var list []presence.Verdict
+	for _, v := range c.verdicts {
+		if !v.IsLifted {
+			list = append(list, v.stated(now))
+		}
+	}
+	return list
+}
+
+// stated returns the verdict as it is reported, with its ages.
+func (v *verdict) stated(now time.Duration) presence.Verdict {
+	reported := v.Verdict
+	reported.Age, reported.MatchedAge = milliseconds(now-v.decidedAt), milliseconds(now-v.matchedAt)
+	return reported
+}
+
 // ForgetSource drops the evidence of one router or group, and Forget that of all. Verdicts
 // stay.
 func (c *Core) ForgetSource(name string) { delete(c.sources, name) }
@@ -401,9 +424,7 @@
 		}
 	}
 	for _, v := range c.verdicts {
-		stated := v.Verdict
-		stated.Age, stated.MatchedAge = milliseconds(now-v.decidedAt), milliseconds(now-v.matchedAt)
-		e.Verdicts = append(e.Verdicts, stated)
+		e.Verdicts = append(e.Verdicts, v.stated(now))
 	}
 	if len(e.Crashes)+len(e.Served)+len(e.Verdicts) == 0 {
 		return e
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -107,6 +107,8 @@
 	// by peer address.
 	sharedAt map[string]time.Duration
 	liveLog  liveLog
+	// quarantine stores the prompt parts whose requests are refused.
+	quarantine quarantineWriter
 	// registerAgain writes this router's row in the table of routers; nil until it runs.
 	registerAgain func()
 
@@ -207,6 +209,10 @@
 		c.handleCacheReport(now, e)
 	case cacheQueriesDone:
 		c.handover.EnginesQueried()
+	case quarantineWritten:
+		c.handleQuarantineWritten(e)
+	case quarantineRead:
+		c.handleQuarantineRead(e)
 	case settingsChanged:
 		c.handleSettings(e.settings)
 	case shutdownRequested:
@@ -367,6 +373,7 @@
 	}
 	c.keepInSync(now, c.publishLive(now))
 	c.queryCaches(now)
+	c.storeQuarantine(now)
 	if isOutdated := !c.state.isUpToDate(now); isOutdated != c.isOutdated {
 		c.isOutdated = isOutdated
 		c.log.Warn("Serving with the configuration in force changed.", "isServing", !isOutdated, "version", c.version(),
--- a/fleet/process/hosted/directory.go
+++ b/fleet/process/hosted/directory.go
@@ -67,7 +67,7 @@
 	return addresses[:min(len(addresses), maxAddresses)]
 }
 
-// putAddress writes this router's row in the table of routers.
+// putAddress writes a row in the table of routers.
 func (r *Router) putAddress(ctx context.Context, put table.Put) error {
 	_, err := r.store.Table(tableRouters).Commit(ctx, table.Transaction{Puts: []table.Put{put}})
 	return err
@@ -90,6 +90,10 @@
 		if err == nil {
 			var peers []string
 			for _, row := range rows.Rows {
+				if row.Key == keyQuarantine {
+					r.control.events <- quarantineRead{row.Value}
+					continue
+				}
 				peers = append(peers, string(row.Value))
 			}
 			r.control.events <- routersDiscovered{peers}
--- a/fleet/process/hosted/era.go
+++ b/fleet/process/hosted/era.go
@@ -28,6 +28,7 @@
 		return
 	}
 	c.endpoints.StoreRestored(now)
+	c.quarantine.stored = ""
 	c.log.Warn("The store has come back from an older copy.", "era", era, "before", before,
 		"configuration", c.storedVersion, "rows", len(c.sync.rows), "endpoints", c.state.endpointCount)
 	if c.sync.isWatcher.Load() {
--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -116,6 +116,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	r.control.registerAgain = func() { r.register(background) }
+	r.control.quarantine.put = r.putQuarantine(background)
 	go r.control.run(background)
 	go r.beacons.Receive(r.control.enqueueBeacon)
 	go r.register(background)
--- a/fleet/process/hosted/quarantine_test.go
+++ b/fleet/process/hosted/quarantine_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"gentianhead/core/process/presence"
 	"gentianhead/platform"
 	"gentianhead/platform/platformtest"
 )
@@ -102,3 +104,47 @@
 	}
 	assert.Assert(t, crashes()-learned <= 1, "%d more endpoints crashed", crashes()-learned)
 }
+
+// Guards against a loss of all routers after which the next ones crash endpoints again to
+// learn what was known.
+func TestQuarantineSurvivesLossOfAllRouters(t *testing.T) {
+	f := newFleet(t, 2)
+	verdict := presence.Verdict{Part: 1 << 63, Revision: 3, Crashes: 4, Period: 60_000}
+	f.routers[1].control.balancer.AdoptQuarantined([]presence.Verdict{verdict})
+	isQuarantined := func(number int) bool { return len(f.routers[number].control.balancer.Quarantined()) == 1 }
+	f.eventually("both routers know the quarantine", func() bool { return isQuarantined(0) && isQuarantined(1) })
+	f.eventually("quarantine stored", func() bool { return slices.Contains(f.store.Keys(tableRouters), keyQuarantine) })
+	for number := range 2 {
+		f.stops[number]()
+		assert.NilError(t, <-f.ended[number])
+	}
+	f.start(2)
+	f.eventually("started router knows the quarantine", func() bool { return isQuarantined(2) })
+	got := f.routers[2].control.balancer.Quarantined()[0]
+	assert.Equal(t, got.Part, verdict.Part)
+	assert.Equal(t, got.Revision, verdict.Revision)
+	assert.Assert(t, got.Age < 60_000)
+}
+
+// Guards against a row that stays when nothing is in quarantine.
+func TestEndedQuarantineRemovedFromStore(t *testing.T) {
+	f := newFleet(t, 1)
+	balancer := f.routers[0].control.balancer
+	balancer.AdoptQuarantined([]presence.Verdict{{Part: 7, Revision: 1, Crashes: 3, Period: 60_000}})
+	isStored := func() bool { return slices.Contains(f.store.Keys(tableRouters), keyQuarantine) }
+	f.eventually("quarantine stored", isStored)
+	balancer.AdoptQuarantined([]presence.Verdict{{Part: 7, Revision: 2, IsLifted: true}})
+	f.eventually("row removed", func() bool { return !isStored() })
+}
+
+// Guards against a row of another writer, or a broken one, that ends routers at their start.
+func TestUnreadableStoredQuarantine(t *testing.T) {
+	for _, value := range []string{"", "no list", `[{"part":"zz"}]`, `[{"part":"1","revision":-1}]`, `[{"part":7}]`} {
+		_, err := decodeQuarantine(time.Now(), []byte(value))
+		assert.Assert(t, err != nil, value)
+	}
+	verdicts, err := decodeQuarantine(time.UnixMilli(5000), []byte(`[{"part":"f","revision":2,"crashes":3,"decidedMs":9000,"periodMs":30000},{"part":"e","periodMs":100}]`))
+	assert.NilError(t, err)
+	want := []presence.Verdict{{Part: 15, Revision: 2, Crashes: 3, Period: 30000}, {Part: 14, Age: 100, Period: 100}}
+	assert.Assert(t, slices.Equal(verdicts, want), "%+v", verdicts)
+}
--- a/fleet/request/relay/quarantine.go
+++ b/fleet/request/relay/quarantine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentianhead/core/process/endpoints"
+	"gentianhead/core/process/presence"
 	"gentianhead/core/request/balance"
 	"gentianhead/core/request/breaker"
 	"gentianhead/core/request/quarantine"
@@ -91,6 +92,20 @@
 	b.logQuarantine(changes)
 }
 
+// Quarantined returns the verdicts that refuse requests.
+func (b *Balancer) Quarantined() []presence.Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.quarantine.Quarantined(boottime.Now())
+}
+
+// AdoptQuarantined takes over stored verdicts that are newer than the known ones.
+func (b *Balancer) AdoptQuarantined(verdicts []presence.Verdict) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.quarantine.Adopt(boottime.Now(), verdicts)
+}
+
 func (b *Balancer) admit(parts []quarantine.Part) quarantine.Admission {
 	b.mu.Lock()
 	defer b.mu.Unlock()
