--- a/core/process/presence/crashes.go
+++ b/core/process/presence/crashes.go
@@ -12,8 +12,10 @@
 
 // Bounds of what one beacon or digest states about crashes. The latest are kept.
 const (
-	maxCrashes     = 32
-	maxSuspects    = 48
+	maxCrashes  = 32
+	maxSuspects = 48
+	// maxAllSuspects bounds the suspects of all crashes together.
+	maxAllSuspects = 512
 	maxServedParts = 256
 	maxVerdicts    = 64
 )
@@ -103,7 +105,13 @@
 	slices.SortFunc(e.Verdicts, func(a, b Verdict) int {
 		return cmp.Or(cmp.Compare(a.MatchedAge, b.MatchedAge), cmp.Compare(a.Part, b.Part))
 	})
-	e.Crashes = e.Crashes[:min(len(e.Crashes), maxCrashes)]
+	suspects := 0
+	for i, crash := range e.Crashes {
+		if suspects += len(crash.Suspects); i == maxCrashes || suspects > maxAllSuspects {
+			e.Crashes = e.Crashes[:i]
+			break
+		}
+	}
 	e.Served = e.Served[:min(len(e.Served), maxServedParts)]
 	e.Verdicts = e.Verdicts[:min(len(e.Verdicts), maxVerdicts)]
 	return e
--- a/fleet/connection/beacon/beacon_test.go
+++ b/fleet/connection/beacon/beacon_test.go
@@ -154,3 +154,25 @@
 	assert.Equal(t, len(received.Digest.Work), endpoints)
 	assert.Equal(t, len(received.Digest.Members), routers)
 }
+
+// Guards against beacons that are too large after many crashes, and then carry no load, and
+// against one without its verdicts.
+func TestEvidenceOfManyCrashesFits(t *testing.T) {
+	var evidence presence.CrashEvidence
+	for number := range uint32(500) {
+		crash := presence.Crash{Process: presence.Key(number), Age: number * 100}
+		for part := range uint64(100) {
+			crash.Suspects = append(crash.Suspects, presence.Suspect{Part: presence.PartKey(1<<63 + part), Position: 9})
+		}
+		evidence.Crashes = append(evidence.Crashes, crash)
+		evidence.Served = append(evidence.Served, presence.ServedPart{Part: presence.PartKey(1<<62 + uint64(number)), Count: 70000})
+		evidence.Verdicts = append(evidence.Verdicts, presence.Verdict{Part: presence.PartKey(1<<61 + uint64(number)), Revision: 9, Crashes: 9, Age: 1 << 20, MatchedAge: 1 << 20, Period: 1 << 20})
+	}
+	sum := presence.SumEvidence(evidence)
+	encoded, err := msgpack.Marshal(presence.Beacon{CrashEvidence: sum})
+	assert.NilError(t, err)
+	t.Logf("%d bytes; %d crashes, %d verdicts", len(encoded), len(sum.Crashes), len(sum.Verdicts))
+	assert.Assert(t, len(encoded) < maxBytes/2, "%d bytes", len(encoded))
+	assert.Assert(t, len(sum.Crashes) >= 8)
+	assert.Equal(t, len(presence.Beacon{CrashEvidence: sum}.WithoutHints().Verdicts), len(sum.Verdicts))
+}
