--- a/core/request/quarantine/quarantine.go
+++ b/core/request/quarantine/quarantine.go
@@ -62,9 +62,11 @@
 	// firstPeriod and maxPeriod bound the time until a quarantine is tested.
 	firstPeriod = 30 * time.Second
 	maxPeriod   = 10 * time.Minute
-	// matchTTL is how long after its period a quarantine lasts without requests, and how
-	// long a lifted one is remembered, so that late reports don't revive it.
+	// matchTTL is how long after its period a quarantine lasts without requests.
 	matchTTL = time.Minute
+	// liftedTTL is how long a lifted quarantine is remembered, so that late reports don't
+	// revive it.
+	liftedTTL = 2 * evidenceTTL
 	// testSlot is the time for which one router may test a quarantine: longer than the news
 	// of a test takes to reach the router of the next slot.
 	testSlot = 3 * time.Second
@@ -153,7 +155,7 @@
 
 func (v *verdict) isExpired(now time.Duration) bool {
 	if v.IsLifted {
-		return now-v.decidedAt > 2*evidenceTTL
+		return now-v.decidedAt > liftedTTL
 	}
 	return now > v.until() && now-v.matchedAt > matchTTL
 }
@@ -316,8 +318,14 @@
 	return nil
 }
 
+// add adds the parts of a request that was in progress.
 func (s *crash) add(parts []Part) {
-	s.parts = append(s.parts, parts[:min(len(parts), max(0, maxSuspects-len(s.parts)))]...)
+	for _, part := range parts {
+		isKnown := slices.ContainsFunc(s.parts, func(p Part) bool { return p.Key == part.Key })
+		if !isKnown && len(s.parts) < maxSuspects {
+			s.parts = append(s.parts, part)
+		}
+	}
 }
 
 // Report replaces the evidence of another router or of a group of routers.
