--- a/core/request/quarantine/fleet_test.go
+++ b/core/request/quarantine/fleet_test.go
@@ -25,6 +25,8 @@
 	allowedCrashes  = 5
 	learnTime       = 3 * time.Second
 	allowedRequests = 3
+	minBegunRatio   = 0.5
+	minCompared     = 20
 	// maxRefusedShare is the share of sound requests that may be refused.
 	maxRefusedShare = 0.01
 
@@ -104,7 +106,8 @@
 	entry    endpoints.Entry
 	parts    []quarantine.Part
 	crashing int
-	begunAt  time.Duration
+	// sound is nil for a request with a crashing part.
+	sound    *soundRequest
 	isServed bool
 }
 
@@ -119,6 +122,12 @@
 	inTouch bool
 }
 
+// soundRequest is a sound request of a router in touch, or not.
+type soundRequest struct {
+	at               time.Duration
+	isBegun, inTouch bool
+}
+
 type fleet struct {
 	options
 	queue     virtual.Queue
@@ -127,10 +136,11 @@
 	routers   []*router
 	endpoints []*endpoint
 	crashing  []stats
-	// sound counts sound requests by whether they were refused by a quarantine.
-	sound, soundRefused int
-	arrived             int
-	quarantinedParts    map[presence.PartKey]string
+	// sound are the sound requests; soundRefused counts those that a quarantine refused.
+	sound            []*soundRequest
+	soundRefused     int
+	arrived          int
+	quarantinedParts map[presence.PartKey]string
 }
 
 func newFleet(o options) *fleet {
@@ -292,7 +302,8 @@
 	q := &request{number: f.arrived, router: r, core: r.core, parts: quarantine.PartsOf(prompt), crashing: crashing}
 	isRefused := r.core.Admit(f.clock(), q.parts).Refusal != nil
 	if crashing < 0 {
-		f.sound++
+		q.sound = &soundRequest{at: f.now, inTouch: f.now-r.impairedAt >= learnTime && !r.isCut}
+		f.sound = append(f.sound, q.sound)
 		if isRefused {
 			f.soundRefused++
 		}
@@ -322,7 +333,9 @@
 	if !q.endpoint.running[q] {
 		return
 	}
-	q.begunAt = f.now
+	if q.sound != nil {
+		q.sound.isBegun = true
+	}
 	if q.crashing >= 0 && (f.healsAt == 0 || f.now < f.healsAt) {
 		f.after(f.upTo(110*time.Millisecond), func() {
 			if q.endpoint.running[q] {
@@ -422,13 +435,39 @@
 			}
 		}
 		t.Logf("seed %d: part %d crashed %d endpoints, %d requests late", f.seed, number, len(s.crashes), late)
+		f.checkBegun(t, s.crashes[allowedCrashes-1])
 		assert.Check(t, late <= allowedRequests, "seed %d: %d requests with part %d were sent late; %d crashes, the fifth at %v", f.seed, late, number, len(s.crashes), s.crashes[allowedCrashes-1])
 	}
-	share := float64(f.soundRefused) / float64(max(1, f.sound))
-	t.Logf("seed %d: %d of %d sound requests refused; quarantined %v", f.seed, f.soundRefused, f.sound, f.quarantinedParts)
+	share := float64(f.soundRefused) / float64(max(1, len(f.sound)))
+	t.Logf("seed %d: %d of %d sound requests refused; quarantined %v", f.seed, f.soundRefused, len(f.sound), f.quarantinedParts)
 	assert.Check(t, share <= maxRefusedShare, "seed %d: %.3f of the sound requests were refused", f.seed, share)
 }
 
+// checkBegun checks that sound requests begin at their first attempt at least half as often
+// after the fleet had the time to learn of a crashing part as before there was one.
+func (f *fleet) checkBegun(t *testing.T, lastAllowedAt time.Duration) {
+	t.Helper()
+	share := func(from, until time.Duration) (share float64, count int) {
+		begun := 0
+		for _, s := range f.sound {
+			if s.inTouch && s.at >= from && s.at < until {
+				count++
+				if s.isBegun {
+					begun++
+				}
+			}
+		}
+		return float64(begun) / float64(max(1, count)), count
+	}
+	before, countBefore := share(0, crashingFrom)
+	// Those of the last second may not have begun yet.
+	after, countAfter := share(lastAllowedAt+2*learnTime, f.length-time.Second)
+	if countBefore >= minCompared && countAfter >= minCompared {
+		t.Logf("seed %d: %.3f of the sound requests began before, %.3f after", f.seed, before, after)
+		assert.Check(t, after >= minBegunRatio*before, "seed %d: %.3f of the sound requests began before, %.3f after", f.seed, before, after)
+	}
+}
+
 func small(seed uint64) options {
 	return options{
 		seed: seed, routers: 7, endpoints: 12, soundRate: 60, documents: 40, crashingParts: 1, crashingRate: 1.2, position: 2, length: 100 * time.Second,
