--- a/fleet/request/gateway/crashes.go
+++ b/fleet/request/gateway/crashes.go
@@ -118,7 +118,9 @@
 		return
 	}
 	isGone := result == transport.Refused
-	g.log.Info("An endpoint broke a connection.", "endpoint", endpoint.ID, "isGone", isGone)
+	if isGone {
+		g.log.Info("An endpoint has ended with requests in progress.", "endpoint", endpoint.ID)
+	}
 	g.mu.Lock()
 	g.core.Probed(boottime.Now(), endpoint, isGone)
 	changes := g.core.TakeChanges()
--- a/fleet/request/relay/quarantine.go
+++ b/fleet/request/relay/quarantine.go
@@ -142,7 +142,10 @@
 	b.mu.Lock()
 	b.quarantine.Probed(boottime.Now(), endpoint, isRefused)
 	b.mu.Unlock()
-	b.log.Info("An endpoint broke a connection.", "endpoint", endpoint.ID, "service", endpoint.Service, "isGone", isRefused)
+	if isRefused {
+		// Links break far more often than endpoints.
+		b.log.Info("An endpoint has ended with requests in progress.", "endpoint", endpoint.ID, "service", endpoint.Service)
+	}
 }
 
 func (b *Balancer) recordServed(parts []quarantine.Part) {
