Share quarantines between routers of the product's own fleet

Each router of that fleet had to see three crashes itself. Heartbeats and their answers now carry the verdicts.

--- a/core/process/gossip/heartbeat.go
+++ b/core/process/gossip/heartbeat.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gentianhead/core/process/membership"
+	"gentianhead/core/process/presence"
 	"gentianhead/core/process/withdrawal"
 	"gentianhead/core/version/resource"
 )
@@ -33,6 +34,9 @@
 	// Withdrawn holds the sender's marks if they changed recently, or if this
 	// heartbeat answers one with another WithdrawnHash.
 	Withdrawn []withdrawal.Mark `msgpack:"w,omitempty"`
+	// Verdicts are the sender's decisions on requests that crash endpoints. The owner sets
+	// and reads them; the core doesn't.
+	Verdicts []presence.Verdict `msgpack:"v,omitempty"`
 }
 
 // Message is the content of a router's heartbeats and answers until its state
--- a/fleet/process/control/control.go
+++ b/fleet/process/control/control.go
@@ -85,6 +85,7 @@
 	// tickedAt is the time of the last tick, in nanoseconds since startedAt.
 	tickedAt  atomic.Int64
 	startedAt time.Time
+	verdicts  atomic.Pointer[Verdicts]
 }
 
 // Events that the loop handles itself.
@@ -119,9 +120,6 @@
 	return l.state.Load()
 }
 
-// Self returns this router.
-func (l *Loop) Self() membership.Router { return l.options.Self }
-
 // Routing returns the component that places requests.
 func (l *Loop) Routing() *Routing {
 	return l.routing
--- a/fleet/request/gateway/crashes.go
+++ b/fleet/request/gateway/crashes.go
@@ -31,8 +31,8 @@
 	maxMessageParts = 32
 )
 
-// crashGuard refuses requests that crash endpoints. Each router learns by itself: routers
-// of a chat are few, since callers use its entry answer. It is safe for concurrent use.
+// crashGuard refuses requests that crash endpoints. Each router decides by the crashes that
+// it saw itself, and tells the others its verdicts. It is safe for concurrent use.
 type crashGuard struct {
 	log *slog.Logger
 
@@ -81,6 +81,22 @@
 	return notRun(http.StatusServiceUnavailable, outcome.CodeQuarantined, detail).retryAfter(refusal.Wait), false
 }
 
+// Stated implements control.Verdicts.
+func (g *crashGuard) Stated() []presence.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Evidence(boottime.Now()).Verdicts
+}
+
+// Adopt implements control.Verdicts.
+func (g *crashGuard) Adopt(verdicts []presence.Verdict) {
+	g.mu.Lock()
+	g.core.Adopt(boottime.Now(), verdicts)
+	changes := g.core.TakeChanges()
+	g.mu.Unlock()
+	g.logChanges(changes)
+}
+
 func (g *crashGuard) untested(parts []quarantine.Part) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/fleet/request/gateway/gateway.go
+++ b/fleet/request/gateway/gateway.go
@@ -78,11 +78,13 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
+	crashes := newCrashGuard(options.Control.Instance(), options.Log)
+	options.Control.ShareVerdicts(crashes)
 	return &Gateway{
 		options: options,
 		tracer:  otel.Tracer(telemetry.TracerName),
 		bodies:  newBodyMemory(options.Limits.BodyMemoryBytes),
-		crashes: newCrashGuard(options.Control.Self().Instance, options.Log),
+		crashes: crashes,
 	}
 }
 
