Don't take an endpoint that stops as planned for one that crashed

A broken connection was counted as a crash when the endpoint was no longer in service, also if it had begun to drain or said that it was leaving since. Now its entry must be gone without either (TestStoppingEndpointHasEntry).

--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -234,6 +234,16 @@
 	return known && current.StartedAt == e.StartedAt && current.Address == e.Address && !c.notices.IsLeaving(e)
 }
 
+// HasEntry reports whether a process of an endpoint has an entry, in service or draining, or
+// has said that it is leaving. One without has ended without notice.
+func (c *Core) HasEntry(e endpoints.Entry) bool {
+	isSame := func(other endpoints.Entry) bool {
+		return other.ID == e.ID && other.StartedAt == e.StartedAt && other.Address == e.Address
+	}
+	current, known := c.view.Find(e.ID)
+	return known && isSame(current) || slices.ContainsFunc(c.view.Draining(e.Service), isSame) || c.notices.IsLeaving(e)
+}
+
 // AwayFor returns the time until the first endpoint of a service takes requests again,
 // and whether no endpoint that takes some is left because of notices. The time is zero
 // if all are leaving.
--- a/core/request/balance/balance_test.go
+++ b/core/request/balance/balance_test.go
@@ -12,6 +12,7 @@
 	"gentianhead/core/process/presence"
 	"gentianhead/core/request/breaker"
 	"gentianhead/core/request/exchange"
+	"gentianhead/core/request/notice"
 	"gentianhead/core/version/routetable"
 )
 
@@ -200,3 +201,29 @@
 	held := c.states[again.ID].cache.prefix(0, keysOf(prompt("doc", "p").Parts))
 	assert.Equal(t, held, 3)
 }
+
+// Guards against an endpoint that broke a connection as it stopped as planned and is taken
+// for one that crashed.
+func TestStoppingEndpointHasEntry(t *testing.T) {
+	c := newCore(t, 1, 3)
+	entry, known := c.view.Find("server-00")
+	assert.Assert(t, known)
+	assert.Assert(t, c.IsInService(entry) && c.HasEntry(entry))
+
+	view := endpoints.New()
+	draining := entry
+	draining.IsDraining = true
+	view.Apply(0, []endpoints.Entry{draining}, nil)
+	c.SetView(view.View())
+	assert.Assert(t, !c.IsInService(entry) && c.HasEntry(entry))
+
+	restarted := entry
+	restarted.StartedAt++
+	view.Apply(0, []endpoints.Entry{restarted}, nil)
+	c.SetView(view.View())
+	assert.Assert(t, !c.HasEntry(entry), "another process has the entry")
+
+	p := &Placement{Endpoint: entry}
+	c.RecordNotice(0, p, notice.Notice{IsLeaving: true})
+	assert.Assert(t, !c.IsInService(entry) && c.HasEntry(entry))
+}
--- a/fleet/request/relay/quarantine.go
+++ b/fleet/request/relay/quarantine.go
@@ -85,7 +85,7 @@
 // Tick updates what depends on the time.
 func (b *Balancer) Tick() {
 	b.mu.Lock()
-	b.quarantine.Step(boottime.Now(), b.core.IsInService)
+	b.quarantine.Step(boottime.Now(), b.core.HasEntry)
 	quarantined.Set(int64(b.quarantine.Size()))
 	changes := b.quarantine.TakeChanges()
 	b.mu.Unlock()
