Bound the processor time and the bytes of crash evidence

Routers no longer report parts that they have seen served, digests carry 96 suspects of the latest 16 crashes, and the evidence is evaluated every 0.4 s and at each crash seen.

--- a/core/process/presence/crashes.go
+++ b/core/process/presence/crashes.go
@@ -12,11 +12,11 @@
 
 // Bounds of what one beacon or digest states about crashes. The latest are kept.
 const (
-	maxCrashes  = 32
-	maxSuspects = 48
+	maxCrashes  = 16
+	maxSuspects = 32
 	// maxAllSuspects bounds the suspects of all crashes together.
-	maxAllSuspects = 512
-	maxServedParts = 256
+	maxAllSuspects = 96
+	maxServedParts = 64
 	maxVerdicts    = 64
 )
 
--- a/core/request/quarantine/judge.go
+++ b/core/request/quarantine/judge.go
@@ -97,6 +97,7 @@
 // judge puts parts in quarantine, the one that explains most crashes first. A deeper part
 // of equally many crashes goes first, since fewer requests share it.
 func (c *Core) judge(now time.Duration) {
+	c.judgedAt = now
 	if len(c.own)+len(c.sources) == 0 {
 		clear(c.suspectSince)
 		return
--- a/core/request/quarantine/quarantine.go
+++ b/core/request/quarantine/quarantine.go
@@ -56,6 +56,9 @@
 	// settleTime is the time for other routers to report served requests of a new suspect:
 	// two rounds of beacons and their way through groups.
 	settleTime = time.Second
+	// judgeInterval is the least time between two evaluations of the evidence, other than
+	// at a crash that this router saw.
+	judgeInterval = 400 * time.Millisecond
 	// confirmTimeout is the time within which the endpoint of a broken connection must be
 	// found gone. Its entry in the store expires after less.
 	confirmTimeout = 5 * time.Second
@@ -86,9 +89,6 @@
 	// maxRevision is far above the verdicts on one part. A higher one is a mistake that
 	// no verdict could replace.
 	maxRevision = 1 << 20
-	// maxHopeless is the number of served requests from which a part isn't reported as a
-	// suspect: no number of crashes within evidenceTTL could outweigh them.
-	maxHopeless = 20
 )
 
 // Part is a part of a request that may be the cause of a crash.
@@ -177,6 +177,7 @@
 	// suspectSince is when each suspect of the crashes in the evidence became known here.
 	suspectSince map[presence.PartKey]time.Duration
 	verdicts     map[presence.PartKey]*verdict
+	judgedAt     time.Duration
 	changes      []Change
 }
 
@@ -291,7 +292,9 @@
 			delete(c.verdicts, part)
 		}
 	}
-	c.judge(now)
+	if now-c.judgedAt >= judgeInterval {
+		c.judge(now)
+	}
 }
 
 func (c *Core) recordCrash(p pendingBreak) {
@@ -418,7 +421,8 @@
 		}
 		reported := presence.Crash{Process: seen.process, Age: milliseconds(now - seen.at)}
 		for _, part := range seen.parts {
-			if c.served.count(now, part.Key) < maxHopeless {
+			// Where this router has seen the part served, others' reports suffice.
+			if c.served.count(now, part.Key) == 0 {
 				reported.Suspects = append(reported.Suspects, presence.Suspect{Part: part.Key, Position: uint8(part.Position)})
 			}
 		}
