Show that requests sent late in a stop get no answer: failing test; log what a stop leaves

Observability: each request that arrives during a stop is logged with its time since the stop; the steps of a stop log how many connections are busy, unused and idle; what is left at the end of the grace period is a warning. No decision changes.

TestStopAnswersRequestsOnOpenConnections uses connections that were opened before the stop, one after the other until after the grace time.

--- a/fleet/process/hosted/shutdown.go
+++ b/fleet/process/hosted/shutdown.go
@@ -36,12 +36,15 @@
 	r.control.announceShutdown()
 	go r.deregister()
 	servingPeriod := addressUseFactor * r.addressTTL()
-	r.log.Info("Leaving.", "servingFor", servingPeriod, "inFlight", r.callers.InFlight())
+	r.log.Info("Leaving.", "servingFor", servingPeriod, "connections", r.callers.Conns())
 	sleep(ctx, servingPeriod)
 	_ = r.listener.Close()
-	r.log.Info("Waiting for requests in flight.", "inFlight", r.callers.InFlight())
+	r.log.Info("Waiting for requests in flight.", "connections", r.callers.Conns())
 	isIdle := r.callers.AwaitIdle(ctx)
 	inFlight := r.callers.InFlight()
+	if !isIdle {
+		r.log.Warn("The grace period ended before all requests.", "connections", r.callers.Conns())
+	}
 	_ = r.callers.Close()
 	_ = r.directory.Close()
 	_ = r.readiness.Close()
--- /dev/null
+++ b/fleet/process/hosted/stop_test.go
@@ -0,0 +1,178 @@
+package hosted
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianhead/platform"
+	"gentianhead/platform/platformtest"
+)
+
+// heldConn is a connection that a caller opened before a stop and uses once, later.
+type heldConn struct {
+	net.Conn
+	id   string
+	path string
+	// header holds further header lines.
+	header string
+	// requests is the number of requests sent at once.
+	requests int
+	// readDelay is how long the caller waits before it reads.
+	readDelay time.Duration
+}
+
+// heldAnswer is what a caller got for one request.
+type heldAnswer struct {
+	id     string
+	status int
+	body   string
+	// isBegun is set if at least one byte of the answer arrived.
+	isBegun bool
+	took    time.Duration
+	err     error
+}
+
+// use sends the connection's requests and reads the answers until one fails or closes the connection.
+func (c *heldConn) use() []heldAnswer {
+	var answers []heldAnswer
+	sentAt := time.Now()
+	for number := range c.requests {
+		id := fmt.Sprintf("%s-%d", c.id, number)
+		_, err := fmt.Fprintf(c, "POST %s1 HTTP/1.1\r\nHost: %s\r\nAuthorization: Token first\r\nGentianhead-Attempt-Id: %s\r\nGentianhead-Deadline-Ms: 6000\r\n%sContent-Length: 5\r\n\r\norder", c.path, hostName, id, c.header)
+		if err != nil {
+			break
+		}
+	}
+	<-time.After(c.readDelay)
+	reader := bufio.NewReader(c)
+	for number := range c.requests {
+		a := heldAnswer{id: fmt.Sprintf("%s-%d", c.id, number)}
+		_, err := reader.Peek(1)
+		a.isBegun, a.err = err == nil, err
+		var response *http.Response
+		if err == nil {
+			response, a.err = http.ReadResponse(reader, nil)
+		}
+		if a.err == nil {
+			var body []byte
+			body, a.err = io.ReadAll(response.Body)
+			a.status, a.body = response.StatusCode, string(body)
+		}
+		a.took = time.Since(sentAt)
+		answers = append(answers, a)
+		if a.err != nil || response.Close {
+			break
+		}
+	}
+	return answers
+}
+
+// stopConfiguration has an unsafe route and one for streams, with time limits below the grace period.
+func stopConfiguration() map[string]any {
+	c := configuration(3, "first")
+	c["RouteTable"] = append(c["RouteTable"].([]map[string]any), map[string]any{
+		"Name": "events", "Hostname": hostName, "Prefix": "/events/", "RouteType": "streaming",
+		"TimeoutMs": 6000, "TargetLatencyMs": 300, "Service": "plain", "MaxAttempts": 1,
+	})
+	return c
+}
+
+// Guards against a request that a stopping router passes on although its process ends first: its
+// caller, who uses a connection from before the stop, gets no answer.
+func TestStopAnswersRequestsOnOpenConnections(t *testing.T) {
+	for number, answerTime := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(answerTime.String(), func(t *testing.T) {
+			f := newFleet(t, 1)
+			endpoints := []*platformtest.Endpoint{f.endpoint}
+			for len(endpoints) < 6 {
+				endpoint := platformtest.NewEndpoint(fmt.Sprint("e-", len(endpoints)+1))
+				t.Cleanup(endpoint.Close)
+				endpoints = append(endpoints, endpoint)
+			}
+			for _, endpoint := range endpoints {
+				endpoint.Pause, endpoint.Events = answerTime, 1
+				f.store.Put(platform.TableEndpoints, endpoint.ID, endpoint.Entry("plain", "ready"))
+			}
+			f.store.Put(platform.TableOperator, platform.KeyConfiguration, stopConfiguration())
+			f.eventually("all endpoints known", func() bool {
+				return f.routers[0].control.current.Load().endpointCount == len(endpoints) && f.status(0, "first", "first") == http.StatusOK
+			})
+			answers := f.stopWithHeldConns(number)
+			ran := make(map[string]bool)
+			for _, endpoint := range endpoints {
+				for _, run := range endpoint.Runs() {
+					ran[run.Header.Get("Gentianhead-Attempt-Id")] = true
+				}
+			}
+			whole, refused, closed := 0, 0, 0
+			for _, a := range answers {
+				switch {
+				case a.err == nil && a.status == http.StatusOK:
+					whole++
+				case a.err == nil && a.status == http.StatusServiceUnavailable && !ran[a.id]:
+					refused++
+					assert.Check(t, a.took < 3*time.Second, "%s was refused after %v", a.id, a.took)
+				case a.err != nil && !a.isBegun && !ran[a.id]:
+					closed++
+				default:
+					t.Errorf("%s: status %d, begun %v, ran %v, after %v, error %v", a.id, a.status, a.isBegun, ran[a.id], a.took, a.err)
+				}
+			}
+			t.Logf("%d whole, %d refused, %d closed before they were read", whole, refused, closed)
+			assert.Check(t, whole > 0)
+			assert.NilError(t, <-f.ended[0])
+		})
+	}
+}
+
+// stopWithHeldConns opens connections, stops the first router, and uses the connections one after the other
+// until after the grace period.
+func (f *fleet) stopWithHeldConns(seed int) []heldAnswer {
+	const (
+		uses     = 25
+		interval = 350 * time.Millisecond
+		before   = 3 // uses before the stop
+	)
+	var (
+		mu      sync.Mutex
+		answers []heldAnswer
+		wg      sync.WaitGroup
+	)
+	begin := time.Now()
+	for use := range uses {
+		for kind := range 3 {
+			conn, err := net.Dial("tcp", f.routers[0].settings.Callers)
+			assert.NilError(f.t, err)
+			f.t.Cleanup(func() { _ = conn.Close() })
+			held := &heldConn{Conn: conn, id: fmt.Sprintf("held-%d-%d", use, kind), path: "/orders/", requests: 1}
+			if (use+seed)%2 == 1 {
+				held.path, held.header = "/events/", "Gentianhead-Model: m\r\nGentianhead-Token-Usage: 30,5\r\nGentianhead-Prompt-Prefix: "+held.id+":10\r\n"
+			}
+			switch kind {
+			case 1:
+				held.requests = 2
+			case 2:
+				held.readDelay = 2 * time.Second
+			}
+			wg.Go(func() {
+				<-time.After(time.Until(begin.Add(time.Duration(use)*interval + time.Duration(kind)*interval/3)))
+				got := held.use()
+				mu.Lock()
+				answers = append(answers, got...)
+				mu.Unlock()
+			})
+		}
+	}
+	<-time.After(before * interval)
+	f.stops[0]()
+	wg.Wait()
+	return answers
+}
--- a/fleet/process/serving/serving.go
+++ b/fleet/process/serving/serving.go
@@ -134,6 +134,20 @@
 	return len(s.busy) + len(s.openedAt)
 }
 
+// ConnCounts are numbers of open connections.
+type ConnCounts struct {
+	// Busy have a request in flight, Unused wait for their first request, Idle for
+	// another one.
+	Busy, Unused, Idle int
+}
+
+// Conns returns the numbers of open connections.
+func (s *Server) Conns() ConnCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ConnCounts{Busy: len(s.busy), Unused: len(s.openedAt), Idle: len(s.idleSince)}
+}
+
 // isIdle reports whether no request is in flight and each connection has been
 // idle for MinIdleTime, so that any request already sent has arrived.
 func (s *Server) isIdle() bool {
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -67,7 +67,8 @@
 	options           Options
 	logLimiter        *requestLogLimiter
 	bufferedBodyBytes atomic.Int64
-	isDraining        atomic.Bool
+	// drainingSince is when Drain was called; zero before.
+	drainingSince atomic.Int64
 }
 
 // New returns a Relay with these options.
@@ -77,7 +78,7 @@
 
 // Drain makes the relay close each connection after its next response. It keeps
 // serving requests.
-func (r *Relay) Drain() { r.isDraining.Store(true) }
+func (r *Relay) Drain() { r.drainingSince.Store(int64(boottime.Now())) }
 
 // call is the state of one request.
 type call struct {
@@ -139,10 +140,14 @@
 	defer inFlight.Add(-1)
 	c := &call{w: w, r: request, startedAt: boottime.Now()}
 	defer func() { r.bufferedBodyBytes.Add(-c.bodyBytes) }()
-	if r.isDraining.Load() || hasAmbiguousLength(request) {
+	drainingSince := time.Duration(r.drainingSince.Load())
+	if drainingSince != 0 || hasAmbiguousLength(request) {
 		w.Header().Set("Connection", "close")
 	}
 	failure := r.prepare(c)
+	if drainingSince != 0 {
+		r.options.Log.Info("Request received during a stop.", "request", c.metadata.AttemptID, "sinceStop", c.startedAt-drainingSince)
+	}
 	if failure == nil {
 		ctx, cancel := context.WithTimeout(request.Context(), r.timeLimit(c))
 		defer cancel()
