Server: close each idle connection by itself during a stop, and none with bytes unread

What callers saw: one busy connection kept all connections of a stopping router open, so that requests came in until its process ended; and an answer was lost when the server closed the connection with bytes of the caller unread, as the kernel then resets it.

The server wraps the connections that it accepts. An idle one is closed by ending the read that waits for a request, so that none is closed once a byte of a request was read; the same holds for evictions. A connection that the server closes after a response is half-closed and read from until the caller closes it, for a second at most.

TestResponseWholeWithUnreadBytes fails without the lingering close: connection reset by peer.

--- a/fleet/process/serving/serving.go
+++ b/fleet/process/serving/serving.go
@@ -1,5 +1,5 @@
 // Package serving provides an HTTP server that tracks the idle time of its
-// connections, so that a graceful shutdown drops no request.
+// connections, so that a graceful shutdown drops no request and cuts off no response.
 package serving
 
 import (
@@ -13,7 +13,7 @@
 const (
 	// idleTimeout closes connections that stay idle.
 	idleTimeout = 2 * time.Minute
-	// idlePollInterval is the interval at which AwaitIdle checks the connections.
+	// idlePollInterval is the interval at which idle connections are closed during a stop.
 	idlePollInterval = 20 * time.Millisecond
 	// newConnGrace is how long a new connection is exempt from eviction: a process
 	// short of CPU time reads request headers late.
@@ -41,7 +41,12 @@
 	cancel  context.CancelCauseFunc
 	options Options
 
-	mu sync.Mutex
+	mu       sync.Mutex
+	listener *listener
+	// closesIdle is set once idle connections are to be closed.
+	closesIdle bool
+	// lingering holds the connections that the callers have yet to close.
+	lingering map[*trackedConn]struct{}
 	// idleSince holds the connections that wait for a request.
 	idleSince map[net.Conn]time.Time
 	// openedAt holds the connections whose first request header is incomplete.
@@ -59,6 +64,7 @@
 		idleSince: make(map[net.Conn]time.Time),
 		openedAt:  make(map[net.Conn]time.Time),
 		busy:      make(map[net.Conn]struct{}),
+		lingering: make(map[*trackedConn]struct{}),
 	}
 	s.Server = &http.Server{
 		Handler:           handler,
@@ -71,6 +77,74 @@
 	return s
 }
 
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(accepting net.Listener) error {
+	wrapped := &listener{Listener: accepting, server: s}
+	s.mu.Lock()
+	s.listener = wrapped
+	s.mu.Unlock()
+	return s.Server.Serve(wrapped)
+}
+
+// StopAccepting refuses new connections. Those that are already established are served.
+func (s *Server) StopAccepting() {
+	s.mu.Lock()
+	accepting := s.listener
+	s.mu.Unlock()
+	if accepting != nil {
+		accepting.stop()
+	}
+}
+
+// CloseIdle closes, from now on, each connection that has waited for a request for
+// MinIdleTime. No connection is closed once a byte of a request has been read from it.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	s.closesIdle = true
+	s.mu.Unlock()
+	s.closeIdleConns()
+}
+
+func (s *Server) closeIdleConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closesIdle {
+		return
+	}
+	limit := time.Now().Add(-s.options.MinIdleTime)
+	for _, waiting := range []map[net.Conn]time.Time{s.idleSince, s.openedAt} {
+		for waited, since := range waiting {
+			if !since.After(limit) {
+				closeIfIdle(waited)
+			}
+		}
+	}
+}
+
+func closeIfIdle(waiting net.Conn) {
+	if tracked, ok := waiting.(*trackedConn); ok {
+		tracked.closeIfIdle()
+		return
+	}
+	_ = waiting.Close()
+}
+
+func (s *Server) beginLinger(c *trackedConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, isLingering := s.lingering[c]; isLingering {
+		return false
+	}
+	s.lingering[c] = struct{}{}
+	return true
+}
+
+func (s *Server) endLinger(c *trackedConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.lingering, c)
+}
+
 // trackState implements http.Server.ConnState.
 func (s *Server) trackState(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
@@ -83,6 +157,9 @@
 	case http.StateActive:
 		s.busy[conn] = struct{}{}
 	case http.StateIdle:
+		if tracked, ok := conn.(*trackedConn); ok {
+			tracked.awaitRequest()
+		}
 		s.idleSince[conn] = time.Now()
 	}
 }
@@ -102,10 +179,12 @@
 		return
 	}
 	now := time.Now()
-	victim := oldest(s.idleSince, now.Add(-s.options.MinIdleTime))
-	if victim == nil {
-		victim = oldest(s.openedAt, now.Add(-newConnGrace))
+	if victim := oldest(s.idleSince, now.Add(-s.options.MinIdleTime)); victim != nil {
+		s.forget(victim)
+		closeIfIdle(victim)
+		return
 	}
+	victim := oldest(s.openedAt, now.Add(-newConnGrace))
 	if victim == nil && open > 2*s.options.MaxConns {
 		victim = oldest(s.openedAt, now)
 	}
@@ -115,11 +194,13 @@
 	}
 }
 
-// oldest returns the connection with the earliest time, not after limit.
+// oldest returns the connection with the earliest time, not after limit. It leaves out
+// those with bytes of a further request.
 func oldest(times map[net.Conn]time.Time, limit time.Time) net.Conn {
 	var found net.Conn
 	for conn, at := range times {
-		if !at.After(limit) {
+		tracked, ok := conn.(*trackedConn)
+		if !at.After(limit) && !(ok && tracked.hasWritten.Load() && tracked.hasRequest()) {
 			found, limit = conn, at
 		}
 	}
@@ -148,25 +229,30 @@
 	return ConnCounts{Busy: len(s.busy), Unused: len(s.openedAt), Idle: len(s.idleSince)}
 }
 
-// isIdle reports whether no request is in flight and each connection has been
-// idle for MinIdleTime, so that any request already sent has arrived.
+// isIdle reports whether no request is in flight, no connection waits for one for less than
+// MinIdleTime, and all callers have closed the connections that the server closed. After
+// CloseIdle, it reports whether no connection is left.
 func (s *Server) isIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closesIdle && len(s.idleSince) > 0 {
+		return false
+	}
 	for _, since := range s.idleSince {
 		if time.Since(since) < s.options.MinIdleTime {
 			return false
 		}
 	}
-	return len(s.busy)+len(s.openedAt) == 0
+	return len(s.busy)+len(s.openedAt)+len(s.lingering) == 0
 }
 
 // AwaitIdle waits until no request is in flight and each connection has been
-// idle for MinIdleTime. It returns false if ctx ends first.
+// idle for MinIdleTime or, after CloseIdle, is closed. It returns false if ctx ends first.
 func (s *Server) AwaitIdle(ctx context.Context) bool {
 	ticker := time.NewTicker(idlePollInterval)
 	defer ticker.Stop()
 	for !s.isIdle() {
+		s.closeIdleConns()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -176,6 +262,9 @@
 	return true
 }
 
+// Cancel cancels the requests in flight with cause. They may still write a response.
+func (s *Server) Cancel(cause error) { s.cancel(cause) }
+
 // CancelAndClose closes the server within limit. Requests still in flight are
 // cancelled with cause and may still write a response.
 func (s *Server) CancelAndClose(limit time.Duration, cause error) error {
