Refuse at once what a stopping router can't answer in time, and answer what is left at its end

What callers saw: a request sent late in a stop on a connection from before it was passed on to an endpoint, which ran it, and its connection was closed without an answer when the process exited.

Cause: nothing compared the time that a request may take with the time left of the grace period, and idle connections stayed open as long as any other was busy. The class of fault: a promise about the end of all requests was kept by waiting, without a decision at the start of each.

A request is taken during a stop if its time limit ends before the process does or, while callers may still hold the router's address, if twice the longest answer that its route took within the last minute, requests in flight included, is less than the time left. All others get 503, not run, code stopping, with a short Retry-After, before anything is sent. A router that is stopped before it listens ends; registering doesn't go on after the address is removed. "Connection: close" is decided when the answer begins.

--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -115,11 +115,13 @@
 func (r *Router) Run(ctx, abort context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	r.control.registerAgain = func() { r.register(background) }
+	registration, stopRegistering := context.WithCancel(background)
+	defer stopRegistering()
+	r.control.registerAgain = func() { r.register(registration) }
 	r.control.quarantine.put = r.putQuarantine(background)
 	go r.control.run(background)
 	go r.beacons.Receive(r.control.enqueueBeacon)
-	go r.register(background)
+	go r.register(registration)
 	for _, follower := range r.control.sync.followers {
 		go follower.Run(background, r.control.enqueueUpdate)
 	}
@@ -127,6 +129,10 @@
 	metricsServer := r.serveMetrics()
 	defer metricsServer.Close()
 	failed := make(chan error, 3)
+	if ctx.Err() != nil {
+		r.log.Info("Shutdown requested before startup.")
+		return nil
+	}
 	if err := r.listen(failed); err != nil {
 		return err
 	}
@@ -137,6 +143,7 @@
 	case err := <-failed:
 		return errors.Wrap(err, "hosted")
 	}
+	stopRegistering()
 	return r.shutdown(abort)
 }
 
--- a/fleet/process/hosted/stop_test.go
+++ b/fleet/process/hosted/stop_test.go
@@ -90,6 +90,7 @@
 func TestStopAnswersRequestsOnOpenConnections(t *testing.T) {
 	for number, answerTime := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond, 2500 * time.Millisecond} {
 		t.Run(answerTime.String(), func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(t, 1)
 			endpoints := []*platformtest.Endpoint{f.endpoint}
 			for len(endpoints) < 6 {
--- a/fleet/request/relay/buffered.go
+++ b/fleet/request/relay/buffered.go
@@ -51,9 +51,12 @@
 	return result{failure: newFailure(kindFailed, "reading the response failed").withCause(err), mayHaveRun: true, isBroken: !errors.Is(err, sse.ErrTooLarge), breakerOutcome: breaker.Failed}
 }
 
-// canceledResult returns the result for a response canceled by the caller or the
-// time limit.
+// canceledResult returns the result for a response canceled by the caller, the
+// time limit or the end of the process.
 func canceledResult(ctx context.Context) result {
+	if isStopped(ctx) {
+		return result{failure: stoppedFailure(), mayHaveRun: true, isFinal: true, breakerOutcome: breaker.Neutral}
+	}
 	if context.Cause(ctx) == context.DeadlineExceeded {
 		return result{failure: newFailure(kindDeadline, "the time limit passed before the response was complete"), mayHaveRun: true, isFinal: true, breakerOutcome: breaker.Neutral}
 	}
@@ -61,7 +64,7 @@
 }
 
 func (r *Relay) writeResponse(c *call, buffered *bufferedResponse) {
-	c.markCommitted()
+	r.markCommitted(c)
 	header := c.w.Header()
 	for name, values := range buffered.header {
 		header[name] = values
@@ -78,7 +81,7 @@
 
 // forwardUnbuffered forwards a response that is too large to buffer.
 func (r *Relay) forwardUnbuffered(ctx context.Context, c *call, response *http.Response, data []byte) result {
-	c.markCommitted()
+	r.markCommitted(c)
 	header := c.w.Header()
 	for name, values := range r.options.Dialect.ResponseHeader(response.Header) {
 		header[name] = values
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -63,6 +63,9 @@
 				return failure
 			}
 		}
+		if failure := r.checkStop(ctx, c); failure != nil {
+			return failure
+		}
 		placement, refusal := r.options.Balancer.place(balance.PlacementRequest{
 			Service: c.service, Prompt: c.metadata.Prompt, Target: c.route.TargetLatency, Excluded: c.excluded,
 			Flow: fairness.Flow{Account: c.accountName(), Rank: c.priority()}, Repeat: uint64(c.parts[len(c.parts)-1].Key),
@@ -256,6 +259,8 @@
 func (r *Relay) sendErrorResult(ctx context.Context, c *call, placement *balance.Placement, err error) result {
 	isUnsent := errors.Is(err, transport.ErrNotSent)
 	switch {
+	case isStopped(ctx):
+		return result{failure: stoppedFailure(), isUnsent: isUnsent, mayHaveRun: !isUnsent, isFinal: true, breakerOutcome: breaker.Neutral}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return result{failure: newFailure(kindDeadline, "the time limit passed without a response"), isUnsent: isUnsent, mayHaveRun: !isUnsent, isFinal: true, isSilent: !isUnsent, breakerOutcome: breaker.Failed}
 	case ctx.Err() != nil:
--- a/fleet/request/relay/failure.go
+++ b/fleet/request/relay/failure.go
@@ -38,6 +38,8 @@
 	kindQuarantined
 	// kindAtLimit: all endpoints are at the request rates that they state.
 	kindAtLimit
+	// kindStopping: the process ends before the request could be answered.
+	kindStopping
 )
 
 // codes maps each kind to its code in responses, logs and metrics, and to its
@@ -61,6 +63,7 @@
 	kindFailed:          {outcome.CodeEndpointFailed, http.StatusServiceUnavailable},
 	kindCallerGone:      {outcome.CodeAbandoned, statusCallerGone},
 	kindQuarantined:     {outcome.CodeQuarantined, http.StatusServiceUnavailable},
+	kindStopping:        {outcome.CodeStopping, http.StatusServiceUnavailable},
 	kindAtLimit:         {outcome.CodeEndpointLimit, http.StatusServiceUnavailable},
 }
 
@@ -123,6 +126,7 @@
 	if err != nil {
 		r.options.Log.Error("Encoding the problem details failed.", "error", err)
 	}
+	r.announceClose(c)
 	header := c.w.Header()
 	r.options.Dialect.SetAttemptID(header, c.metadata.AttemptID)
 	header.Set("Content-Type", "application/problem+json")
--- a/fleet/request/relay/log.go
+++ b/fleet/request/relay/log.go
@@ -85,6 +85,9 @@
 		slog.Duration("confirmedAgo", c.leaseAge),
 		slog.Int("sends", c.sends),
 	}
+	if since := r.stop.since.Load(); since != 0 {
+		attributes = append(attributes, slog.Duration("sinceStop", c.startedAt-time.Duration(since)))
+	}
 	if c.route != nil {
 		attributes = append(attributes, slog.String("route", c.route.Name), slog.String("service", c.service))
 	}
--- a/fleet/request/relay/metrics.go
+++ b/fleet/request/relay/metrics.go
@@ -33,7 +33,8 @@
 )
 
 // markCommitted marks the start of the response to the caller.
-func (c *call) markCommitted() {
+func (r *Relay) markCommitted(c *call) {
+	r.announceClose(c)
 	c.isCommitted = true
 	c.firstByte = boottime.Now() - c.startedAt
 }
--- a/fleet/request/relay/prepare.go
+++ b/fleet/request/relay/prepare.go
@@ -144,6 +144,8 @@
 			return nil
 		case errors.As(err, new(*http.MaxBytesError)):
 			return newFailure(kindBodyTooLarge, "the body exceeds the size limit")
+		case err != nil && isStopped(c.r.Context()):
+			return stoppedFailure().withCause(err)
 		case err != nil:
 			return newFailure(kindBodyBroken, "reading the request body failed").withCause(err)
 		}
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"gentianhead/core/process/drain"
 	"gentianhead/core/process/freshness"
 	"gentianhead/core/request/exchange"
 	"gentianhead/core/request/outcome"
@@ -67,19 +68,14 @@
 	options           Options
 	logLimiter        *requestLogLimiter
 	bufferedBodyBytes atomic.Int64
-	// drainingSince is when Drain was called; zero before.
-	drainingSince atomic.Int64
+	stop              stop
 }
 
 // New returns a Relay with these options.
 func New(options Options) *Relay {
-	return &Relay{options: options, logLimiter: newRequestLogLimiter()}
+	return &Relay{options: options, logLimiter: newRequestLogLimiter(), stop: stop{durations: drain.NewDurations()}}
 }
 
-// Drain makes the relay close each connection after its next response. It keeps
-// serving requests.
-func (r *Relay) Drain() { r.drainingSince.Store(int64(boottime.Now())) }
-
 // call is the state of one request.
 type call struct {
 	w         http.ResponseWriter
@@ -140,15 +136,14 @@
 	defer inFlight.Add(-1)
 	c := &call{w: w, r: request, startedAt: boottime.Now()}
 	defer func() { r.bufferedBodyBytes.Add(-c.bodyBytes) }()
-	drainingSince := time.Duration(r.drainingSince.Load())
-	if drainingSince != 0 || hasAmbiguousLength(request) {
+	defer unblockAtStop(c)()
+	if hasAmbiguousLength(request) {
 		w.Header().Set("Connection", "close")
 	}
 	failure := r.prepare(c)
-	if drainingSince != 0 {
-		r.options.Log.Info("Request received during a stop.", "request", c.metadata.AttemptID, "sinceStop", c.startedAt-drainingSince)
-	}
 	if failure == nil {
+		timed := r.stop.begin(c)
+		defer r.stop.end(c, timed)
 		ctx, cancel := context.WithTimeout(request.Context(), r.timeLimit(c))
 		defer cancel()
 		failure = r.dispatch(ctx, c)
@@ -190,7 +185,7 @@
 
 // finish records the end of a request and writes the error response if it failed.
 func (r *Relay) finish(c *call, failure *failure) {
-	if failure != nil && failure.retryAfter > 0 && failure.kind != kindQuarantined {
+	if failure != nil && failure.retryAfter > 0 && failure.kind != kindQuarantined && failure.kind != kindStopping {
 		failure.retryAfter = r.options.Balancer.retryDelay(c.service, failure.retryAfter, c.callerTimeLeft())
 	}
 	recordMetrics(c, failure)
--- a/fleet/request/relay/relay_test.go
+++ b/fleet/request/relay/relay_test.go
@@ -20,6 +20,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"gentianhead/core/process/drain"
 	"gentianhead/core/process/endpoints"
 	"gentianhead/core/process/freshness"
 	"gentianhead/core/request/retry"
@@ -541,7 +542,8 @@
 
 func TestDrainingRelayClosesConnections(t *testing.T) {
 	f := newFixture(t, 1)
-	f.relay.Drain()
+	now := boottime.Now()
+	f.relay.Drain(drain.Plan{AddressesExpireAt: now + time.Minute, AnswerBy: now + 2*time.Minute, ExitAt: now + 2*time.Minute})
 	request, err := http.NewRequest(http.MethodGet, f.url+pathSafe, nil)
 	assert.NilError(t, err)
 	request.Host = "a.example"
--- a/fleet/request/relay/stream.go
+++ b/fleet/request/relay/stream.go
@@ -92,7 +92,7 @@
 // writeStreamHeader writes the response header. A stream that is resumed at another
 // endpoint keeps the header of the first.
 func (r *Relay) writeStreamHeader(c *call, response *http.Response) {
-	c.markCommitted()
+	r.markCommitted(c)
 	header := c.w.Header()
 	for name, values := range r.options.Dialect.ResponseHeader(response.Header) {
 		header[name] = values
