Soak: a test of stops with open connections, as known red

The soak misses it: its endpoints answer within 80 ms, its callers leave the router at the next failure or answer, and its check needs an error of a request that ran near one stop and no fault for 6 s.

Change: raw connections that are opened before a stop and used once each until the grace time is over, by callers that read late, pipeline a second request or send their body slowly, beside callers that use one connection many times; endpoints that take 0.3, 1.2 and 2.5 s, plain and streams; three routers stopped in series. Each request must get one whole answer, an honest refusal or failure, or cross the close of its connection.

--- a/fleet/soak/caller_test.go
+++ b/fleet/soak/caller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -30,13 +31,17 @@
 )
 
 // isStream reports whether requests of the kind get a stream of events.
-func (k kind) isStream() bool { return k == kindStream || k == kindResume || k == kindChat }
+func (k kind) isStream() bool {
+	return k == kindStream || k == kindResume || k == kindChat || strings.HasPrefix(string(k), slowStreamPrefix)
+}
 
 // addedKind is the route that a version of the configuration added.
 func addedKind(version int) kind { return kind(fmt.Sprint("added-", version)) }
 
 // isAtMostOnce reports whether a request of the kind may run only once.
-func (k kind) isAtMostOnce() bool { return k == kindUnsafe || k == kindStream || k == kindChat }
+func (k kind) isAtMostOnce() bool {
+	return k == kindUnsafe || k == kindStream || k == kindChat || k.isSlow()
+}
 
 // attempt is one request and the response that its caller received.
 type attempt struct {
@@ -55,6 +60,18 @@
 	header  http.Header
 	body    string
 	err     error
+
+	// The fields below are set for requests on connections that the test reads itself (isRaw).
+
+	isRaw bool
+	// wholeAt is when the last byte of the request was sent, zero if none was, and endedAt when
+	// its answer or its connection had ended.
+	wholeAt, endedAt time.Time
+	// hasAnswerBegun is set with the first byte of an answer.
+	hasAnswerBegun bool
+	// isReadLate is set if the caller didn't read at once, isBehindClose if the connection
+	// ended with an earlier answer.
+	isReadLate, isBehindClose bool
 }
 
 // recorder records the attempts of all callers.
@@ -69,6 +86,13 @@
 	r.attempts = append(r.attempts, a)
 }
 
+// find returns the attempt with an id, which was added.
+func (r *recorder) find(id string) *attempt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.attempts[slices.IndexFunc(r.attempts, func(a *attempt) bool { return a.id == id })]
+}
+
 // caller resolves router addresses, caches them, and sends requests one at a
 // time, mostly over kept-alive connections.
 type caller struct {
--- a/fleet/soak/check_test.go
+++ b/fleet/soak/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,7 +19,7 @@
 	for _, a := range h.recorder.attempts {
 		known[a.id] = a
 	}
-	for _, endpoint := range append(h.crashes.all, h.endpoints...) {
+	for _, endpoint := range slices.Concat(h.crashes.all, h.endpoints, h.slow) {
 		for _, run := range endpoint.Runs() {
 			id := run.Header.Get("Gentianhead-Attempt-Id")
 			runs[id]++
--- a/fleet/soak/process_test.go
+++ b/fleet/soak/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -33,6 +34,7 @@
 	name                         string
 	program                      string
 	callers, directory           string
+	readiness                    string
 	settings, logs               string
 	mu                           sync.Mutex
 	command                      *exec.Cmd
@@ -42,6 +44,18 @@
 	// faults are the intervals in which the process or its store link had a fault,
 	// including planned stops, which lastFaultAt excludes.
 	faults intervals
+	// stops are the stops by SIGTERM, the latest last.
+	stops []stop
+}
+
+// stop is the end of a process by SIGTERM.
+type stop struct {
+	requestedAt time.Time
+	// endedAt and code are when and how the process ended; the code is -1 after a signal.
+	endedAt time.Time
+	code    int
+	// lastReadyAt is the time of the latest question that it answered as ready.
+	lastReadyAt time.Time
 }
 
 // newProcess writes the settings of a router and starts it. Each router has its
@@ -52,6 +66,7 @@
 		name: name, program: program, callers: netip.AddrPortFrom(ip, port+1).String(), directory: netip.AddrPortFrom(ip, port+2).String(),
 		settings: filepath.Join(directory, name+".conf"), logs: filepath.Join(directory, name+".log"), ended: make(chan struct{}),
 	}
+	p.readiness = netip.AddrPortFrom(ip, port+3).String()
 	text := fmt.Sprintf(`NodeName=%s
 Ip=%s
 Zone=zone-1
@@ -75,7 +90,7 @@
 Bounds.RevokeMs=%d
 Bounds.ConfigMs=%d
 Platform.Address=%s
-`, name, ip, p.callers, netip.AddrPortFrom(ip, port+3), p.directory, port, port, seeds, int(gracePeriod.Seconds()), revocationDelay.Milliseconds(), activationDelay.Milliseconds(), store)
+`, name, ip, p.callers, p.readiness, p.directory, port, port, seeds, int(gracePeriod.Seconds()), revocationDelay.Milliseconds(), activationDelay.Milliseconds(), store)
 	assert.NilError(t, os.WriteFile(p.settings, []byte(text), 0o600))
 	_, err := os.Stat(program)
 	assert.NilError(t, err, "build the binaries first with make build")
@@ -105,6 +120,7 @@
 		p.mu.Unlock()
 		if err == nil {
 			_ = command.Wait()
+			p.addEnd(command.ProcessState.ExitCode())
 		}
 		<-time.After(restartDelay)
 	}
@@ -123,6 +139,9 @@
 	p.faults.add(time.Now(), 0)
 	if signal == syscall.SIGTERM {
 		p.stopRequestedAt = time.Now()
+		if !p.isStopping() {
+			p.stops = append(p.stops, stop{requestedAt: time.Now()})
+		}
 		time.AfterFunc(gracePeriod, func(command *exec.Cmd) func() {
 			return func() { _ = command.Process.Kill() }
 		}(p.command))
@@ -149,3 +168,44 @@
 	}
 	<-p.ended
 }
+
+// isStopping reports whether the process has got SIGTERM and runs. It is called with mu held.
+func (p *process) isStopping() bool {
+	return len(p.stops) > 0 && p.stops[len(p.stops)-1].endedAt.IsZero()
+}
+
+func (p *process) addEnd(code int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isStopping() {
+		s := &p.stops[len(p.stops)-1]
+		s.endedAt, s.code = time.Now(), code
+	}
+}
+
+func (p *process) addReady(askedAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isStopping() {
+		p.stops[len(p.stops)-1].lastReadyAt = askedAt
+	}
+}
+
+// finishedStops returns the stops after which the process has ended.
+func (p *process) finishedStops() []stop {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(p.stops), func(s stop) bool { return s.endedAt.IsZero() })
+}
+
+// sinceStop returns the time from the latest SIGTERM before at, if there was one.
+func (p *process) sinceStop(at time.Time) (since time.Duration, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range slices.Backward(p.stops) {
+		if !at.Before(s.requestedAt) {
+			return at.Sub(s.requestedAt), true
+		}
+	}
+	return 0, false
+}
--- a/fleet/soak/soak_test.go
+++ b/fleet/soak/soak_test.go
@@ -49,6 +49,9 @@
 	crashes         crashes
 	drains          []drain
 	limits          []*limitedEndpoint
+	// slow are the endpoints whose answers take long, slowKinds the routes to them.
+	slow      []*platformtest.Endpoint
+	slowKinds []kind
 	// reservedUntil is the time until which the entry of an endpoint is reserved for a change.
 	reservedUntil map[*platformtest.Endpoint]time.Time
 	// storeFaults are the intervals with a store fault, linkFaults those with a
@@ -122,6 +125,16 @@
 	chat["Service"], chat["SessionAffinity"] = serviceOf(kindChat), true
 	price["Service"] = serviceOf(kindPrice)
 	routes = append(routes, chat, price)
+	services := []any{map[string]any{"Name": "pool"}, map[string]any{"Name": serviceOf(kindChat)}, map[string]any{"Name": serviceOf(kindPrice)}}
+	for _, k := range h.slowKinds {
+		routeType := "unsafe"
+		if k.isStream() {
+			routeType = "streaming"
+		}
+		slow := route(k, routeType, 2, false)
+		slow["Service"], slow["TimeoutMs"] = serviceOf(k), slowTimeout.Milliseconds()
+		routes, services = append(routes, slow), append(services, map[string]any{"Name": serviceOf(k)})
+	}
 	for version := 1; version <= h.version; version++ {
 		routes = append(routes, route(addedKind(version), "safe", 3, false))
 	}
@@ -131,7 +144,7 @@
 	h.store.Put(platform.TableOperator, platform.KeyConfiguration, map[string]any{
 		"Version":    h.version * 3,
 		"RouteTable": routes,
-		"Services":   []any{map[string]any{"Name": "pool"}, map[string]any{"Name": serviceOf(kindChat)}, map[string]any{"Name": serviceOf(kindPrice)}},
+		"Services":   services,
 		"Tenants": []any{
 			map[string]any{"Name": accountMill, "ApiKeys": valid}, map[string]any{"Name": accountSmith, "ApiKeys": []string{secretOfSmith}},
 		},
