--- a/fleet/process/hosted/stop_test.go
+++ b/fleet/process/hosted/stop_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"gentianhead/fleet/process/boottime"
 	"gentianhead/platform"
 	"gentianhead/platform/platformtest"
 )
@@ -177,3 +179,53 @@
 	wg.Wait()
 	return answers
 }
+
+// hold sends a request, whole or in part, and returns what its caller got.
+func (f *fleet) hold(id string, bodyLength int) chan heldAnswer {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.routers[0].settings.Callers)
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /orders/1 HTTP/1.1\r\nHost: %s\r\nAuthorization: Token first\r\nGentianhead-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\norder", hostName, id, bodyLength)
+	assert.NilError(f.t, err)
+	answers := make(chan heldAnswer, 1)
+	go func() {
+		answer := heldAnswer{id: id}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		answer.err = err
+		if err == nil {
+			body, _ := io.ReadAll(response.Body)
+			answer.status, answer.body = response.StatusCode, string(body)
+		}
+		answers <- answer
+	}()
+	return answers
+}
+
+// Guards against connections that end without an answer when the grace period is over, and against a
+// stop that goes on after a reload has shortened that period.
+func TestStopAnswersRequestsLeftAtItsEnd(t *testing.T) {
+	f := newFleet(t, 1)
+	f.eventually("request served", func() bool { return f.status(0, "first", "first") == http.StatusOK })
+	f.endpoint.SetFault(platformtest.NoResponse)
+	sent := f.hold("sent", len("order"))
+	f.eventually("request sent", func() bool { return len(f.endpoint.Runs()) == 2 })
+	inPart := f.hold("in-part", 100)
+	f.stops[0]()
+	settings := *f.routers[0].settings
+	settings.Grace = 2 * time.Second
+	f.routers[0].Reload(&settings)
+	stoppedAt := boottime.Now()
+
+	answer := <-sent
+	assert.NilError(t, answer.err)
+	assert.Equal(t, answer.status, http.StatusBadGateway)
+	assert.Assert(t, strings.Contains(answer.body, `"stopping"`), answer.body)
+	answer = <-inPart
+	assert.NilError(t, answer.err)
+	assert.Equal(t, answer.status, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(answer.body, `"not-run"`), answer.body)
+	assert.ErrorIs(t, <-f.ended[0], ErrCutOff)
+	assert.Assert(t, boottime.Now()-stoppedAt < settings.Grace, "the process must end before it is killed")
+	assert.Equal(t, len(f.endpoint.Runs()), 2)
+}
