--- a/core/process/drain/drain_test.go
+++ b/core/process/drain/drain_test.go
@@ -51,6 +51,11 @@
 	expected, isKnown := d.Expected("route", now)
 	assert.Assert(t, isKnown)
 	assert.Equal(t, expected, 4*time.Second)
+	for range 9 * minSamples {
+		answer(0)
+	}
+	expected, _ = d.Expected("route", now)
+	assert.Equal(t, expected, 2500*time.Millisecond)
 	_, isKnown = d.Expected("other", now)
 	assert.Assert(t, !isKnown)
 	_, isKnown = d.Expected("route", now+3*windowLength)
--- a/core/process/drain/durations.go
+++ b/core/process/drain/durations.go
@@ -7,8 +7,9 @@
 	windowLength = 30 * time.Second
 	// minSamples is the number of answers from which one may be expected.
 	minSamples = 10
-	// safetyFactor is the ratio of the expected duration to the longest one seen.
-	safetyFactor = 2
+	// minSafetyFactor is the least ratio of the expected duration to the longest one seen. With
+	// few samples it is higher, as the longest one of few says less.
+	minSafetyFactor = 1.25
 )
 
 // Durations records how long requests take, by key. It is not safe for concurrent use.
@@ -72,14 +73,19 @@
 func (d *Durations) Expected(key string, now time.Duration) (time.Duration, bool) {
 	d.rotate(now)
 	s := d.keys[key]
-	if s == nil || s.current.count+s.previous.count < minSamples {
+	if s == nil {
+		return 0, false
+	}
+	count := s.current.count + s.previous.count
+	if count < minSamples {
 		return 0, false
 	}
 	longest := max(s.current.longest, s.previous.longest)
 	for request := range s.inFlight {
 		longest = max(longest, now-request.startedAt)
 	}
-	return safetyFactor * longest, true
+	factor := max(minSafetyFactor, 1+minSamples/float64(count))
+	return time.Duration(factor * float64(longest)), true
 }
 
 // rotate begins a new window once the current one is over, and forgets keys without
