Product's door: refuse at once what can't end before the router does, and answer the rest

Cause: idle connections stayed open until the last request ended, and a request that arrived on one was passed on however little of the grace time was left; a body that was being read at the end blocked its handler until the connection was closed; an operator's change was cancelled as soon as no caller's request was left. Ruled out: the log's writer (stderr, synchronous) and a second clock (the waits of the stop are computed from its plan).

Change: the gateway asks core/process/drain once for each request, after its body was read and before anything is sent, reserved or claimed. A request of which nothing is known is taken to end within the grace time while entry answers name the router; later only its time limit counts. "Connection: close" is set when the head of an answer is written, and idle connections are closed one by one after the addresses have expired. At the end a body's read is interrupted; a request that wasn't sent is answered as not run and not with its deadline's or the endpoint's problem; an at-most-once call gets what is known of it; the process waits for its callers to close and for the last handlers to log. Unrecorded claims have a log line each. Operators' requests have 3 s.

--- a/fleet/e2e/stop_answers_test.go
+++ b/fleet/e2e/stop_answers_test.go
@@ -25,6 +25,9 @@
 type timedService struct {
 	*httptest.Server
 
+	// ended is closed at the end of the test.
+	ended <-chan struct{}
+
 	mu sync.Mutex
 	// runs counts the runs by the callers' request IDs.
 	runs map[string]int
@@ -32,7 +35,7 @@
 
 func startTimedService(t *testing.T) *timedService {
 	t.Helper()
-	s := &timedService{runs: make(map[string]int)}
+	s := &timedService{ended: t.Context().Done(), runs: make(map[string]int)}
 	s.Server = httptest.NewServer(http.HandlerFunc(s.serve))
 	t.Cleanup(s.Close)
 	return s
@@ -48,7 +51,11 @@
 	segments := strings.Split(r.URL.Path, "/")
 	takes, _ := time.ParseDuration(segments[2])
 	size, _ := strconv.Atoi(segments[3])
-	<-time.After(takes)
+	select {
+	case <-time.After(takes):
+	case <-s.ended:
+		return
+	}
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	w.Header().Set("Content-Length", strconv.Itoa(size))
 	_, _ = w.Write(bytes.Repeat([]byte("a"), size))
@@ -94,8 +101,9 @@
 	sendAfter, readAfter time.Duration
 	// next is sent on the connection while the request is in progress.
 	next string
-	// withheld is the number of bytes of the body that are never sent.
-	withheld int
+	// withheld is the number of bytes of the body that are never sent, and sent the number of
+	// bytes of the request that were sent before.
+	withheld, sent int
 
 	conn net.Conn
 }
@@ -124,7 +132,7 @@
 // do sends the request and reads its answer. Without an answer, header is nil.
 func (c *rawCall) do() answer {
 	<-time.After(c.sendAfter)
-	if _, err := io.WriteString(c.conn, c.text()); err != nil {
+	if _, err := io.WriteString(c.conn, c.text()[c.sent:]); err != nil {
 		return answer{err: err}
 	}
 	if c.next != "" {
@@ -355,24 +363,88 @@
 	assert.Equal(t, f.routers[0].exitCode(t), 1)
 }
 
+// longStop serves for 3.1 s and ends requests 4.1 s after the signal.
+const longStop = "{announce: 2s, entryLife: 100ms, grace: 1s}"
+
+// measure sends as many requests as it takes to know how long they take.
+func (f *stopFleet) measure(t *testing.T, r *router, path string, headers ...string) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for i := range 10 {
+		wg.Go(func() {
+			got := r.send(t.Context(), http.MethodPost, path, "", append(headers, "Idempotency-Key", fmt.Sprintf("measured-%d", i))...)
+			assert.Check(t, got.status == http.StatusOK, "status %d, error %v: %s", got.status, got.err, got.body)
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against accepting a request that is likely to outlast the stop.
+func TestStopRefusesLongRequest(t *testing.T) {
+	t.Parallel()
+	f := startStopFleet(t, 1, routerOptions{shutdown: longStop})
+	const path = "/v1/services/timed/take/1300ms/100"
+	f.measure(t, f.routers[0], path)
+	var calls []*rawCall
+	for i, at := range timesAround(4500 * time.Millisecond) {
+		calls = append(calls, &rawCall{id: fmt.Sprintf("call-%d", i), path: path, sendAfter: at})
+	}
+	verdicts := f.stopUnderCalls(t, f.routers[0], calls)
+	assert.Assert(t, verdicts[verdictWhole] > 0 && verdicts[verdictRefused] > 0)
+}
+
+// Guards against cutting off or dropping a request whose head began to arrive before idle
+// connections were closed: it is refused, or served if its time limit allows.
+func TestStopHeadArrivesLate(t *testing.T) {
+	t.Parallel()
+	f := startStopFleet(t, 1, routerOptions{shutdown: shortStop})
+	const path = "/v1/services/timed/take/100ms/100"
+	long := &rawCall{id: "long", path: path}
+	short := &rawCall{id: "short", path: path, headers: []string{"X-Deadline-Ms", "500"}}
+	answers := make([]answer, 2)
+	var wg sync.WaitGroup
+	for _, c := range []*rawCall{long, short} {
+		c.open(t, f.routers[0].callers)
+		_, err := io.WriteString(c.conn, c.text()[:10])
+		assert.NilError(t, err)
+	}
+	f.routers[0].signal(syscall.SIGTERM)
+	eventually(t, "the router waits for requests", func() bool {
+		return strings.Contains(f.routers[0].logs.String(), "Waiting for requests in flight.")
+	})
+	for i, c := range []*rawCall{long, short} {
+		c.sent = 10
+		wg.Go(func() { answers[i] = c.do() })
+	}
+	wg.Wait()
+	assert.Equal(t, f.judge(long, answers[0], ""), verdictRefused, "%s", answers[0].body)
+	assert.Equal(t, f.judge(short, answers[1], ""), verdictWhole, "%s", answers[1].body)
+	assert.Equal(t, f.routers[0].exitCode(t), 0)
+}
+
 // Guards against at-most-once requests that a stop cuts off without a record, or refuses
 // with a claim left behind: a repeat elsewhere would then not get the answer or not run.
 func TestStopClaims(t *testing.T) {
 	t.Parallel()
-	f := startStopFleet(t, 2, routerOptions{shutdown: shortStop})
-	const path = "/v1/services/timed/once/1200ms/100"
-	assert.Equal(t, f.routers[0].send(t.Context(), http.MethodPost, path, "", "Idempotency-Key", "first").status, http.StatusOK)
+	f := startStopFleet(t, 2, routerOptions{shutdown: longStop})
+	const path = "/v1/services/timed/once/1300ms/100"
+	f.measure(t, f.routers[0], path)
 	var calls []*rawCall
-	for i, at := range timesAround(5 * time.Second) {
+	for i, at := range timesAround(4500 * time.Millisecond) {
 		calls = append(calls, &rawCall{id: fmt.Sprintf("once-%d", i), path: path, sendAfter: at, headers: []string{"Idempotency-Key", fmt.Sprintf("k%d", i)}})
 	}
-	f.stopUnderCalls(t, f.routers[0], calls)
+	verdicts := f.stopUnderCalls(t, f.routers[0], calls)
+	assert.Assert(t, verdicts[verdictWhole] > 0 && verdicts[verdictRefused] > 0)
+	var wg sync.WaitGroup
 	for _, c := range calls {
-		runs := f.timed.runsOf(c.id)
-		repeated := f.routers[1].send(t.Context(), http.MethodPost, path, "", append(c.headers, "X-Request-Id", c.id, "Idempotency-Repeat", "true")...)
-		assert.Equal(t, repeated.status, http.StatusOK, "%s, run %d times before: %s", c.id, runs, repeated.body)
-		assert.Equal(t, f.timed.runsOf(c.id), 1, c.id)
+		wg.Go(func() {
+			runs := f.timed.runsOf(c.id)
+			repeated := f.routers[1].send(t.Context(), http.MethodPost, path, "", append(c.headers, "X-Request-Id", c.id, "Idempotency-Repeat", "true")...)
+			assert.Check(t, repeated.status == http.StatusOK, "%s, run %d times before: %s", c.id, runs, repeated.body)
+			assert.Check(t, f.timed.runsOf(c.id) == 1, c.id)
+		})
 	}
+	wg.Wait()
 }
 
 // Guards against lost answers when routers stop one after the other and their callers move
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,8 @@
 	callers   *serving.Server
 	operators *serving.Server
 	listeners listeners
+	// isClosing is set once operators' connections close after their next response.
+	isClosing atomic.Bool
 }
 
 type listeners struct {
@@ -49,18 +52,30 @@
 		return nil, err
 	}
 	loop := do.MustInvoke[*control.Loop](injector)
-	return &Node{
-		settings:  s,
-		log:       telemetry.ComponentLogger(logger, "node"),
-		control:   loop,
-		pool:      do.MustInvoke[*peer.Pool](injector),
-		peers:     do.MustInvoke[*peer.Server](injector),
-		engine:    do.MustInvoke[*engine.Client](injector),
-		claims:    do.MustInvoke[*claims.Manager](injector),
-		gateway:   do.MustInvoke[*gateway.Gateway](injector),
-		callers:   serving.New(do.MustInvoke[*gateway.Gateway](injector).Handler(), serverOptions(s)),
-		operators: serving.New(operatorsHandler(do.MustInvoke[admin.Options](injector)), serverOptions(s)),
-	}, nil
+	n := &Node{
+		settings: s,
+		log:      telemetry.ComponentLogger(logger, "node"),
+		control:  loop,
+		pool:     do.MustInvoke[*peer.Pool](injector),
+		peers:    do.MustInvoke[*peer.Server](injector),
+		engine:   do.MustInvoke[*engine.Client](injector),
+		claims:   do.MustInvoke[*claims.Manager](injector),
+		gateway:  do.MustInvoke[*gateway.Gateway](injector),
+		callers:  serving.New(do.MustInvoke[*gateway.Gateway](injector).Handler(), serverOptions(s)),
+	}
+	n.operators = serving.New(n.closeWhenClosing(operatorsHandler(do.MustInvoke[admin.Options](injector))), serverOptions(s))
+	return n, nil
+}
+
+// closeWhenClosing adds "Connection: close" to each response once operators' connections
+// are to be closed.
+func (n *Node) closeWhenClosing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.isClosing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func serverOptions(s *settings.Settings) serving.Options {
--- a/fleet/process/node/shutdown.go
+++ b/fleet/process/node/shutdown.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"gentianhead/core/process/drain"
+	"gentianhead/fleet/process/boottime"
+	"gentianhead/fleet/process/settings"
 	"gentianhead/fleet/request/gateway"
 )
 
@@ -16,31 +20,51 @@
 	// recordTimeout bounds the wait for claims to be recorded after the last response.
 	recordTimeout = 30 * time.Second
 	// cancelTimeout bounds the time to send error responses to requests that are cut off.
-	cancelTimeout = 5 * time.Second
+	cancelTimeout = 3 * time.Second
+	// closeTimeout bounds the wait for callers to close the connections after that.
+	closeTimeout = 2 * time.Second
+	// operatorsTimeout bounds the wait for operators' requests, which write to the
+	// platform or wait for changes, and operatorsCancelTimeout that for their error responses.
+	operatorsTimeout       = 3 * time.Second
+	operatorsCancelTimeout = 2 * time.Second
 )
 
 // ErrCutOff means that requests were still in flight when the grace period ended
 // or the operator forced the shutdown.
 var ErrCutOff = errors.New("requests were cut off")
 
+// newPlan returns the plan of a stop that begins now: the router serves until no cached
+// response of /v1/entry names it, and then for the grace period.
+func newPlan(now time.Duration, shutdown settings.Shutdown) drain.Plan {
+	addressesExpireAt := now + shutdown.Announce + shutdown.EntryLife + minIdleTime
+	answerBy := addressesExpireAt + shutdown.Grace
+	return drain.Plan{AddressesExpireAt: addressesExpireAt, AnswerBy: answerBy, ExitAt: answerBy + cancelTimeout + closeTimeout}
+}
+
 // shutdown stops the router so that no request is cut off within the grace period:
 //
-//  1. It announces that it is leaving, and closes connections after their next
-//     response.
+//  1. It announces that it is leaving, closes connections after their next
+//     response, and refuses requests that can't end within the plan.
 //  2. It continues to serve until no cached response of /v1/entry names it: the other
 //     routers have been notified, and their earlier responses have expired.
-//  3. It accepts no new connections and waits for the requests in flight, at most
-//     for the grace period. The remaining ones end with a problem response.
+//  3. It accepts no new connections, closes idle ones and waits for the requests in
+//     flight, at most for the grace period. The remaining ones end with a problem
+//     response.
 func (n *Node) shutdown(abort context.Context) error {
-	announcePeriod := n.settings.Shutdown.Announce + n.settings.Shutdown.EntryLife + minIdleTime
-	n.log.Info("Leaving.", "servingFor", announcePeriod)
-	n.gateway.Leave()
-	n.announceLeave(abort, announcePeriod)
-	_ = n.listeners.callers.Close()
-	n.log.Info("Waiting for requests in flight.", "inFlight", n.callers.InFlight(), "atMost", n.settings.Shutdown.Grace)
-	err := n.awaitRequests(abort)
-	_ = n.callers.CancelAndClose(cancelTimeout, gateway.ErrStopping)
-	_ = n.operators.CancelAndClose(cancelTimeout, gateway.ErrStopping)
+	plan := newPlan(boottime.Now(), n.settings.Shutdown)
+	n.log.Info("Leaving.", "servingFor", until(plan.AddressesExpireAt), "connections", n.callers.Conns())
+	n.gateway.Leave(plan)
+	n.announceLeave(abort, until(plan.AddressesExpireAt))
+	n.callers.StopAccepting()
+	n.callers.CloseIdle()
+	n.isClosing.Store(true)
+	n.operators.CloseIdle()
+	n.log.Info("Waiting for requests in flight.", "connections", n.callers.Conns(), "atMost", until(plan.AnswerBy))
+	err := n.awaitRequests(abort, until(plan.AnswerBy))
+	var operatorsClosed sync.WaitGroup
+	operatorsClosed.Go(func() { n.closeOperators(abort) })
+	n.closeCallers()
+	operatorsClosed.Wait()
 	n.recordClaims(abort)
 	_ = n.listeners.peers.Close()
 	n.peers.Close()
@@ -50,6 +74,38 @@
 	return err
 }
 
+func until(at time.Duration) time.Duration { return at - boottime.Now() }
+
+// closeCallers ends the requests that are left with a problem response, and waits until
+// their callers have read it.
+func (n *Node) closeCallers() {
+	if err := n.callers.CancelAndClose(cancelTimeout, gateway.ErrStopping); err != nil {
+		n.log.Error("Connections were closed before their requests ended.", "connections", n.callers.Conns(), "error", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if !n.callers.AwaitIdle(ctx) {
+		n.log.Warn("Callers have not closed their connections.", "connections", n.callers.Conns())
+	}
+	if left := n.gateway.AwaitRequests(ctx); left > 0 {
+		n.log.Error("Requests have not ended.", "requests", left)
+	}
+}
+
+// closeOperators waits for operators' requests, so that changes in progress are written,
+// and ends those that wait for changes.
+func (n *Node) closeOperators(abort context.Context) {
+	n.operators.StopAccepting()
+	ctx, cancel := context.WithTimeout(abort, operatorsTimeout)
+	defer cancel()
+	if !n.operators.AwaitIdle(ctx) {
+		n.log.Warn("Operators' requests are cut off.", "connections", n.operators.Conns())
+	}
+	if err := n.operators.CancelAndClose(operatorsCancelTimeout, gateway.ErrStopping); err != nil {
+		n.log.Error("Closing operators' connections failed.", "error", err)
+	}
+}
+
 // recordClaims waits until the outcomes of at-most-once requests are recorded,
 // including those whose callers disconnected.
 func (n *Node) recordClaims(abort context.Context) {
@@ -67,15 +123,15 @@
 	<-ctx.Done()
 }
 
-// awaitRequests waits for the requests in flight and returns ErrCutOff if some
-// are left.
-func (n *Node) awaitRequests(abort context.Context) error {
-	ctx, cancel := context.WithTimeout(abort, n.settings.Shutdown.Grace)
+// awaitRequests waits for the requests in flight, at most for limit, and returns
+// ErrCutOff if some are left.
+func (n *Node) awaitRequests(abort context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(abort, limit)
 	defer cancel()
 	if n.callers.AwaitIdle(ctx) {
 		return nil
 	}
-	inFlight := n.callers.InFlight()
+	inFlight := n.callers.Conns().Busy
 	if inFlight == 0 {
 		return nil
 	}
--- a/fleet/request/claims/claims.go
+++ b/fleet/request/claims/claims.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
@@ -81,8 +82,9 @@
 	tracer         trace.Tracer
 	recent         *recentKeys
 
-	mu       sync.Mutex
-	inFlight map[claim.ID]struct{}
+	mu sync.Mutex
+	// inFlight holds the request IDs of the requests whose outcome is not recorded yet.
+	inFlight map[claim.ID]string
 	wg       sync.WaitGroup
 }
 
@@ -93,7 +95,7 @@
 		holder:   holderName(options.Self),
 		tracer:   otel.Tracer(telemetry.TracerName),
 		recent:   newRecentKeys(),
-		inFlight: make(map[claim.ID]struct{}),
+		inFlight: make(map[claim.ID]string),
 	}
 	m.direct = NewWriter(TableSink(options.Store), newCommitPacer())
 	m.relay = &relay{self: options.Self, view: options.View, peers: options.Peers, direct: m.direct, rate: &rowRate{}}
@@ -114,7 +116,7 @@
 	if m.isFull() {
 		return claim.Overloaded(request.IsRepeat)
 	}
-	if !m.acquire(request.ID) {
+	if !m.acquire(request) {
 		return claim.InProgress()
 	}
 	request.IsRepeat = m.recent.add(request.ID) || request.IsRepeat
@@ -125,12 +127,18 @@
 		return m.withBody(ctx, v)
 	case <-ctx.Done():
 	}
-	if ctx.Err() == context.DeadlineExceeded {
+	if isAwaited(ctx) {
 		return <-result
 	}
 	return claim.InProgress()
 }
 
+// isAwaited reports whether a caller whose ctx has ended still waits for a reply: its
+// deadline passed or the process stops, but it did not disconnect.
+func isAwaited(ctx context.Context) bool {
+	return !errors.Is(context.Cause(ctx), context.Canceled)
+}
+
 // keyTime returns the creation time of a key that is a version 7 UUID, and now
 // for any other key.
 func keyTime(key string, now time.Time) time.Time {
@@ -153,13 +161,13 @@
 }
 
 // acquire admits one request per key at a time.
-func (m *Manager) acquire(id claim.ID) bool {
+func (m *Manager) acquire(request ServiceRequest) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, busy := m.inFlight[id]; busy {
+	if _, busy := m.inFlight[request.ID]; busy {
 		return false
 	}
-	m.inFlight[id] = struct{}{}
+	m.inFlight[request.ID] = request.RequestID
 	m.wg.Add(1)
 	return true
 }
@@ -211,12 +219,21 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
-		m.options.Log.Error("Stopped before the outcome of every request was recorded.")
+		m.logUnrecorded()
 	}
 	m.writer.Close()
 	m.direct.Close()
 }
 
+func (m *Manager) logUnrecorded() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.options.Log.Error("Stopped before the outcome of every request was recorded.", "requests", len(m.inFlight))
+	for id, requestID := range m.inFlight {
+		m.options.Log.Error("The outcome of a request is not recorded.", "request", requestID, "account", id.Account, "key", id.Key)
+	}
+}
+
 // Register installs the handler for claim writes from other routers.
 func (m *Manager) Register(server *peer.Server) {
 	server.Register(TypeWrites, peer.Handle(m.relay.answer))
--- a/fleet/request/claims/run.go
+++ b/fleet/request/claims/run.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -91,10 +90,10 @@
 	}
 }
 
-// notifyDeadline tells the attempt that the caller's deadline passed. When the
+// notifyDeadline tells the attempt that the caller waits no longer for its end. When the
 // caller disconnected instead, the attempt is not notified and continues.
 func (r *run) notifyDeadline() {
-	if errors.Is(r.caller.Err(), context.DeadlineExceeded) {
+	if isAwaited(r.caller) {
 		// The action in progress goes on, so the attempt isn't done.
 		_, replies := r.step(claim.DeadlinePassed{})
 		r.deliver(replies)
--- a/fleet/request/claims/send_test.go
+++ b/fleet/request/claims/send_test.go
@@ -185,7 +185,7 @@
 	}))
 	defer server.Close()
 	request := newTestRequest(http.MethodPost, server.URL, "key", []byte("{}"))
-	assert.Assert(t, m.acquire(request.ID))
+	assert.Assert(t, m.acquire(request))
 	// Nothing receives the answer until the key is free.
 	result := make(chan claim.Result)
 	// A failure must not leave the run waiting.
@@ -197,7 +197,7 @@
 	})
 	go m.newRun(t.Context(), request, result).loop(nil)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if m.acquire(request.ID) {
+		if m.acquire(request) {
 			m.release(request.ID)
 			return poll.Success()
 		}
--- a/fleet/request/gateway/atmostonce.go
+++ b/fleet/request/gateway/atmostonce.go
@@ -51,6 +51,7 @@
 	if result.Problem != nil {
 		return result.Problem
 	}
+	x.isSent = true
 	return x.answerRecorded(result.Answer)
 }
 
--- a/fleet/request/gateway/body.go
+++ b/fleet/request/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -61,14 +62,30 @@
 	}
 }
 
-// readBody reads the body within the limits of size, time and memory.
-func (g *Gateway) readBody(x *exchange) *outcome.Problem {
+// readBody reads the body within the limits of size, time and memory, until ctx ends.
+func (g *Gateway) readBody(ctx context.Context, x *exchange) *outcome.Problem {
+	controller := http.NewResponseController(x.w)
+	ended := make(chan struct{})
+	cancelRead := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		_ = controller.SetReadDeadline(time.Now())
+	})
 	err := g.readInto(x, http.MaxBytesReader(x.w, x.r.Body, g.options.Limits.BodyBytes))
+	isInTime := cancelRead()
+	if !isInTime {
+		// A deadline set later would end the connection's next request.
+		<-ended
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil && isInTime:
+		_ = controller.SetReadDeadline(time.Time{})
+		return nil
 	case err == nil:
-		_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+		// The handler reports that ctx has ended.
 		return nil
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		return stoppingProblem()
 	case errors.As(err, &tooLarge):
 		detail := "the body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"
 		return notRun(http.StatusRequestEntityTooLarge, outcome.CodeBodyTooLarge, detail).Problem
--- a/fleet/request/gateway/chat.go
+++ b/fleet/request/gateway/chat.go
@@ -28,6 +28,9 @@
 	if _, known := x.state.Config.Get(resource.KindModel, request.Model); !known {
 		return notRun(http.StatusNotFound, outcome.CodeUnknownModel, "no model has this name").Problem
 	}
+	if problem := g.drain.admit(ctx, x, "model "+request.Model); problem != nil {
+		return problem
+	}
 	info := placement.PickInfo{
 		Chat:    x.chat,
 		Model:   request.Model,
--- a/fleet/request/gateway/gateway.go
+++ b/fleet/request/gateway/gateway.go
@@ -13,7 +13,6 @@
 	"regexp"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +22,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"gentianhead/core/process/drain"
 	"gentianhead/core/process/membership"
 	"gentianhead/core/request/outcome"
 	"gentianhead/core/request/quarantine"
@@ -60,22 +60,12 @@
 
 // Gateway serves callers. It is safe for concurrent use.
 type Gateway struct {
-	options   Options
-	tracer    trace.Tracer
-	bodies    *bodyMemory
-	crashes   *crashGuard
-	rates     *rateGuard
-	isLeaving atomic.Bool
-}
-
-// ErrStopping is the cancellation cause of requests that are still in flight
-// when the process stops.
-var ErrStopping = errors.New("gateway: the router is stopping")
-
-// Leave makes the gateway report that it is not ready and close each connection
-// after the next answer. It continues to serve requests.
-func (g *Gateway) Leave() {
-	g.isLeaving.Store(true)
+	options Options
+	tracer  trace.Tracer
+	bodies  *bodyMemory
+	crashes *crashGuard
+	rates   *rateGuard
+	drain   *drainGuard
 }
 
 // New returns a gateway.
@@ -91,29 +81,19 @@
 		bodies:  newBodyMemory(options.Limits.BodyMemoryBytes),
 		crashes: crashes,
 		rates:   rates,
+		drain:   newDrainGuard(),
 	}
 }
 
 // Handler returns the HTTP interface for callers.
 func (g *Gateway) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", g.serve(g.chat))
-	mux.HandleFunc("/v1/services/{service}/{path...}", g.serve(g.service))
+	mux.HandleFunc("POST /v1/chat/completions", g.drain.track(g.serve(g.chat)))
+	mux.HandleFunc("/v1/services/{service}/{path...}", g.drain.track(g.serve(g.service)))
 	mux.HandleFunc("GET /v1/entry", g.entry)
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", g.ready)
-	return g.withRecovery(withReadDeadline(g.closeWhenLeaving(withProblems(mux))))
-}
-
-// closeWhenLeaving adds "Connection: close" to each answer while the router is
-// leaving, so that few connections remain when it stops.
-func (g *Gateway) closeWhenLeaving(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if g.isLeaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
+	return g.withRecovery(withReadDeadline(withProblems(mux)))
 }
 
 // exchange is the state of one request.
@@ -136,6 +116,8 @@
 	// was sent to one, and isServed once that is known to have survived it.
 	parts            []quarantine.Part
 	isSent, isServed bool
+	// inFlight is the request's entry in the durations, or nil.
+	inFlight *drain.Request
 	// state is the control state at the start of the request.
 	state *control.State
 }
@@ -160,7 +142,8 @@
 			trace.WithAttributes(attribute.String("request.id", x.id)))
 		defer span.End()
 		defer func() { g.bodies.release(x.account, x.reservedBytes) }()
-		problem := g.prepare(x)
+		defer g.drain.end(x)
+		problem := g.prepare(ctx, x)
 		if problem == nil {
 			problem = next(ctx, x)
 		} else {
@@ -202,7 +185,7 @@
 
 // prepare checks the router's state, authenticates the account and reads the
 // body.
-func (g *Gateway) prepare(x *exchange) *outcome.Problem {
+func (g *Gateway) prepare(ctx context.Context, x *exchange) *outcome.Problem {
 	if !x.state.IsReady {
 		return notRun(http.StatusServiceUnavailable, outcome.CodeNotReady, "no configuration is in force on this router yet").retryAfter(time.Second)
 	}
@@ -212,8 +195,11 @@
 	if problem := x.authenticate(); problem != nil {
 		return problem
 	}
+	if problem := g.drain.admitBody(remaining(ctx)); problem != nil {
+		return problem
+	}
 	x.chat = x.r.Header.Get(HeaderChat)
-	return g.readBody(x)
+	return g.readBody(ctx, x)
 }
 
 func (x *exchange) authenticate() *outcome.Problem {
@@ -229,7 +215,7 @@
 }
 
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
-	if g.isLeaving.Load() || !g.options.Control.State().IsReady || g.options.Control.IsIsolated() {
+	if g.drain.isLeaving() || !g.options.Control.State().IsReady || g.options.Control.IsIsolated() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -244,15 +230,6 @@
 	return notRun(http.StatusServiceUnavailable, outcome.CodeIsolated, "this router has lost contact with the rest of the system").retryAfter(retryAfterIsolated)
 }
 
-// withStopCause returns problem, or a stopping problem if the outcome is unknown
-// because the process stops.
-func withStopCause(ctx context.Context, problem *outcome.Problem) *outcome.Problem {
-	if problem == nil || problem.Outcome != outcome.Unknown || !errors.Is(context.Cause(ctx), ErrStopping) {
-		return problem
-	}
-	return unknown(http.StatusServiceUnavailable, outcome.CodeStopping, "the router stopped before the answer was complete")
-}
-
 // callerDisconnected is the problem of a request whose caller closed the
 // connection. It only appears in metrics, traces and the log.
 var callerDisconnected = unknown(statusClientClosedRequest, outcome.CodeAbandoned, "the caller closed the connection")
--- a/fleet/request/gateway/guard.go
+++ b/fleet/request/gateway/guard.go
@@ -60,10 +60,11 @@
 // answer had started.
 func (g *Gateway) withRecovery(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writer := &startedWriter{ResponseWriter: w}
+		writer := &startedWriter{ResponseWriter: w, isLeaving: g.drain.isLeaving}
 		defer func() {
 			cause := recover()
 			if cause == nil {
+				writer.start()
 				return
 			}
 			if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
@@ -73,27 +74,37 @@
 			if writer.isStarted {
 				panic(http.ErrAbortHandler)
 			}
-			writeProblem(w, requestID(r), unknown(http.StatusInternalServerError, outcome.CodeInternal, "the router failed to process the request"))
+			writeProblem(writer, requestID(r), unknown(http.StatusInternalServerError, outcome.CodeInternal, "the router failed to process the request"))
 		}()
 		next.ServeHTTP(writer, r)
 	})
 }
 
-// startedWriter records whether the answer has started.
+// startedWriter records whether the answer has started. An answer that starts while the
+// router is leaving closes its connection, so that few are left when it stops.
 type startedWriter struct {
 	http.ResponseWriter
+	isLeaving func() bool
 	isStarted bool
 }
 
+// start is called before the head of the answer is written.
+func (w *startedWriter) start() {
+	if !w.isStarted && w.isLeaving() {
+		w.Header().Set("Connection", "close")
+	}
+	w.isStarted = true
+}
+
 // WriteHeader implements http.ResponseWriter.
 func (w *startedWriter) WriteHeader(status int) {
-	w.isStarted = true
+	w.start()
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (w *startedWriter) Write(p []byte) (int, error) {
-	w.isStarted = true
+	w.start()
 	return w.ResponseWriter.Write(p)
 }
 
--- a/fleet/request/gateway/guard_test.go
+++ b/fleet/request/gateway/guard_test.go
@@ -14,7 +14,7 @@
 )
 
 func testGateway() *Gateway {
-	return &Gateway{options: Options{Log: slog.New(slog.DiscardHandler)}}
+	return &Gateway{options: Options{Log: slog.New(slog.DiscardHandler)}, drain: newDrainGuard()}
 }
 
 func decodeProblem(t *testing.T, recorder *httptest.ResponseRecorder) problemBody {
@@ -103,7 +103,7 @@
 	request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("short"))
 	request.ContentLength = 1 << 20
 	x := &exchange{w: httptest.NewRecorder(), r: request, account: "a"}
-	assert.Assert(t, g.readBody(x) == nil)
+	assert.Assert(t, g.readBody(t.Context(), x) == nil)
 	assert.Equal(t, g.bodies.used, int64(len("short")))
 	assert.Equal(t, string(x.body), "short")
 }
--- a/fleet/request/gateway/service.go
+++ b/fleet/request/gateway/service.go
@@ -23,6 +23,9 @@
 	if problem := checkServicePath(servicePath); problem != nil {
 		return problem
 	}
+	if problem := g.drain.admit(ctx, x, "service "+name); problem != nil {
+		return problem
+	}
 	target := url.URL{Path: servicePath, RawQuery: x.r.URL.RawQuery}
 	info := placement.PickInfo{Chat: x.chat, Service: name, Account: x.account}
 	call := endpointCall{method: x.r.Method, path: target.String()}
