Relay: give a late attempt up only once its request has another place

Cause: an attempt of a retryable route was canceled when its timeout passed (0.6 x the target latency, streams 2 x), and only then a place was sought. With all endpoints slow and at capacity, no other endpoint, or no retry budget left, the caller got a 502 instead of the answer that was on its way, and the canceled attempts had been part of the load.

On the code before, the new tests in fleet/request/relay failed: one endpoint (502 no-endpoint), 16 requests at 2 endpoints of 8 slots (16 of 16 answered 502: 14 no-endpoint, 2 load-bound; 31 sends for 17 requests), no budget (502 endpoint-failed), and an unreachable second endpoint (502 no-endpoint).

Change: retry.LateAttempt (no I/O) decides when an attempt asks for another place: when it is late, then every half of its timeout. FleetBudget.AllowRetryIf charges the budget only if there is a place. The place is reserved before the attempt is canceled, and is the one that the next attempt uses; if the attempt is answered at that moment, it is released and the charge returned. A request asks only if its next admission would let it through. Such a request (PlacementRequest.IsMove) gets a place only at a trusted endpoint, not as the probe of an open breaker, and only while no request of its flow is refused; with a random draw each time, asking often would favor it, and its refusals would count as demand refused.

Outcomes: an attempt that was given up counts as failed, as before. One that was late and answered is a success, as with routes that are not retried; from 3 x the target latency on it is reported once as overdue, as there, so that endpoints without responses are still found when no attempt can leave them. Slow endpoints lose placements by the requests that they keep and by their service time.

In virtual time (core/request/retry): 24 requests at 3 endpoints of 8 slots that take 500 ms, target 300 ms: 96 asks, no move, all answered, at most 8 at an endpoint. With one endpoint of three silent: 7 of 7 requests there moved as places became free with budget for them, 4 with budget for 4, none without. Without the release, TestReservedPlaceReleasedAfterAnswer finds 1 request in flight after 80 sends.

Weighed: running both attempts, the first answer counts. It would also cover a move to an endpoint that turns out to be unreachable, and requests close to their answer. But it adds load just when endpoints are slow, a canceled loser still counts as run against the budget and MaxAttempts, and the state of a call (progress, fallback, attempts, stream position, survival) belongs to one attempt at a time.

--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -71,6 +71,11 @@
 	Excluded []string
 	// Repeat is equal for repeats of one request; zero if that is not known.
 	Repeat uint64
+	// IsMove is set while another endpoint may still answer the request. It is then placed
+	// only on a trusted endpoint, never as a probe, and only while no request of its flow is
+	// refused: it may ask many times, and a random draw each time would favor it. Its
+	// refusals are not counted.
+	IsMove bool
 }
 
 // Placement is the endpoint chosen for a request. It must be ended with Done.
@@ -297,12 +302,12 @@
 			continue
 		}
 		all = append(all, state)
-		if state.isTrusted(now) {
+		if state.isTrusted(now) && !(request.IsMove && state.breaker.IsOpen()) {
 			trusted = append(trusted, state)
 		}
 	}
 	usable := all
-	if len(trusted) > 0 {
+	if len(trusted) > 0 || request.IsMove {
 		usable = c.withoutSuspects(now, trusted)
 	}
 	if len(usable) == 0 {
--- a/core/request/balance/engine.go
+++ b/core/request/balance/engine.go
@@ -113,11 +113,11 @@
 	if len(request.Excluded) == 0 {
 		demand.Record(now, flow)
 	}
-	isFull := usage > slotRampStart && c.random() < demand.RefusalFraction(flow, (usage-slotRampStart)/(slotRampEnd-slotRampStart))
+	isFull := usage > slotRampStart && c.isDrawnForRefusal(request, demand.RefusalFraction(flow, (usage-slotRampStart)/(slotRampEnd-slotRampStart)))
 	if !isFull && !c.isUnfairAtLimits(now, request.Service, flow, candidates) {
 		return false
 	}
-	demand.RecordRefusal()
+	c.statsFor(request.Service).recordRefusal(request)
 	return true
 }
 
--- a/core/request/balance/plain.go
+++ b/core/request/balance/plain.go
@@ -65,9 +65,9 @@
 	if running > busyUtilization*float64(best.entry.Slots) {
 		refused = max(refused, recentRefusalFactor*service.demand.RefusedFraction())
 	}
-	isFull := c.random() < service.demand.RefusalFraction(request.Flow, refused)
+	isFull := c.isDrawnForRefusal(request, service.demand.RefusalFraction(request.Flow, refused))
 	if isFull || c.isUnfairAtLimits(now, request.Service, request.Flow, len(candidates)) {
-		service.demand.RecordRefusal()
+		service.recordRefusal(request)
 		return nil
 	}
 	return best
--- a/core/request/balance/service.go
+++ b/core/request/balance/service.go
@@ -48,6 +48,21 @@
 	return service
 }
 
+// recordRefusal records that a request is refused.
+func (s *serviceStats) recordRefusal(request PlacementRequest) {
+	if !request.IsMove {
+		s.demand.RecordRefusal()
+	}
+}
+
+// isDrawnForRefusal decides whether a request is among the fraction to refuse.
+func (c *Core) isDrawnForRefusal(request PlacementRequest, fraction float64) bool {
+	if request.IsMove {
+		return fraction > 0
+	}
+	return c.random() < fraction
+}
+
 // recordServiceTime records the service time of a completed request. The queueing
 // time is removed by dividing by the estimated number of requests per slot.
 func (c *Core) recordServiceTime(now time.Duration, p *Placement) {
--- a/core/request/retry/fleet.go
+++ b/core/request/retry/fleet.go
@@ -53,6 +53,12 @@
 // AllowRetry reports whether the budget allows a retry, and records it if so.
 // routers is the number of routers that share the slack.
 func (f *FleetBudget) AllowRetry(now time.Duration, routers int) bool {
+	return f.AllowRetryIf(now, routers, func() bool { return true })
+}
+
+// AllowRetryIf is like AllowRetry for a retry that also needs a place: it calls hasPlace if the
+// budget allows the retry, and records the retry only if there is one.
+func (f *FleetBudget) AllowRetryIf(now time.Duration, routers int, hasPlace func() bool) bool {
 	current := f.bucketAt(now)
 	first, retries := 0, 0
 	for i := range f.ring {
@@ -62,15 +68,27 @@
 		}
 	}
 	limit := f.limits.Ratio*ratioFraction*float64(first) + f.limits.Slack*slackFraction/float64(max(routers, 1))
-	if float64(retries+1) > limit {
+	if float64(retries+1) > limit || !hasPlace() {
 		return false
 	}
 	current.retries++
 	return true
 }
 
+// ReturnRetry takes back a retry that was recorded at recordedAt and not sent.
+func (f *FleetBudget) ReturnRetry(recordedAt time.Duration) {
+	index := f.indexAt(recordedAt)
+	if b := &f.ring[index%int64(len(f.ring))]; b.index == index && b.retries > 0 {
+		b.retries--
+	}
+}
+
+func (f *FleetBudget) indexAt(now time.Duration) int64 {
+	return int64(now / (f.limits.Window / bucketCount))
+}
+
 func (f *FleetBudget) bucketAt(now time.Duration) *bucket {
-	index := int64(now / (f.limits.Window / bucketCount))
+	index := f.indexAt(now)
 	b := &f.ring[index%int64(len(f.ring))]
 	if b.index != index {
 		*b = bucket{index: index}
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -182,11 +182,15 @@
 	placement, refusal := b.core.Place(boottime.Now(), request)
 	suspects := b.core.TakeSuspicionChanges()
 	b.mu.Unlock()
+	b.logSuspects(suspects)
+	return placement, refusal
+}
+
+func (b *Balancer) logSuspects(suspects []balance.SuspicionChange) {
 	for _, s := range suspects {
 		b.log.Info("Suspicion of an endpoint changed.", "endpoint", s.Endpoint, "isSuspect", s.IsSuspect,
 			"failed", s.Failed, "succeeded", s.Succeeded, "witnesses", s.Reporters)
 	}
-	return placement, refusal
 }
 
 func (b *Balancer) recordFirstEvent(p *balance.Placement) {
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -12,6 +12,7 @@
 	"gentianhead/core/request/breaker"
 	"gentianhead/core/request/exchange"
 	"gentianhead/core/request/fairness"
+	"gentianhead/core/request/retry"
 	"gentianhead/core/version/routetable"
 	"gentianhead/fleet/connection/transport"
 	"gentianhead/fleet/connection/upstream"
@@ -23,22 +24,22 @@
 	retryOverloaded = 500 * time.Millisecond
 	// retryNoEndpoint is the retry delay when the service has no endpoint.
 	retryNoEndpoint = time.Second
-	// minTimeLeft is the minimum time left with which a retry is worth sending.
-	minTimeLeft = 5 * time.Millisecond
 	// maxUnreachable limits the unreachable endpoints that a request tries;
 	// maxLateUnreachable applies once its target latency has passed. Most refuse a
 	// connection within a millisecond; one that doesn't respond takes about a second,
 	// the dial timeout.
 	maxUnreachable     = 6
 	maxLateUnreachable = 3
-	// plainTimeoutFactor and streamTimeoutFactor set the response header timeout of
-	// an attempt that may be retried, as a multiple of the target latency. A stream's
-	// first event takes longer under load.
+	// plainTimeoutFactor and streamTimeoutFactor set the time without a response header
+	// after which an attempt that may be retried is late, as a multiple of the target
+	// latency. A stream's first event takes longer under load.
 	plainTimeoutFactor  = 0.6
 	streamTimeoutFactor = 2.0
 	// overdueFactor is the multiple of the target latency after which an endpoint
 	// without a response is reported as failed.
 	overdueFactor = 3
+	// minOverdueTarget is the minimum target latency for overdue reports.
+	minOverdueTarget = 100 * time.Millisecond
 	// maxBufferedBytes is the largest response that is buffered before it is forwarded.
 	maxBufferedBytes = 256 << 10
 )
@@ -49,6 +50,7 @@
 func (r *Relay) dispatch(ctx context.Context, c *call) *failure {
 	c.parts = c.quarantineParts()
 	defer func() {
+		r.releaseReserved(c)
 		if c.isTest && c.sends == 0 {
 			r.options.Balancer.untested(c.parts)
 		}
@@ -66,10 +68,7 @@
 		if failure := r.checkStop(ctx, c); failure != nil {
 			return failure
 		}
-		placement, refusal := r.options.Balancer.place(balance.PlacementRequest{
-			Service: c.service, Prompt: c.metadata.Prompt, Target: c.route.TargetLatency, Excluded: c.excluded,
-			Flow: fairness.Flow{Account: c.accountName(), Rank: c.priority()}, Repeat: uint64(c.parts[len(c.parts)-1].Key),
-		})
+		placement, refusal := r.place(c)
 		if refusal != balance.Accepted {
 			return refusalFailure(refusal)
 		}
@@ -96,6 +95,22 @@
 	}
 }
 
+// place returns the place reserved for the request, or else another one.
+func (r *Relay) place(c *call) (balance.Placement, balance.Refusal) {
+	if reserved := c.reserved; reserved != nil {
+		c.reserved = nil
+		return reserved.placement, balance.Accepted
+	}
+	return r.options.Balancer.place(c.placementRequest())
+}
+
+func (c *call) placementRequest() balance.PlacementRequest {
+	return balance.PlacementRequest{
+		Service: c.service, Prompt: c.metadata.Prompt, Target: c.route.TargetLatency, Excluded: c.excluded,
+		Flow: fairness.Flow{Account: c.accountName(), Rank: c.priority()}, Repeat: uint64(c.parts[len(c.parts)-1].Key),
+	}
+}
+
 func refusalFailure(refusal balance.Refusal) *failure {
 	switch refusal {
 	case balance.NoEndpoint:
@@ -129,7 +144,7 @@
 // shouldRetry reports whether the request should be sent to another endpoint.
 func (r *Relay) shouldRetry(ctx context.Context, c *call, result result, unreachable int) bool {
 	switch {
-	case result.isFinal || ctx.Err() != nil || remaining(ctx) < minTimeLeft:
+	case result.isFinal || ctx.Err() != nil || remaining(ctx) < retry.MinTimeLeft:
 		return false
 	case result.isUnsent:
 		isSlow := boottime.Now()-c.startedAt > c.route.TargetLatency
@@ -140,6 +155,9 @@
 		return false
 	case result.isBroken && !r.options.Balancer.mayRepeat(c.parts):
 		return false
+	case c.reserved != nil:
+		// The retry budget was charged for it.
+		return true
 	}
 	return r.options.Balancer.allowRetry(c.service)
 }
@@ -153,10 +171,10 @@
 func (r *Relay) attempt(ctx context.Context, c *call, placement *balance.Placement) result {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := r.startHeaderTimer(c, placement, cancel)
 	startedAt := boottime.Now()
+	watch := r.watchAttempt(ctx, c, placement, cancel)
 	response, err := r.send(attemptCtx, c, placement)
-	timer.Stop()
+	c.reserved = watch.stop()
 	if err == nil {
 		c.progress.headAt = boottime.Now()
 	}
@@ -173,29 +191,6 @@
 	return result
 }
 
-// startHeaderTimer starts the timer for the response header. On timeout, an attempt
-// that may be retried is canceled; otherwise the endpoint is reported as overdue.
-func (r *Relay) startHeaderTimer(c *call, placement *balance.Placement, cancel context.CancelCauseFunc) *time.Timer {
-	if r.isRetryable(c) && c.attemptTimeout() > 0 {
-		return time.AfterFunc(c.attemptTimeout(), func() { cancel(errAttemptTimeout) })
-	}
-	limit := overdueFactor * max(c.route.TargetLatency, minOverdueTarget)
-	return time.AfterFunc(limit, func() { r.options.Balancer.reportOverdue(placement) })
-}
-
-// minOverdueTarget is the minimum target latency for overdue reports.
-const minOverdueTarget = 100 * time.Millisecond
-
-// errAttemptTimeout cancels an attempt so that another endpoint can be tried.
-var errAttemptTimeout = errors.New("no response within the attempt timeout")
-
-func (c *call) attemptTimeout() time.Duration {
-	if c.route.Kind == routetable.Stream {
-		return time.Duration(streamTimeoutFactor * float64(c.route.TargetLatency))
-	}
-	return time.Duration(plainTimeoutFactor * float64(c.route.TargetLatency))
-}
-
 // isRetryable reports whether the request may be retried after this attempt.
 func (r *Relay) isRetryable(c *call) bool {
 	return c.route.IsRetryable() && c.sends+1 < c.route.MaxAttempts
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -93,6 +93,8 @@
 	mayHaveRun bool
 	// excluded are the endpoints already tried.
 	excluded []string
+	// reserved is the place of the next attempt if the latest was given up for it.
+	reserved *reservation
 	// attempts are the sends with the reason why each ended, logged when the request
 	// ends.
 	attempts []outcome.Attempt
