Odd entries of other writers name no server, and the others hold

A row nested more than 10,000 deep lost the whole list, so that routers stopped following it.

In the other door, a row of another writer in the log or among the objects ended the reading of the configuration, an endpoint could be declared with port 0 or 65536, and an engine's counts were added up unchecked. One odd quarantine dropped the others.

The configuration's rows count only under their own key.

--- a/core/version/resource/validate.go
+++ b/core/version/resource/validate.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"net/url"
 	"regexp"
+	"strconv"
 	"strings"
 )
 
@@ -82,8 +84,7 @@
 
 func (o Object) validateEndpoint() error {
 	e := o.Endpoint
-	u, err := url.Parse(e.URL)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+	if !isEndpointURL(e.URL) {
 		return o.invalid("endpoint.url", "http://HOST:PORT or https://HOST:PORT")
 	}
 	if e.Zone == "" {
@@ -101,6 +102,24 @@
 	return nil
 }
 
+// isEndpointURL reports whether a URL names one port of one machine, by default that of its
+// scheme. The unspecified address and an IPv6 zone mean something else on each router.
+func isEndpointURL(text string) bool {
+	u, err := url.Parse(text)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.User != nil || u.RawQuery != "" || u.Fragment != "" {
+		return false
+	}
+	host, port := u.Hostname(), u.Port()
+	if host == "" || strings.HasSuffix(u.Host, ":") || strings.Contains(host, "%") {
+		return false
+	}
+	if ip, err := netip.ParseAddr(host); err == nil && (ip.IsUnspecified() || ip.IsMulticast()) {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return port == "" || err == nil && number > 0
+}
+
 func (o Object) validateAccount() error {
 	a := o.Account
 	if !tokenPattern.MatchString(a.TokenSHA256) {
--- /dev/null
+++ b/core/version/resource/validate_test.go
@@ -0,0 +1,25 @@
+package resource
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against an endpoint that no router can reach, or that is another machine for each.
+func TestValidateEndpointURL(t *testing.T) {
+	validate := func(url string) error {
+		return Object{Kind: KindEndpoint, Name: "e-1", Endpoint: &Endpoint{URL: url, Zone: "a", Models: []string{"m"}}}.Validate()
+	}
+	for _, url := range []string{
+		"", "http://", "http://:80", "http://host:", "http://host:0", "http://host:-1", "http://host:65536", "http://host:99999999",
+		"http://host:1e3", "http://host:80:80", "http://[fe80::1%25lo]:80", "http://[fe80::1%lo]:80", "http://[::1", "http://::1:80",
+		"http://0.0.0.0:80", "http://[::]:80", "http://224.0.0.1:80", "ftp://host:80", "host:80", "http://u@host:80", "http://host:80?x=1",
+		"http://host:80#x", "http://host\n:80", "http://ho st:80",
+	} {
+		assert.Assert(t, validate(url) != nil, url)
+	}
+	for _, url := range []string{"http://host", "http://host:1", "https://host:65535", "http://10.0.0.1:8000", "http://[2001:db8::1]:80", "http://host:80/engine"} {
+		assert.NilError(t, validate(url), url)
+	}
+}
--- a/fleet/process/control/load.go
+++ b/fleet/process/control/load.go
@@ -18,6 +18,8 @@
 	loadTimeout  = 2 * time.Second
 	// maxLoadBytes bounds a load report.
 	maxLoadBytes = 16 << 10
+	// maxLoad is the largest count in a report. Those of many engines are added up.
+	maxLoad = 1 << 20
 )
 
 // engineLoad is the load that an engine reports.
@@ -74,6 +76,9 @@
 	if response.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&report) != nil {
 		return
 	}
+	if min(report.InFlight, report.Slots) < 0 || max(report.InFlight, report.Slots) > maxLoad {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.node.Report(name, report.InFlight, report.Slots)
--- a/fleet/process/hosted/quarantine.go
+++ b/fleet/process/hosted/quarantine.go
@@ -49,24 +49,39 @@
 }
 
 // decodeQuarantine decodes the row. Requests with the parts count as arriving now, since
-// the row isn't written for each.
+// the row isn't written for each. Verdicts that can't be read are left out; the error is that
+// of the last.
 func decodeQuarantine(now time.Time, value []byte) ([]presence.Verdict, error) {
-	var stored []storedVerdict
+	var stored []json.RawMessage
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return nil, errors.Wrap(err, "row of quarantines")
 	}
 	var verdicts []presence.Verdict
-	for _, s := range stored {
-		part, err := strconv.ParseUint(s.Part, 16, 64)
-		if err != nil {
-			return nil, errors.Wrap(err, "row of quarantines")
+	var err error
+	for _, element := range stored {
+		verdict, verdictErr := decodeVerdict(now, element)
+		if verdictErr != nil {
+			err = errors.Wrap(verdictErr, "row of quarantines")
+			continue
 		}
-		age := min(max(0, now.UnixMilli()-s.DecidedMs), int64(s.PeriodMs))
-		verdicts = append(verdicts, presence.Verdict{
-			Part: presence.PartKey(part), Revision: s.Revision, Crashes: s.Crashes, Age: uint32(age), Period: s.PeriodMs,
-		})
+		verdicts = append(verdicts, verdict)
+	}
+	return verdicts, err
+}
+
+func decodeVerdict(now time.Time, element json.RawMessage) (presence.Verdict, error) {
+	var stored storedVerdict
+	if err := json.Unmarshal(element, &stored); err != nil {
+		return presence.Verdict{}, err
+	}
+	part, err := strconv.ParseUint(stored.Part, 16, 64)
+	if err != nil {
+		return presence.Verdict{}, err
 	}
-	return verdicts, nil
+	age := min(max(0, now.UnixMilli()-stored.DecidedMs), int64(stored.PeriodMs))
+	return presence.Verdict{
+		Part: presence.PartKey(part), Revision: stored.Revision, Crashes: stored.Crashes, Age: uint32(age), Period: stored.PeriodMs,
+	}, nil
 }
 
 // quarantineWriter keeps the row up to date. One router writes it, on which all agree
@@ -148,8 +163,7 @@
 func (c *control) handleQuarantineRead(e quarantineRead) {
 	verdicts, err := decodeQuarantine(time.Now(), e.value)
 	if err != nil {
-		c.log.Warn("The stored quarantines can't be read.", "error", err)
-		return
+		c.log.Warn("Stored quarantines can't be read.", "error", err)
 	}
 	c.log.Info("Stored quarantines were read.", "parts", len(verdicts))
 	c.quarantine.stored = identityOf(verdicts)
--- a/fleet/version/desired/compact.go
+++ b/fleet/version/desired/compact.go
@@ -59,8 +59,9 @@
 	removed := resource.Revision(0)
 	for _, row := range rows {
 		logged, err := decode[logRow](row)
-		if err != nil {
-			return false, err
+		if err != nil || row.Key != logKey(logged.Object.Revision) {
+			// A row of another writer.
+			continue
 		}
 		if logged.Object.Revision > last {
 			break
--- a/fleet/version/desired/desired.go
+++ b/fleet/version/desired/desired.go
@@ -138,12 +138,17 @@
 		return nil, err
 	}
 	var changes []resource.Object
-	for i, row := range rows {
+	for _, row := range rows {
+		next := after + resource.Revision(len(changes)) + 1
+		if row.Key != logKey(next) {
+			// A row of another writer. If the next change is missing, no other follows.
+			continue
+		}
 		logged, err := decode[logRow](row)
 		if err != nil {
 			return nil, err
 		}
-		if logged.Object.Revision != after+resource.Revision(i)+1 {
+		if logged.Object.Revision != next {
 			break
 		}
 		changes = append(changes, logged.Object)
@@ -168,10 +173,15 @@
 
 // State returns the whole configuration at one revision. It scans the object
 // rows, applies the changes made during the scan, and checks the result against
-// the digest of the head row.
+// the digest of the head row. Rows of other writers, which are not counted in that, are
+// left out.
 func (s *Store) State(ctx context.Context) (resource.Revision, []resource.Object, error) {
+	var unreadable error
 	for range maxStateTries {
-		head, objects, err := s.readState(ctx)
+		var head headRow
+		var objects []resource.Object
+		var err error
+		head, objects, unreadable, err = s.readState(ctx)
 		if err != nil {
 			return 0, nil, err
 		}
@@ -179,50 +189,54 @@
 			return head.Revision, objects, nil
 		}
 	}
-	return 0, nil, ErrStaleRead
+	return 0, nil, errors.CombineErrors(ErrStaleRead, unreadable)
 }
 
-func (s *Store) readState(ctx context.Context) (headRow, []resource.Object, error) {
+// readState reads the whole configuration once. unreadable is the error of a row that was
+// left out.
+func (s *Store) readState(ctx context.Context) (head headRow, objects []resource.Object, unreadable, err error) {
 	before, _, err := s.readHead(ctx)
 	if err != nil {
-		return headRow{}, nil, err
+		return headRow{}, nil, nil, err
 	}
-	objects, err := s.scanObjects(ctx)
+	objects, unreadable, err = s.scanObjects(ctx)
 	if err != nil {
-		return headRow{}, nil, err
+		return headRow{}, nil, nil, err
 	}
 	after, _, err := s.readHead(ctx)
 	if err != nil || after.Revision <= before.Revision {
-		return before, objects, err
+		return before, objects, unreadable, err
 	}
 	changes, err := s.Changes(ctx, before.Revision)
 	if err != nil {
-		return headRow{}, nil, err
+		return headRow{}, nil, nil, err
 	}
 	changes = slices.DeleteFunc(changes, func(o resource.Object) bool { return o.Revision > after.Revision })
 	// State detects a failed Apply by the digest.
 	snapshot, _ := resource.NewSnapshot(before.Revision, objects).Apply(changes)
-	return after, snapshot.List(""), nil
+	return after, snapshot.List(""), unreadable, nil
 }
 
-func (s *Store) scanObjects(ctx context.Context) ([]resource.Object, error) {
-	var objects []resource.Object
+// scanObjects reads the object rows. unreadable is the error of the last one that can't be read.
+func (s *Store) scanObjects(ctx context.Context) (objects []resource.Object, unreadable, err error) {
 	after := ""
 	for {
 		rows, err := s.table.Scan(ctx, prefixObject, after, objectsPerScan)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		for _, row := range rows {
+			after = row.Key
 			object, err := decode[resource.Object](row)
-			if err != nil {
-				return nil, err
+			switch {
+			case err != nil:
+				unreadable = err
+			case row.Key == objectKey(object.Key()):
+				objects = append(objects, object)
 			}
-			objects = append(objects, object)
-			after = row.Key
 		}
 		if len(rows) < objectsPerScan {
-			return objects, nil
+			return objects, unreadable, nil
 		}
 	}
 }
--- a/fleet/version/desired/desired_test.go
+++ b/fleet/version/desired/desired_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -60,6 +61,48 @@
 	mustApply(t, s, "6", account("c", "1"))
 }
 
+// Guards against rows of another writer among those of the configuration that keep routers
+// from reading or following it.
+func TestOddRowsKeepConfiguration(t *testing.T) {
+	table := newFakeTable(1)
+	s := NewStore(table)
+	mustApply(t, s, "1", model("a", 2))
+	deep := strings.Repeat("[", 15_000) + strings.Repeat("]", 15_000)
+	for number, value := range []string{"", "null", "7", "[]", "{}", "\xff", deep, `{"revision":1e30}`, `{"object":{"revision":1e999}}`, `{"kind":"model","name":"z","revision":9}`} {
+		for _, key := range []string{prefixLog, logKey(1), logKey(2), logKey(9), prefixObject, prefixObject + "model/", prefixObject + "endpoint/\u0085"} {
+			key = fmt.Sprint(key, "-odd-", number)
+			table.put(key, value)
+		}
+	}
+	mustApply(t, s, "2", model("b", 2))
+	mustApply(t, s, "3", model("c", 2))
+	changes, err := s.Changes(t.Context(), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(changes), 3)
+	changes, err = s.Changes(t.Context(), 3)
+	assert.NilError(t, err)
+	assert.Equal(t, len(changes), 0)
+	revision, objects, err := s.State(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, revision, resource.Revision(3))
+	assert.Equal(t, len(objects), 3)
+	assert.NilError(t, s.Compact(t.Context()))
+}
+
+// Guards against a change that can't be read and is taken for the end of the changes.
+func TestUnreadableChangeReported(t *testing.T) {
+	table := newFakeTable(1)
+	s := NewStore(table)
+	mustApply(t, s, "1", model("a", 2))
+	mustApply(t, s, "2", model("b", 2))
+	table.put(logKey(1), "[")
+	_, err := s.Changes(t.Context(), 0)
+	assert.Assert(t, err != nil)
+	table.put(objectKey(model("a", 2).Key()), "[")
+	_, _, err = s.State(t.Context())
+	assert.ErrorIs(t, err, ErrStaleRead)
+}
+
 // Guards against accepting the deletion of a missing object as a change.
 func TestDeleteMissingObject(t *testing.T) {
 	s := NewStore(newFakeTable(1))
--- a/fleet/version/desired/table_test.go
+++ b/fleet/version/desired/table_test.go
@@ -76,6 +76,14 @@
 	return &fakeTable{random: rand.New(rand.NewPCG(seed, 2)), rows: make(map[string]table.Row), commitSent: make(map[string]bool)}
 }
 
+// put writes a row as another writer would.
+func (f *fakeTable) put(key, value string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	f.rows[key] = table.Row{Key: key, Value: []byte(value), Version: f.version}
+}
+
 // stepOfRead distinguishes a first read from a read back by the attempt's commits.
 func (f *fakeTable) stepOfRead(keys []string) callStep {
 	for _, key := range keys {
