--- a/fleet/explain/cause.go
+++ b/fleet/explain/cause.go
@@ -49,6 +49,12 @@
 	outcome.CodeIsolated: func(s *Report) string {
 		return fmt.Sprintf("This router could not confirm that configuration %d is the latest, last confirmed %v before, and accepts no secrets in that state.", s.Version, s.LeaseAge)
 	},
+	outcome.CodeStopping: func(s *Report) string {
+		if len(s.Attempts) == 0 {
+			return "Refused: the router was stopping and might have ended before the answer."
+		}
+		return "The router stopped while endpoint " + s.lastAttempt().Endpoint + " was processing it" + s.attemptCount() + "."
+	},
 	outcome.CodeNotReady: func(*Report) string { return "This router had not loaded a configuration yet." },
 	outcome.CodeUnauthenticated: func(s *Report) string {
 		return fmt.Sprintf("No client account of configuration %d matches the secret of the request.", s.Version)
--- a/fleet/explain/explain_test.go
+++ b/fleet/explain/explain_test.go
@@ -21,6 +21,8 @@
 edge-1 {"time":"2026-06-22T05:52:46Z","msg":"relay: Request failed.","request":"r4","took":90000,"parts":["shared","bad","own"],"code":"quarantined","outcome":"not-run","detail":"3 endpoints crashed while they answered requests with the part \"bad\"","retryAfter":29000000000}
 edge-1 {"time":"2026-06-22T05:51:00Z","msg":"balance: The request rate of an endpoint changed.","endpoint":"e-8","service":"slow","isLimited":true,"perSecond":1.5,"part":0.5}
 edge-1 {"time":"2026-06-22T05:52:47Z","msg":"relay: Request failed.","request":"r5","took":90000,"service":"slow","code":"endpoint-limit","outcome":"not-run","detail":"all endpoints of the service are at the request rates that they state","retryAfter":700000000}
+edge-1 {"time":"2026-06-22T05:52:48Z","msg":"relay: Request failed.","request":"r6","took":90000,"sinceStop":2100000000,"code":"stopping","outcome":"not-run","detail":"this router stops before the request could be answered","retryAfter":50000000}
+edge-1 {"time":"2026-06-22T05:52:49Z","msg":"relay: Request failed.","request":"r7","took":9000000000,"code":"stopping","outcome":"unknown","attempts":[{"endpoint":"e-3","ended":"this router stopped before the response was complete"}]}
 edge-1 {"time":"2026-06-22T05:52:53Z","msg":"relay: Request answered.","request":"r2","took":10000000,"attempts":[{"endpoint":"e-1","ended":"the endpoint can't be reached"},{"endpoint":"e-2"}]}
 `
 
@@ -55,6 +57,18 @@
 	}
 }
 
+// Guards against requests around a stop whose cause the logs can't tell.
+func TestReportRequestDuringStop(t *testing.T) {
+	for id, want := range map[string]string{
+		"r6": "Refused: the router was stopping and might have ended before the answer.",
+		"r7": "The router stopped while endpoint e-3 was processing it.",
+	} {
+		reports, err := Find(read(t, log), id)
+		assert.NilError(t, err)
+		assert.Equal(t, reports[0].Explanation(), want)
+	}
+}
+
 // Guards against a refusal whose cause, crashes seen by other routers, can't be found.
 func TestReportQuarantinedRequest(t *testing.T) {
 	reports, err := Find(read(t, log), "r4")
