Relay: a refusal that can't be tied to the request counts as may have run

What callers see: where a server wrote an earlier refusal once more on a kept connection, without an id, callers of safe requests and of streams that may be resumed were told 503 or 400, "not run", for requests that the server ran; the next requests on that connection each got the answer to the one before, and 502. A switch to another protocol (101) was forwarded as an answer.

Cause: a response without an id that says "not run" was taken for the answer to whatever request was sent last. The connection of a foreign response was closed by closing its body, which does nothing once a response without a body has arrived: net/http had put it back by then. Requests without an id shared connections, where no response can be told from another's.

Ruled out: at-most-once requests have connections of their own, so none ran twice or was told 503 after it ran, before this change or after it (the test covers them). In the other door each send has an id of its own and every status is checked against it, refusals first of all; TestRepeatedRefusalMismatched and "another's refusal" of TestFaultsAnswerWire show it.

Change: a response without an id counts only on a connection that carried no other request; requests without an id get such connections; a foreign response closes the connection itself. Statuses below 200 are no answer.

--- a/fleet/connection/engine/engine_test.go
+++ b/fleet/connection/engine/engine_test.go
@@ -315,3 +315,33 @@
 		})
 	}
 }
+
+// Guards against an earlier refusal that an endpoint writes once more on a kept connection and
+// that is taken for the answer to the next request, which runs.
+func TestRepeatedRefusalMismatched(t *testing.T) {
+	const notRun = `{"outcome":"not-run"}`
+	for _, status := range []string{"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request", "412 Precondition Failed", "410 Gone", "400 Bad Request"} {
+		for _, hasID := range []bool{true, false} {
+			refusal := ""
+			server := startRaw(t, func(number int64, r *http.Request) (string, bool) {
+				if number == 1 {
+					refusal = httpText(status, idOf(r), notRun)
+					answer := refusal
+					if !hasID {
+						refusal = strings.Replace(refusal, "X-Request-Id: "+idOf(r)+"\r\n", "", 1)
+					}
+					return answer, true
+				}
+				return refusal + httpText("200 OK", idOf(r), "own"), true
+			})
+			client := NewClient()
+			_, err := doRead(t, client, server.url)
+			assert.Assert(t, err == nil || errors.Is(err, ErrWithdrawn), "%v", err)
+			for range 2 {
+				_, err = doRead(t, client, server.url)
+				assert.Assert(t, errors.Is(err, ErrMismatched) && !errors.IsAny(err, ErrNotSent, ErrWithdrawn), "%s: %v", status, err)
+			}
+			client.Close()
+		}
+	}
+}
--- a/fleet/connection/transport/conn.go
+++ b/fleet/connection/transport/conn.go
@@ -68,6 +68,7 @@
 	mu          sync.Mutex
 	conn        *sealableConn
 	writeOffset int64
+	isReused    bool
 }
 
 // Trace returns ctx with a hook that records the request's connection in t.
@@ -81,13 +82,20 @@
 		sealable := conn.(*sealableConn)
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.conn, t.writeOffset = sealable, sealable.writeOffset()
+		t.conn, t.writeOffset, t.isReused = sealable, sealable.writeOffset(), info.Reused
 		if t.MayWrite != nil && !t.MayWrite() {
 			t.conn.seal(t.writeOffset)
 		}
 	}})
 }
 
+// IsReused reports whether the request's connection carried another request before.
+func (t *ConnTracker) IsReused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isReused
+}
+
 // Abort closes the request's connection, if it got one, and reports whether
 // any byte of the request may have been sent.
 func (t *ConnTracker) Abort() bool {
--- a/fleet/connection/upstream/upstream.go
+++ b/fleet/connection/upstream/upstream.go
@@ -46,6 +46,22 @@
 	MayWrite func() bool
 }
 
+// Response is a response with its body unread.
+type Response struct {
+	*http.Response
+	// IsReused is set if the connection carried another request before. A response that
+	// arrives on it may then belong to that one.
+	IsReused bool
+	tracker  *transport.ConnTracker
+}
+
+// Abort closes the connection, even if the whole response has arrived: what follows on it
+// would be taken for the responses of later requests.
+func (r *Response) Abort() {
+	r.tracker.Abort()
+	_ = r.Body.Close()
+}
+
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
 	reused, singleUse *http.Transport
@@ -68,12 +84,12 @@
 // Send sends the request and returns the response; the caller reads and closes its
 // body. Errors are transport.ErrNotSent or transport.ErrNoAnswer. When ctx ends,
 // the connection is closed.
-func (c *Client) Send(ctx context.Context, request Request) (*http.Response, error) {
-	tracker := transport.ConnTracker{MayWrite: request.MayWrite}
+func (c *Client) Send(ctx context.Context, request Request) (*Response, error) {
+	tracker := &transport.ConnTracker{MayWrite: request.MayWrite}
 	response, err := c.transport(request).RoundTrip(newHTTPRequest(tracker.Trace(ctx), request))
 	switch {
 	case err == nil:
-		return response, nil
+		return &Response{Response: response, IsReused: tracker.IsReused(), tracker: tracker}, nil
 	case tracker.Abort():
 		return nil, fmt.Errorf("%w: %w", transport.ErrNoAnswer, err)
 	}
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -198,7 +198,7 @@
 	return c.route.IsRetryable() && c.sends+1 < c.route.MaxAttempts
 }
 
-func (r *Relay) send(ctx context.Context, c *call, placement *balance.Placement) (*http.Response, error) {
+func (r *Relay) send(ctx context.Context, c *call, placement *balance.Placement) (*upstream.Response, error) {
 	send := exchange.Send{
 		Remaining: remaining(ctx), Endpoint: placement.Endpoint.ID, Account: c.accountName(), Priority: c.priority(),
 		LastEventID: c.lastEventID, CopyFrom: placement.CopyFrom,
@@ -207,13 +207,14 @@
 		r.options.Balancer.recordFirstSend(c.service)
 	}
 	response, err := r.options.Upstream.Send(ctx, upstream.Request{
-		Method:      c.r.Method,
-		Address:     placement.Endpoint.Address,
-		Target:      c.r.URL.RequestURI(),
-		Host:        c.r.Host,
-		Header:      r.options.Dialect.ForwardHeader(c.r.Header, send),
-		Body:        c.body,
-		IsSingleUse: !c.route.IsRetryable(),
+		Method:  c.r.Method,
+		Address: placement.Endpoint.Address,
+		Target:  c.r.URL.RequestURI(),
+		Host:    c.r.Host,
+		Header:  r.options.Dialect.ForwardHeader(c.r.Header, send),
+		Body:    c.body,
+		// Without an id, a response on a reused connection can't be told from another's.
+		IsSingleUse: !c.route.IsRetryable() || c.metadata.AttemptID == "",
 		MayWrite:    func() bool { return r.options.Balancer.mayReceive(placement) && !r.isQuarantined(c) },
 	})
 	if !errors.Is(err, transport.ErrNotSent) {
@@ -223,23 +224,23 @@
 }
 
 // handleResponse checks the response header and forwards the response.
-func (r *Relay) handleResponse(ctx context.Context, c *call, placement *balance.Placement, response *http.Response, err error) result {
+func (r *Relay) handleResponse(ctx context.Context, c *call, placement *balance.Placement, response *upstream.Response, err error) result {
 	if err != nil {
 		return r.sendErrorResult(ctx, c, placement, err)
 	}
 	info := r.options.Dialect.ResponseInfo(response.StatusCode, response.Header)
 	r.options.Balancer.recordLoad(placement.Endpoint.ID, info.Load)
 	r.options.Balancer.recordNotice(placement, info)
-	isOwn := info.AttemptID == c.metadata.AttemptID || info.AttemptID == "" && info.IsNotRun
+	isOwn := isOwnResponse(c, response, info)
 	if isOwn && (info.Signature != "" || info.IsNotRun) && response.StatusCode != http.StatusMisdirectedRequest {
 		r.options.Balancer.recordRate(placement, info)
 	}
 	switch {
 	case !isOwn:
-		_ = response.Body.Close()
+		response.Abort()
 		return result{failure: newFailure(kindFailed, "the endpoint answered another request"), mayHaveRun: true, breakerOutcome: breaker.Neutral}
 	case info.IsNotRun:
-		discardBody(response)
+		discardBody(response.Response)
 		return notRunResult(response.StatusCode)
 	case info.Signature == "":
 		_ = response.Body.Close()
@@ -247,9 +248,23 @@
 	}
 	defer response.Body.Close()
 	if c.route.Kind == routetable.Stream && isSuccess(response.StatusCode) {
-		return r.forwardStream(ctx, c, placement, response)
+		return r.forwardStream(ctx, c, placement, response.Response)
+	}
+	return r.forwardBuffered(ctx, c, response.Response)
+}
+
+// isOwnResponse reports whether a response belongs to the request. One without an id, such as
+// a refusal, may be an earlier one that the endpoint wrote once more, unless the connection
+// carried no other request.
+func isOwnResponse(c *call, response *upstream.Response, info exchange.ResponseInfo) bool {
+	switch {
+	case response.StatusCode < http.StatusOK:
+		// Another protocol would follow.
+		return false
+	case info.AttemptID == "":
+		return !response.IsReused && (info.IsNotRun || c.metadata.AttemptID == "")
 	}
-	return r.forwardBuffered(ctx, c, response)
+	return info.AttemptID == c.metadata.AttemptID
 }
 
 // sendErrorResult returns the result of an attempt without a response.
