Relay: a stream goes on only with its own next event, and never seems complete

What callers see: where a stream had begun and broke off, the answer of the next endpoint got into it. A 404 or a redirect was appended, status and all ("superfluous WriteHeader" in the log), and the stream ended as complete. A 200 with another content type, or with an event without an id, was forwarded as events. An empty answer, a 204, or a stream that began anew and ended before the break ended the caller's stream as complete. A missing event was passed over. A caller of HTTP/1.0 saw each truncated stream as complete.

Cause: the answer to a resume was treated like a first one: any status below 500 was forwarded, any body was split into events, events without a numeric id counted as next, and the end of the body as the end of the stream. A response of HTTP/1.0 has no chunks, so its connection's orderly end looks like that of the response.

Ruled out: a 500, an answer without a signature, a refusal and half an event never got into a stream.

Change: the rest of a stream must be a 200 of events. Its first new event must have a number after the last one, the next number if all were consecutive so far; until then events that were written before and comments are dropped. If the answer ends first, the endpoint didn't continue, and another is tried while attempts are left. That includes a stream that was cut off between its last event and its end: the caller then sees a truncated response, as the router can't tell that nothing is missing. A stream whose ids are no numbers isn't resumed once begun. A response that can't be completed is reset for HTTP/1.0.

--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -201,7 +202,7 @@
 func (r *Relay) send(ctx context.Context, c *call, placement *balance.Placement) (*upstream.Response, error) {
 	send := exchange.Send{
 		Remaining: remaining(ctx), Endpoint: placement.Endpoint.ID, Account: c.accountName(), Priority: c.priority(),
-		LastEventID: c.lastEventID, CopyFrom: placement.CopyFrom,
+		LastEventID: c.position.lastID, CopyFrom: placement.CopyFrom,
 	}
 	if c.sends == 0 {
 		r.options.Balancer.recordFirstSend(c.service)
@@ -247,6 +248,9 @@
 		return result{failure: newFailure(kindFailed, "the response carries no endpoint signature"), mayHaveRun: true, breakerOutcome: breaker.Failed}
 	}
 	defer response.Body.Close()
+	if c.isCommitted && !isEventStream(response.Response) {
+		return result{failure: newFailure(kindFailed, "the endpoint answered "+strconv.Itoa(response.StatusCode)+" instead of the rest of the stream"), mayHaveRun: true, breakerOutcome: breaker.Failed}
+	}
 	if c.route.Kind == routetable.Stream && isSuccess(response.StatusCode) {
 		return r.forwardStream(ctx, c, placement, response.Response)
 	}
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -112,8 +113,8 @@
 	leaseAge time.Duration
 	// version is the configuration version the request was authorized with.
 	version int64
-	// lastEventID is the ID of the last stream event written to the caller.
-	lastEventID string
+	// position is that in the stream written to the caller.
+	position streamPosition
 	// isCommitted is set once the response to the caller has begun.
 	isCommitted bool
 	// fallback is an endpoint's error response, forwarded if no other endpoint
@@ -194,8 +195,7 @@
 		return
 	}
 	if c.isCommitted {
-		// Aborts the connection so that the caller sees a truncated response.
-		panic(http.ErrAbortHandler)
+		r.abort(c)
 	}
 	if failure.kind == kindCallerGone {
 		panic(http.ErrAbortHandler)
@@ -206,3 +206,29 @@
 	}
 	r.writeFailure(c, failure)
 }
+
+// abort ends the connection so that the caller sees a truncated response. One of HTTP/1.0
+// has no chunks and ends with its connection, so only a reset tells it from a complete one.
+func (r *Relay) abort(c *call) {
+	if !c.r.ProtoAtLeast(1, 1) {
+		conn, _, err := http.NewResponseController(c.w).Hijack()
+		if err == nil {
+			err = reset(conn)
+		}
+		if err != nil {
+			r.options.Log.Warn("A truncated response couldn't be reset.", "request", c.metadata.AttemptID, "error", err)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes a connection so that its peer sees an error instead of an end.
+func reset(conn net.Conn) error {
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		if err := tcp.SetLinger(0); err != nil {
+			_ = conn.Close()
+			return err
+		}
+	}
+	return conn.Close()
+}
--- a/fleet/request/relay/stream.go
+++ b/fleet/request/relay/stream.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,12 +26,16 @@
 func (r *Relay) forwardStream(ctx context.Context, c *call, placement *balance.Placement, response *http.Response) result {
 	controller := http.NewResponseController(c.w)
 	events := sse.NewReader(response.Body)
+	isContinued := !c.isCommitted
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) && isUnframed(response) && c.progress.events == 0 {
 			// Only its events could show that it is complete.
 			err = errNoEvent
 		}
+		if errors.Is(err, io.EOF) && !isContinued {
+			err = errNotContinued
+		}
 		if errors.Is(err, io.EOF) {
 			if !c.isCommitted {
 				r.writeStreamHeader(c, response)
@@ -39,12 +45,18 @@
 		if err != nil {
 			return r.streamErrorResult(ctx, c, err)
 		}
-		if event.IsFiller && !c.isCommitted {
+		if event.IsFiller && (!c.isCommitted || !isContinued) {
 			// It says nothing of whether an answer will come.
 			continue
 		}
+		if !isContinued {
+			if !c.position.mayContinueWith(event) {
+				return r.streamErrorResult(ctx, c, errNotContinued)
+			}
+			isContinued = sse.IsAfter(c.position.lastID, event.ID)
+		}
 		r.recordEvent(c, event)
-		if sse.IsAfter(c.lastEventID, event.ID) {
+		if sse.IsAfter(c.position.lastID, event.ID) {
 			if !c.isCommitted {
 				r.writeStreamHeader(c, response)
 			}
@@ -52,9 +64,7 @@
 			if _, err := c.w.Write(event.Raw); err != nil {
 				return result{failure: newFailure(kindCallerGone, "writing to the caller failed").withCause(err), mayHaveRun: true, isFinal: true, breakerOutcome: breaker.Neutral}
 			}
-			if event.ID != "" {
-				c.lastEventID = event.ID
-			}
+			c.position.advance(event)
 			if !events.HasBufferedEvent() {
 				if err := controller.Flush(); err != nil {
 					return result{failure: newFailure(kindCallerGone, "writing to the caller failed").withCause(err), mayHaveRun: true, isFinal: true, breakerOutcome: breaker.Neutral}
@@ -68,6 +78,54 @@
 // errNoEvent means that a stream with neither a length nor chunks ended without an event.
 var errNoEvent = errors.New("the stream ended before its first event")
 
+// errNotContinued means that a resumed stream doesn't begin with the event after the last one,
+// or with events before that, or ends before it. Where a stream that was cut off after its
+// last event has nothing left to send, that can't be told from a stream that lost the rest.
+var errNotContinued = errors.New("the endpoint didn't continue the stream after its last event")
+
+// isEventStream reports whether a response may be the rest of a stream.
+func isEventStream(response *http.Response) bool {
+	contentType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	return err == nil && contentType == "text/event-stream" && response.StatusCode == http.StatusOK
+}
+
+// streamPosition is how far a stream has been written to the caller. The zero value is its
+// beginning.
+type streamPosition struct {
+	// lastID is the ID of the last event with one, and last its number if it is numeric.
+	lastID string
+	last   int64
+	// isNumeric is set if lastID is a number. steps counts the events whose number was one more
+	// than that before; hasJump is set if another was not.
+	isNumeric, hasJump bool
+	steps              int
+}
+
+// advance records that an event was written.
+func (p *streamPosition) advance(event sse.Event) {
+	if event.ID == "" {
+		return
+	}
+	number, err := strconv.ParseInt(event.ID, 10, 64)
+	switch {
+	case p.lastID == "":
+	case err == nil && p.isNumeric && number == p.last+1:
+		p.steps++
+	default:
+		p.hasJump = true
+	}
+	p.lastID, p.last, p.isNumeric = event.ID, number, err == nil
+}
+
+// mayContinueWith reports whether an event may be among the first of a resumed stream: one that
+// was written before, or the next one. Numbers only have to increase, so it is known which
+// number is next only if all of them were consecutive so far.
+func (p *streamPosition) mayContinueWith(event sse.Event) bool {
+	number, err := strconv.ParseInt(event.ID, 10, 64)
+	isConsecutive := p.steps > 0 && !p.hasJump
+	return err == nil && (!isConsecutive || number <= p.last+1)
+}
+
 // isUnframed reports whether a response has neither a length nor chunks and ends with its
 // connection.
 func isUnframed(response *http.Response) bool {
@@ -100,12 +158,15 @@
 	c.w.WriteHeader(response.StatusCode)
 }
 
-// streamErrorResult returns the result for a stream that failed. A stream without
-// event IDs can't be resumed once its response has begun.
+// streamErrorResult returns the result for a stream that failed. A stream whose event IDs
+// are no numbers, or missing, can't be resumed once its response has begun.
 func (r *Relay) streamErrorResult(ctx context.Context, c *call, err error) result {
 	broken := readErrorResult(ctx, err)
-	if c.isCommitted && c.lastEventID == "" {
+	if c.isCommitted && !c.position.isNumeric {
 		broken.isFinal = true
 	}
+	if errors.Is(err, errNotContinued) {
+		broken.isBroken = false
+	}
 	return broken
 }
