Server: don't close a connection on which part of a pipelined request was read

Bytes of a request that were read together with the one before are in net/http's buffer when it reports the connection as idle. A stop closed the connection then and net/http answered "400 Bad Request" without a problem. net/http sets the deadline for the next header once it has found such bytes, which now counts as the begin of a request. TestConnWithPartOfPipelinedRequestNotClosedAsIdle got 400 before.

--- a/fleet/process/serving/conn.go
+++ b/fleet/process/serving/conn.go
@@ -34,6 +34,9 @@
 	isClosing bool
 	// readDeadline is the one that net/http set last.
 	readDeadline time.Time
+	// isIdle is set while net/http waits for a further request, and hasIdleDeadline once it has
+	// set the deadline for that.
+	isIdle, hasIdleDeadline bool
 }
 
 // Read implements net.Conn.
@@ -51,7 +54,12 @@
 func (c *trackedConn) noteInput() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasInput = true
+	c.beginRequest()
+}
+
+// beginRequest is called with mu held.
+func (c *trackedConn) beginRequest() {
+	c.hasInput, c.isIdle = true, false
 	if c.isClosing {
 		// A request arrived first.
 		c.isClosing = false
@@ -78,6 +86,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
+	if c.isIdle && c.hasIdleDeadline {
+		// Bytes of the next request were read with the one before: net/http now sets the
+		// deadline for its header.
+		c.beginRequest()
+	}
+	c.hasIdleDeadline = true
 	if c.isClosing {
 		return nil
 	}
@@ -88,7 +102,7 @@
 func (c *trackedConn) awaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasInput = false
+	c.hasInput, c.isIdle, c.hasIdleDeadline = false, true, false
 }
 
 // hasRequest reports whether bytes of a request were read since the last response.
--- a/fleet/process/serving/stop_test.go
+++ b/fleet/process/serving/stop_test.go
@@ -135,3 +135,22 @@
 	assert.Assert(t, errors.Is(<-ended, net.ErrClosed))
 	assert.NilError(t, s.CancelAndClose(time.Second, context.Canceled))
 }
+
+// Guards against closing a connection on which a request is arriving whose first bytes came
+// together with the request before.
+func TestConnWithPartOfPipelinedRequestNotClosedAsIdle(t *testing.T) {
+	s, address := start(t, func(http.ResponseWriter, *http.Request) {})
+	slow := dial(t, address)
+	responses := bufio.NewReader(slow)
+	send(t, slow, testRequest+testRequest[:20])
+	_, err := http.ReadResponse(responses, nil)
+	assert.NilError(t, err)
+	<-time.After(4 * s.options.MinIdleTime)
+	s.StopAccepting()
+	s.CloseIdle()
+	<-time.After(10 * idlePollInterval)
+	send(t, slow, testRequest[20:])
+	second, err := http.ReadResponse(responses, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, second.StatusCode, http.StatusOK)
+}
