Server: let a handler reset a connection

The relay resets the connection of a truncated HTTP/1.0 response, which would look complete otherwise. The server's own connection type hid the socket, so that it was half-closed instead. TestHijackedConnReset fails without SetLinger.

--- a/fleet/process/serving/conn.go
+++ b/fleet/process/serving/conn.go
@@ -23,8 +23,8 @@
 type trackedConn struct {
 	net.Conn
 	server *Server
-	// hasWritten is set once the server wrote to the connection, isEnded once the caller closed
-	// it or it failed.
+	// hasWritten is set once the server wrote to the connection, isEnded once nobody waits for
+	// what was written: the caller closed it, it failed or is to be reset.
 	hasWritten, isEnded atomic.Bool
 
 	mu sync.Mutex
@@ -124,6 +124,16 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
+// SetLinger sets what Close does with data not yet sent, as net.TCPConn does. The connection
+// is then closed without waiting for the caller.
+func (c *trackedConn) SetLinger(seconds int) error {
+	c.isEnded.Store(true)
+	if tcp, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // CloseWrite lets net/http half-close the connection.
 func (c *trackedConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/fleet/process/serving/stop_test.go
+++ b/fleet/process/serving/stop_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -110,6 +111,25 @@
 	assert.Equal(t, len(got), len(body))
 }
 
+// Guards against a truncated response of HTTP/1.0 that looks complete, as the connection is closed in
+// an orderly way instead of reset.
+func TestHijackedConnReset(t *testing.T) {
+	_, address := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		hijacked, _, err := http.NewResponseController(w).Hijack()
+		assert.Check(t, err)
+		_, err = io.WriteString(hijacked, "HTTP/1.0 200 OK\r\n\r\npart")
+		assert.Check(t, err)
+		resettable, ok := hijacked.(interface{ SetLinger(int) error })
+		assert.Check(t, ok)
+		assert.Check(t, resettable.SetLinger(0))
+		assert.Check(t, hijacked.Close())
+	})
+	caller := dial(t, address)
+	send(t, caller, "GET / HTTP/1.0\r\n\r\n")
+	_, err := io.ReadAll(caller)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 // Guards against resetting connections that are established but not yet accepted when a stop
 // closes the listener.
 func TestQueuedConnServedByStoppingListener(t *testing.T) {
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -226,8 +226,8 @@
 
 // reset closes a connection so that its peer sees an error instead of an end.
 func reset(conn net.Conn) error {
-	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
-		if err := tcp.SetLinger(0); err != nil {
+	if resettable, ok := conn.(interface{ SetLinger(int) error }); ok {
+		if err := resettable.SetLinger(0); err != nil {
 			_ = conn.Close()
 			return err
 		}
