Stop: answer peers' calls in progress, and stop gracefully when a listener fails

peer.Server.Close closed connections on which a call was being answered; the router that waits for claim writes then doesn't know their result and reads the rows. A listener that failed ended the process at once, with the requests in flight.

--- a/fleet/connection/peer/server.go
+++ b/fleet/connection/peer/server.go
@@ -42,9 +42,11 @@
 	handlers map[frame.Type]HandlerFunc
 	log      *slog.Logger
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
-	wg    sync.WaitGroup
+	mu sync.Mutex
+	// conns holds whether a call is being answered on each connection.
+	conns    map[net.Conn]bool
+	isClosed bool
+	wg       sync.WaitGroup
 }
 
 // NewServer returns a server that accepts peers that have key.
@@ -53,7 +55,7 @@
 		key:      key,
 		handlers: make(map[frame.Type]HandlerFunc),
 		log:      log,
-		conns:    make(map[net.Conn]struct{}),
+		conns:    make(map[net.Conn]bool),
 	}
 }
 
@@ -85,10 +87,10 @@
 func (s *Server) add(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= MaxConnections {
+	if s.isClosed || len(s.conns) >= MaxConnections {
 		return false
 	}
-	s.conns[conn] = struct{}{}
+	s.conns[conn] = false
 	s.wg.Add(1)
 	return true
 }
@@ -101,16 +103,29 @@
 	s.wg.Done()
 }
 
-// Close closes every connection and waits for their goroutines.
+// Close closes every connection, after the answer to the call in progress if there is one,
+// and waits for their goroutines.
 func (s *Server) Close() {
 	s.mu.Lock()
-	for conn := range s.conns {
-		_ = conn.Close()
+	s.isClosed = true
+	for conn, isAnswering := range s.conns {
+		if !isAnswering {
+			_ = conn.Close()
+		}
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
 }
 
+// setAnswering records whether a call is being answered and reports whether the server is
+// closed.
+func (s *Server) setAnswering(conn net.Conn, isAnswering bool) (isClosed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[conn] = isAnswering
+	return s.isClosed
+}
+
 func (s *Server) serveConn(netConn net.Conn) {
 	defer s.remove(netConn)
 	conn := frame.NewConn(&countingConn{Conn: netConn})
@@ -124,10 +139,14 @@
 		if err != nil {
 			return
 		}
+		s.setAnswering(netConn, true)
 		if err := s.answer(conn, call); err != nil {
 			s.log.Warn("Peer call failed.", "address", address, "type", call.Type, "error", err)
 			return
 		}
+		if s.setAnswering(netConn, false) {
+			return
+		}
 	}
 }
 
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -122,10 +122,11 @@
 	n.log.Info("Serving.", "callers", n.settings.Listen.Callers, "operators", n.settings.Listen.Operators, "peers", n.settings.Listen.Peers)
 	select {
 	case <-ctx.Done():
-	case err := <-failed:
-		return errors.Wrap(err, "node")
+	case err = <-failed:
+		err = errors.Wrap(err, "node")
+		n.log.Error("A listener failed. The router stops.", "error", err)
 	}
-	err = n.shutdown(abort)
+	err = errors.CombineErrors(err, n.shutdown(abort))
 	stopLoop()
 	flushCtx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
 	defer cancel()
