Stop: pass on answers that arrived while the process was paused

A router that was paused until after its grace time cut off, when it woke, requests whose answers had arrived (TestStopRouterPaused: 503 "stopping", unknown, of a request that the service had run). It now gives them a second if the timer of the grace time was late.

--- a/fleet/process/node/shutdown.go
+++ b/fleet/process/node/shutdown.go
@@ -23,6 +23,10 @@
 	cancelTimeout = 3 * time.Second
 	// closeTimeout bounds the wait for callers to close the connections after that.
 	closeTimeout = 2 * time.Second
+	// wakeTimeout is how long requests get after the grace period if the process was paused:
+	// their answers may have arrived meanwhile. It was if a timer is later than maxTimerDelay.
+	wakeTimeout   = time.Second
+	maxTimerDelay = 100 * time.Millisecond
 	// operatorsTimeout bounds the wait for operators' requests, which write to the
 	// platform or wait for changes, and operatorsCancelTimeout that for their error responses.
 	operatorsTimeout       = 3 * time.Second
@@ -60,7 +64,7 @@
 	n.isClosing.Store(true)
 	n.operators.CloseIdle()
 	n.log.Info("Waiting for requests in flight.", "connections", n.callers.Conns(), "atMost", until(plan.AnswerBy))
-	err := n.awaitRequests(abort, until(plan.AnswerBy))
+	err := n.awaitRequests(abort, plan.AnswerBy)
 	var operatorsClosed sync.WaitGroup
 	operatorsClosed.Go(func() { n.closeOperators(abort) })
 	n.closeCallers()
@@ -123,12 +127,15 @@
 	<-ctx.Done()
 }
 
-// awaitRequests waits for the requests in flight, at most for limit, and returns
+// awaitRequests waits for the requests in flight, at most until answerBy, and returns
 // ErrCutOff if some are left.
-func (n *Node) awaitRequests(abort context.Context, limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(abort, limit)
-	defer cancel()
-	if n.callers.AwaitIdle(ctx) {
+func (n *Node) awaitRequests(abort context.Context, answerBy time.Duration) error {
+	isIdle := n.awaitIdle(abort, until(answerBy))
+	if late := -until(answerBy); !isIdle && late > maxTimerDelay && abort.Err() == nil {
+		n.log.Warn("The process was paused. Requests get more time.", "late", late, "atMost", wakeTimeout)
+		isIdle = n.awaitIdle(abort, wakeTimeout)
+	}
+	if isIdle {
 		return nil
 	}
 	inFlight := n.callers.Conns().Busy
@@ -138,3 +145,9 @@
 	n.log.Error("Requests are cut off.", "inFlight", inFlight)
 	return errors.Wrapf(ErrCutOff, "%d in flight", inFlight)
 }
+
+func (n *Node) awaitIdle(abort context.Context, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(abort, limit)
+	defer cancel()
+	return n.callers.AwaitIdle(ctx)
+}
