Stop: test the record of at-most-once requests that are cut off; end a body's read only then

TestStopRecordsClaimCutOff: an at-most-once request that outlasts the grace time is answered "stopping", unknown, and recorded before the process ends; a repeat at another router gets its answer. TestStopForcedAnswersAll checks the log line of one that a second signal leaves unrecorded, and that a repeat elsewhere doesn't run it again.

--- a/fleet/e2e/stop_answers_test.go
+++ b/fleet/e2e/stop_answers_test.go
@@ -353,6 +353,8 @@
 	eventually(t, "the router is leaving", func() bool { return strings.Contains(f.routers[0].logs.String(), "Leaving.") })
 	f.routers[0].signal(syscall.SIGTERM)
 	wg.Wait()
+	// The log is complete once the process has ended.
+	assert.Equal(t, f.routers[0].exitCode(t), 1)
 	for i, c := range calls {
 		assert.Equal(t, answers[i].code(), "stopping", "%s: status %d, error %v, %s", c.id, answers[i].status, answers[i].err, answers[i].body)
 		assert.Assert(t, strings.Contains(f.routers[0].logs.String(), "request="+c.id+" "), "%s has no log line", c.id)
@@ -360,7 +362,30 @@
 	assert.Equal(t, answers[0].outcome(), "unknown")
 	assert.Equal(t, answers[1].outcome(), "unknown")
 	assert.Equal(t, answers[2].outcome(), "not-run")
+	assert.Assert(t, strings.Contains(f.routers[0].logs.String(), `The outcome of a request is not recorded." request=once `))
+	repeated := f.routers[1].send(t.Context(), http.MethodPost, once.path, "", append(once.headers, "Idempotency-Repeat", "true", "X-Deadline-Ms", "2000")...)
+	assert.Equal(t, repeated.outcome(), "unknown", "%s", repeated.body)
+	assert.Equal(t, f.timed.runsOf("once"), 1)
+}
+
+// Guards against a stop that cuts off an at-most-once request and doesn't record its answer.
+func TestStopRecordsClaimCutOff(t *testing.T) {
+	t.Parallel()
+	f := startStopFleet(t, 2, routerOptions{shutdown: "{announce: 100ms, entryLife: 100ms, grace: 500ms}"})
+	call := &rawCall{id: "once", path: "/v1/services/timed/once/4s/100", headers: []string{"Idempotency-Key", "k"}}
+	call.open(t, f.routers[0].callers)
+	answers := make(chan answer, 1)
+	go func() { answers <- call.do() }()
+	eventually(t, "the service runs the request", func() bool { return f.timed.runsOf(call.id) == 1 })
+	f.routers[0].signal(syscall.SIGTERM)
+	got := <-answers
+	assert.Equal(t, got.code(), "stopping", "error %v: %s", got.err, got.body)
+	assert.Equal(t, got.outcome(), "unknown")
 	assert.Equal(t, f.routers[0].exitCode(t), 1)
+	repeated := f.routers[1].send(t.Context(), http.MethodPost, call.path, "", append(call.headers, "Idempotency-Repeat", "true")...)
+	assert.Equal(t, repeated.status, http.StatusOK, "%s", repeated.body)
+	assert.Equal(t, len(repeated.body), 100)
+	assert.Equal(t, f.timed.runsOf(call.id), 1)
 }
 
 // longStop serves for 3.1 s and ends requests 4.1 s after the signal.
--- a/fleet/request/gateway/body.go
+++ b/fleet/request/gateway/body.go
@@ -62,27 +62,26 @@
 	}
 }
 
-// readBody reads the body within the limits of size, time and memory, until ctx ends.
+// readBody reads the body within the limits of size, time and memory, or until the process
+// stops.
 func (g *Gateway) readBody(ctx context.Context, x *exchange) *outcome.Problem {
 	controller := http.NewResponseController(x.w)
 	ended := make(chan struct{})
 	cancelRead := context.AfterFunc(ctx, func() {
 		defer close(ended)
-		_ = controller.SetReadDeadline(time.Now())
+		if errors.Is(context.Cause(ctx), ErrStopping) {
+			_ = controller.SetReadDeadline(time.Now())
+		}
 	})
 	err := g.readInto(x, http.MaxBytesReader(x.w, x.r.Body, g.options.Limits.BodyBytes))
-	isInTime := cancelRead()
-	if !isInTime {
+	if !cancelRead() {
 		// A deadline set later would end the connection's next request.
 		<-ended
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
-	case err == nil && isInTime:
-		_ = controller.SetReadDeadline(time.Time{})
-		return nil
 	case err == nil:
-		// The handler reports that ctx has ended.
+		_ = controller.SetReadDeadline(time.Time{})
 		return nil
 	case errors.Is(context.Cause(ctx), ErrStopping):
 		return stoppingProblem()
