Relay: an attempt is not late before its service's usual time

Cause: where a service usually takes longer than the attempt timeout (0.6 x the target latency), each attempt with a place elsewhere was given up and counted as failed. Its endpoints lost trust though they answered as ever, and nearly all requests were sent twice or more. That is how e-1 lost trust in TestStopRepeatedSignal: endpoints of 500 ms, attempts given up after 180 ms.

Change: an attempt of a route that is no stream is late after the attempt timeout, but not before 1.5 x the measured service time, and in any case once it is overdue (3 x the target latency), so that a service time that long requests or one slow endpoint raised hides no silent endpoint. Up to a service time of 0.4 x the target latency nothing changes (0.6 / 1.5); above, an answer after a move at the timeout would be later than the target anyway. Outcomes of attempts that are given up stay failures. Ruled out: counting them as neutral when the endpoint answered something meanwhile (e-1 had not, and an endpoint that loses most requests would keep its trust).

--- a/core/request/balance/service.go
+++ b/core/request/balance/service.go
@@ -72,6 +72,10 @@
 	}
 }
 
+// ServiceTime returns the measured time of a request at an endpoint of a service, without
+// queueing; zero if none was measured.
+func (c *Core) ServiceTime(name string) time.Duration { return c.statsFor(name).serviceTime.value }
+
 func meanRunning(now time.Duration, candidates []*endpointState) float64 {
 	total := 0
 	for _, state := range candidates {
--- a/core/request/retry/late.go
+++ b/core/request/retry/late.go
@@ -7,6 +7,9 @@
 	// fraction of its timeout, and minAskInterval the minimum.
 	askFraction    = 0.5
 	minAskInterval = 10 * time.Millisecond
+	// usualFactor is the multiple of the usual time before which an attempt is not late.
+	// With one, every second answer would be.
+	usualFactor = 1.5
 	// MinTimeLeft is the minimum time left with which a retry is worth sending.
 	MinTimeLeft = 5 * time.Millisecond
 )
@@ -15,9 +18,11 @@
 type LateLimits struct {
 	StartedAt, EndsAt time.Duration
 	// Timeout is the time after which an attempt that may be retried is late; zero if it may
-	// not be.
-	Timeout time.Duration
-	// Overdue is the time after which its endpoint is reported as failed.
+	// not be. It is not late before a multiple of Usual, the mean time that answers of the
+	// service take; zero if that is not known.
+	Timeout, Usual time.Duration
+	// Overdue is the time after which its endpoint is reported as failed, and the attempt is
+	// late in any case.
 	Overdue time.Duration
 }
 
@@ -26,7 +31,9 @@
 // then it goes on.
 //
 // If late attempts were given up first, then with all endpoints of a service slow and at
-// capacity, requests would fail that were about to be answered.
+// capacity, requests would fail that were about to be answered. If attempts at a service that
+// is slower than the timeout were late before its usual time, all its requests would be sent
+// twice and all its endpoints would count as failing.
 type LateAttempt struct {
 	limits    LateLimits
 	askAt     time.Duration
@@ -36,6 +43,9 @@
 
 // NewLateAttempt returns the state of an attempt that starts.
 func NewLateAttempt(limits LateLimits) *LateAttempt {
+	if limits.Timeout > 0 {
+		limits.Timeout = max(limits.Timeout, min(time.Duration(usualFactor*float64(limits.Usual)), limits.Overdue))
+	}
 	return &LateAttempt{limits: limits, askAt: limits.StartedAt + limits.Timeout}
 }
 
--- a/core/request/retry/late_test.go
+++ b/core/request/retry/late_test.go
@@ -194,6 +194,23 @@
 	assert.Assert(t, !isAsked, "no place is taken without budget")
 }
 
+// Guards against a service that is slower than the attempt timeout, whose requests are all sent
+// twice, and against attempts that never ask since a service seems slow.
+func TestLateAttemptNotLateBeforeUsualTime(t *testing.T) {
+	limits := retry.LateLimits{StartedAt: time.Second, EndsAt: 3 * time.Second, Timeout: 100 * time.Millisecond, Overdue: 300 * time.Millisecond}
+	for usual, firstAsk := range map[time.Duration]time.Duration{
+		0: 100 * time.Millisecond, 50 * time.Millisecond: 100 * time.Millisecond,
+		160 * time.Millisecond: 240 * time.Millisecond, time.Minute: 300 * time.Millisecond,
+	} {
+		limits.Usual = usual
+		late := retry.NewLateAttempt(limits)
+		assert.Assert(t, !late.Step(limits.StartedAt+firstAsk-1).ShouldAsk, "usual %v", usual)
+		assert.Assert(t, late.Step(limits.StartedAt+firstAsk).ShouldAsk, "usual %v", usual)
+	}
+	limits.Timeout = 0
+	assert.Assert(t, !retry.NewLateAttempt(limits).Step(limits.StartedAt+time.Second).ShouldAsk, "it may not be retried")
+}
+
 // Guards against late attempts that ask without end, or in the last milliseconds.
 func TestLateAttemptAsksAtIntervals(t *testing.T) {
 	limits := retry.LateLimits{StartedAt: time.Second, EndsAt: 2 * time.Second, Timeout: 100 * time.Millisecond, Overdue: 300 * time.Millisecond}
--- a/fleet/request/relay/late.go
+++ b/fleet/request/relay/late.go
@@ -49,6 +49,10 @@
 	}
 	if r.isRetryable(c) {
 		limits.Timeout = c.attemptTimeout()
+		if c.route.Kind != routetable.Stream {
+			// The service time of a stream is that of all its events.
+			limits.Usual = r.options.Balancer.serviceTime(c.service)
+		}
 	}
 	w := &attemptWatch{relay: r, ctx: ctx, call: c, placement: placement, cancel: cancel, late: retry.NewLateAttempt(limits)}
 	w.mu.Lock()
@@ -146,6 +150,14 @@
 	return reserved
 }
 
+// serviceTime returns the measured time of a request at an endpoint of a service, without
+// queueing; zero if none was measured.
+func (b *Balancer) serviceTime(service string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.ServiceTime(service)
+}
+
 // releaseReserved releases a place that was not used and returns its charge to the budget.
 func (b *Balancer) releaseReserved(reserved *reservation) {
 	b.recordResult(&reserved.placement, breaker.Neutral)
