Soak: stops beside other planned changes, connections held open, answers of up to 3 s

Its endpoints answered within 80 ms, its callers used the next address after an answer with Connection: close, and a request counted only if an error, a run and no other fault for 6 s came together.

Change: in each seed three callers use one connection as long as its router takes requests, three hold twelve connections and use each once at some age: at once, reading late, pipelined, with a body that comes slowly or doesn't end. Two more services answer in 0.08 to 3 s, with 256 KiB or as streams. SIGTERM comes beside a reload, a start, a configuration, a withdrawal, further signals, stops of all routers, and changes of the grace time. Of every such request to a router without another fault: one whole answer, or a refusal within 0.3 s and no run, or a failure of the router's own, or a connection that ended within 0.2 s of the request. Stopped processes end before they are killed, with code 0 unless a body stalled or the grace time changed and they logged what they cut, aren't ready meanwhile, and no process ends without a signal. A settings file is replaced at once, so that a starting process doesn't read half of it.

The random choices of all seeds change.

--- a/fleet/soak/caller_test.go
+++ b/fleet/soak/caller_test.go
@@ -72,6 +72,8 @@
 	// isReadLate is set if the caller didn't read at once, isBehindClose if the connection
 	// ended with an earlier answer.
 	isReadLate, isBehindClose bool
+	// isBehind is set if the request was sent before the answer to an earlier one.
+	isBehind bool
 }
 
 // recorder records the attempts of all callers.
@@ -234,6 +236,9 @@
 	if a.repeats != nil {
 		return "body of repeats"
 	}
+	if a.isBehind {
+		return "body of " + a.id + strings.Repeat("y", paddingBehind)
+	}
 	return "body of " + a.id
 }
 
--- a/fleet/soak/check_test.go
+++ b/fleet/soak/check_test.go
@@ -43,6 +43,8 @@
 	h.checkDrains()
 	h.checkCrashes()
 	h.checkLimits()
+	h.checkConnections(runs)
+	h.checkStops()
 	h.t.Logf("%d requests, %d served", len(h.recorder.attempts), served)
 	if served == 0 {
 		h.t.Error("no request was served")
@@ -65,13 +67,13 @@
 	if signer == "" || a.header.Get("Gentianhead-Attempt-Id") != a.id {
 		h.t.Errorf("%s (%s) got the response of another request: %v", a.id, a.kind, a.header)
 	}
-	want := platformtest.ResponseBody(signer, a.id)
+	want := platformtest.ResponseBody(signer, a.id) + padding(a.kind)
 	if a.kind.isStream() {
 		want = wantStreamBody()
 	}
-	isWhole := a.body == want
-	if a.err == nil && !isWhole || !strings.HasPrefix(want, a.body) {
-		h.t.Errorf("%s (%s) got %q, error %v", a.id, a.kind, a.body, a.err)
+	isWhole := a.body == shorten(a.kind, want)
+	if !isWhole && (a.err == nil || !strings.HasPrefix(want, a.body)) {
+		h.t.Errorf("%s (%s) got %.200q, error %v", a.id, a.kind, a.body, a.err)
 	}
 }
 
--- a/fleet/soak/connection_test.go
+++ b/fleet/soak/connection_test.go
@@ -23,11 +23,16 @@
 	// styleSlowBody sends the body in three parts with bodyPause between them.
 	styleSlowBody
 	styleCount
+	// styleStalledBody never sends the end of the body.
+	styleStalledBody
 )
 
 const (
-	lateness  = 3500 * time.Millisecond
-	bodyPause = 250 * time.Millisecond
+	// paddingBehind is how much longer the body of a pipelined request is: longer than what
+	// a server reads ahead.
+	paddingBehind = 16 << 10
+	lateness      = 3500 * time.Millisecond
+	bodyPause     = 250 * time.Millisecond
 	// answerTimeout is longer than the grace time of a router: a connection is given up only
 	// after its router has ended.
 	answerTimeout = gracePeriod + 2*time.Second
@@ -70,11 +75,16 @@
 	sent := []*attempt{c.newAttempt(id, k)}
 	if s == stylePipelined {
 		sent = append(sent, c.newAttempt(id+"-behind", k))
+		sent[1].isBehind = true
 	}
 	for _, a := range sent {
 		defer c.harness.recorder.add(a)
 	}
-	if s == styleSlowBody {
+	switch s {
+	case styleStalledBody:
+		head, body := c.format(sent[0])
+		_, _ = io.WriteString(c.conn, head+body[:len(body)/2])
+	case styleSlowBody:
 		head, body := c.format(sent[0])
 		third := len(body) / 3
 		for _, part := range []string{head + body[:third], body[third : 2*third]} {
@@ -86,7 +96,7 @@
 		if sent[0].err == nil {
 			c.write(sent, body[2*third:])
 		}
-	} else {
+	default:
 		var text strings.Builder
 		for _, a := range sent {
 			head, body := c.format(a)
@@ -161,6 +171,6 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	a.status, a.header, a.body, a.err = response.StatusCode, response.Header, string(body), err
+	a.status, a.header, a.body, a.err = response.StatusCode, response.Header, shorten(a.kind, string(body)), err
 	return err == nil && !response.Close
 }
--- a/fleet/soak/soak_test.go
+++ b/fleet/soak/soak_test.go
@@ -155,13 +155,16 @@
 	}
 }
 
-func newHarness(t *testing.T, seed uint64) *harness {
+// newHarness starts the routers and endpoints of a run, with endpoints whose answers take the
+// given times.
+func newHarness(t *testing.T, seed uint64, answerTimes ...time.Duration) *harness {
 	h := &harness{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), store: platformtest.NewStore(),
 		byAddress: make(map[string]*process), removedAt: make(map[string]time.Time), configuredAt: make(map[int]time.Time),
 		reservedUntil: make(map[*platformtest.Endpoint]time.Time), hasOnlyPlannedFaults: seed%3 == 0,
 	}
 	t.Cleanup(h.store.Close)
+	h.startSlow(answerTimes)
 	h.configure()
 	h.configure()
 	for number := range endpoints {
@@ -223,9 +226,9 @@
 func (h *harness) injectFault() string {
 	number := h.random.IntN(len(h.routers))
 	router, length := h.routers[number], time.Duration(500+h.random.IntN(4000))*time.Millisecond
-	choice := h.random.IntN(14)
+	choice := h.random.IntN(15)
 	if h.hasOnlyPlannedFaults {
-		choice = []int{0, 1, 9, 10, seriesChoice}[h.random.IntN(5)]
+		choice = []int{0, 1, 9, 10, seriesChoice, stopChoice, stopChoice}[h.random.IntN(7)]
 	}
 	endpoint := h.random.IntN(endpoints)
 	switch choice {
@@ -240,6 +243,7 @@
 		return "kill " + router.name
 	case 3:
 		router.faults.add(time.Now(), length)
+		router.unplanned.add(time.Now(), length)
 		router.signal(syscall.SIGSTOP)
 		time.AfterFunc(length, func() { router.signal(syscall.SIGCONT) })
 		return "pause " + router.name
@@ -278,6 +282,8 @@
 		return h.restoreStore(length)
 	case seriesChoice:
 		return h.injectSeries()
+	case stopChoice:
+		return h.injectStop(router)
 	}
 	return h.expireDuringOutage(endpoint, length)
 }
@@ -366,6 +372,7 @@
 		seed := h.random.Uint64()
 		wg.Go(func() { h.sendRepeats(r, number, seed, stop) })
 	}
+	h.useConnections(&wg, stop)
 	var done []string
 	begun := time.Now()
 	for time.Since(begun) < faultDuration {
@@ -400,8 +407,11 @@
 	for seed := first; seed <= last; seed++ {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
-			h := newHarness(t, seed)
+			h := newHarness(t, seed, [][]time.Duration{
+				{300 * time.Millisecond, 2500 * time.Millisecond}, {80 * time.Millisecond, 1200 * time.Millisecond}, {600 * time.Millisecond, 3 * time.Second},
+			}[seed/3%3]...)
 			done := h.run()
+			h.awaitStops()
 			h.check()
 			if t.Failed() {
 				t.Logf("seed %d injected: %s", seed, strings.Join(done, "; "))
--- a/fleet/soak/spans_test.go
+++ b/fleet/soak/spans_test.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -113,11 +112,7 @@
 
 // reloadSettings lowers RetrySlack to 40 in the router's settings and sends SIGHUP to reload them.
 func (h *harness) reloadSettings(router *process) string {
-	text, err := os.ReadFile(router.settings)
-	assert.NilError(h.t, err)
-	changed := strings.Replace(string(text), "RetrySlack=5", "RetrySlack=4", 1)
-	assert.NilError(h.t, os.WriteFile(router.settings, []byte(changed), 0o600))
-	router.signal(syscall.SIGHUP)
+	router.reload(h.t, func(settings string) string { return strings.Replace(settings, "RetrySlack=5", "RetrySlack=4", 1) })
 	return "settings of " + router.name
 }
 
