Show that a listener that stops stays open under new connections, as known red

Cause: each connection that the stopping listener accepts moves its deadline by 20 ms; callers that are refused connect again sooner, as the directory names a stopping router when no other is left. Each such request is refused as not run, but the last ones cross the exit of the process. Not the cause: a stalled body, of which that router had none.

--- a/fleet/process/serving/stop_test.go
+++ b/fleet/process/serving/stop_test.go
@@ -174,3 +174,22 @@
 	assert.NilError(t, err)
 	assert.Equal(t, second.StatusCode, http.StatusOK)
 }
+
+// Guards against a listener that stays open as long as new connections keep coming in.
+func TestStopAcceptingUnderNewConns(t *testing.T) {
+	s, address := start(t, func(http.ResponseWriter, *http.Request) {})
+	served := dial(t, address)
+	send(t, served, testRequest)
+	_, err := http.ReadResponse(bufio.NewReader(served), nil)
+	assert.NilError(t, err)
+	s.StopAccepting()
+	for range 200 {
+		opened, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		_ = opened.Close()
+		<-time.After(acceptWindow / 4)
+	}
+	t.Error("connections are still accepted")
+}
