Show that the rest of a stream is checked in the other door

TestResumeAnsweredWithoutRest gives the resume of a broken stream 15 answers that aren't its rest (errors, a refusal, no events, foreign, unnumbered, missing and half events).

--- a/fleet/connection/engine/engine_test.go
+++ b/fleet/connection/engine/engine_test.go
@@ -345,3 +345,61 @@
 		}
 	}
 }
+
+// Guards against a stream that broke off and then holds the answer to its resume, which isn't
+// its rest, or ends as if it were complete.
+func TestResumeAnsweredWithoutRest(t *testing.T) {
+	event := func(id string, number int, more string) string {
+		return fmt.Sprintf("id: %d\ndata: {\"id\":%q,\"choices\":[{%s}]}\n\n", number, id, more)
+	}
+	done := func(number int) string { return fmt.Sprintf("id: %d\ndata: [DONE]\n\n", number) }
+	answerOf := func(status, headers, id, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, headers, len(body), body)
+	}
+	const failure = "data: {\"error\":\"the text of an error\"}\n\n"
+	const eventStream = "Content-Type: text/event-stream\r\n"
+	for name, rest := range map[string]func(id string) string{
+		"500": func(id string) string {
+			return answerOf("500 Internal Server Error", eventStream, id, event(id, 3, ""))
+		},
+		"404":         func(id string) string { return answerOf("404 Not Found", eventStream, id, event(id, 3, "")) },
+		"302":         func(id string) string { return answerOf("302 Found", "Location: /x\r\n", id, event(id, 3, "")) },
+		"refused":     func(id string) string { return answerOf("503 Service Unavailable", "", id, `{"outcome":"not-run"}`) },
+		"204":         func(id string) string { return "HTTP/1.1 204 No Content\r\nX-Request-Id: " + id + "\r\n\r\n" },
+		"empty":       func(id string) string { return answerOf("200 OK", eventStream, id, "") },
+		"plain":       func(id string) string { return answerOf("200 OK", "Content-Type: text/plain\r\n", id, failure) },
+		"error event": func(id string) string { return answerOf("200 OK", eventStream, id, "id: 3\n"+failure) },
+		"unnumbered": func(id string) string {
+			return answerOf("200 OK", eventStream, id, strings.TrimPrefix(event(id, 3, ""), "id: 3\n"))
+		},
+		"gap":           func(id string) string { return answerOf("200 OK", eventStream, id, event(id, 4, "")) },
+		"short":         func(id string) string { return answerOf("200 OK", eventStream, id, event(id, 1, "")+event(id, 2, "")) },
+		"closing event": func(id string) string { return answerOf("200 OK", eventStream, id, done(3)) },
+		"half": func(id string) string {
+			return answerOf("200 OK", eventStream, id, strings.TrimSuffix(event(id, 3, ""), "\n"))
+		},
+		"another's":    func(id string) string { return answerOf("200 OK", eventStream, id, event(id+"x", 3, "")) },
+		"another's id": func(id string) string { return answerOf("200 OK", eventStream, id+"x", event(id, 3, "")) },
+	} {
+		server := startRaw(t, func(number int64, r *http.Request) (string, bool) {
+			if number > 1 {
+				return rest(idOf(r)), true
+			}
+			broken := event(idOf(r), 1, "") + event(idOf(r), 2, "") + "id: 3\ndata: {"
+			return "HTTP/1.1 200 OK\r\n" + eventStream + "X-Request-Id: " + idOf(r) + "\r\nContent-Length: 9999\r\n\r\n" + broken, false
+		})
+		client := NewClient()
+		response, err := client.Do(t.Context(), Request{Method: http.MethodPost, URL: server.url + ChatPath, ID: "same", Resumable: true})
+		assert.NilError(t, err)
+		stream := client.NewStream(response)
+		for number := range 2 {
+			data, err := stream.Next(t.Context())
+			assert.NilError(t, err)
+			assert.Assert(t, strings.Contains(string(data), "choices"), "%s: event %d: %s", name, number+1, data)
+		}
+		data, err := stream.Next(t.Context())
+		assert.Assert(t, errors.IsAny(err, ErrTruncated, ErrMismatched), "%s: %v %s", name, err, data)
+		stream.Close(t.Context())
+		client.Close()
+	}
+}
