Entries: one that became odd around an outage isn't kept as lapsed

What callers see: an endpoint whose entry became unreadable while the store was away, or within 2.2 s of its return, went on getting requests until then.

Cause: an odd entry was treated as a removed one, and removals around an outage may be entries that expired. An odd entry is there, so it didn't expire.

Evidence: TestOddEntryDuringOutage failed before (1 endpoint in use) and passes now; the package passed with -race.

--- a/fleet/process/hosted/entries.go
+++ b/fleet/process/hosted/entries.go
@@ -75,7 +75,9 @@
 // rows are final, regardless of this router's own contact with the store.
 func (c *control) applyEntries(now time.Duration, rows []table.Row, isSettled bool) {
 	var written []endpoints.Entry
-	var removed []string
+	// odd are the entries that name no endpoint. They weren't removed, so they can't have
+	// expired while the store was away.
+	var removed, odd []string
 	for _, row := range rows {
 		if row.IsRemoved {
 			c.log.Info("An endpoint's entry was removed.", "endpoint", row.Key, "rowVersion", row.Version, "era", row.Era)
@@ -85,7 +87,7 @@
 		entry, err := platform.DecodeEndpoint(row.Key, row.Value)
 		if err != nil {
 			c.log.Warn("An endpoint's entry can't be read.", "error", err)
-			removed = append(removed, row.Key)
+			odd = append(odd, row.Key)
 			continue
 		}
 		level := slog.LevelInfo
@@ -104,6 +106,9 @@
 	} else {
 		c.endpoints.Apply(now, written, removed)
 	}
+	if len(odd) > 0 {
+		c.endpoints.ApplySettled(now, nil, odd)
+	}
 	c.endpointsChanged("entries changed")
 }
 
--- a/fleet/process/hosted/odd_test.go
+++ b/fleet/process/hosted/odd_test.go
@@ -72,6 +72,18 @@
 	}
 }
 
+// Guards against an entry that became odd around an outage of the store and is taken for one
+// that expired, whose endpoint is kept.
+func TestOddEntryDuringOutage(t *testing.T) {
+	for _, value := range platformtest.OddEntries("plain", "127.0.0.1:9") {
+		c, others := newControlWithEndpoint(t)
+		c.endpoints.StoreFailed()
+		others[0].EndpointChanges = []table.Row{{Key: "e-1", Value: value, Version: 2}}
+		c.handleBeacon(boottime.Now(), others[0])
+		assert.Equal(t, c.state.endpointCount, 0, "%.300s", value)
+	}
+}
+
 // Guards against odd rows in the table of routers that keep a router from finding the others,
 // and against one odd quarantine that drops the others.
 func TestOddRowsAmongRouters(t *testing.T) {
