--- a/fleet/process/serving/listener.go
+++ b/fleet/process/serving/listener.go
@@ -6,15 +6,20 @@
 	"time"
 )
 
-// acceptWindow is how long no connection must have come in before a listener that stops is
-// closed: the kernel resets those that were established and not yet accepted.
-const acceptWindow = 20 * time.Millisecond
+const (
+	// acceptWindow is how long no connection must have come in before a listener that stops is
+	// closed: the kernel resets those that were established and not yet accepted.
+	acceptWindow = 20 * time.Millisecond
+	// maxAcceptTime bounds that time if connections keep coming in.
+	maxAcceptTime = 200 * time.Millisecond
+)
 
 // listener wraps the connections that it accepts.
 type listener struct {
 	net.Listener
-	server     *Server
-	isStopping atomic.Bool
+	server *Server
+	// closeAt is when a listener that stops is closed at the latest; nil before.
+	closeAt atomic.Pointer[time.Time]
 }
 
 // Accept implements net.Listener.
@@ -22,15 +27,16 @@
 	isLast := false
 	for {
 		accepted, err := l.Listener.Accept()
+		closeAt := l.closeAt.Load()
 		switch {
 		case err == nil:
-			if l.isStopping.Load() {
-				_ = l.setDeadline(time.Now().Add(acceptWindow))
+			if closeAt != nil {
+				_ = l.setDeadline(earlier(time.Now().Add(acceptWindow), *closeAt))
 			}
 			return &trackedConn{Conn: accepted, server: l.server}, nil
-		case !l.isStopping.Load() || !isTimeout(err):
+		case closeAt == nil || !isTimeout(err):
 			return nil, err
-		case isLast:
+		case isLast || !time.Now().Before(*closeAt):
 			_ = l.Close()
 			return nil, net.ErrClosed
 		}
@@ -42,12 +48,20 @@
 
 // stop makes Accept take the connections that wait and then close the listener.
 func (l *listener) stop() {
-	l.isStopping.Store(true)
+	closeAt := time.Now().Add(maxAcceptTime)
+	l.closeAt.Store(&closeAt)
 	if l.setDeadline(time.Now().Add(acceptWindow)) != nil {
 		_ = l.Close()
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (l *listener) setDeadline(t time.Time) error {
 	if limited, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 		return limited.SetDeadline(t)
