Server: serve what has arrived when idle connections and the listener are closed

An expired read deadline hides bytes that have arrived, so that a process short of CPU time closed idle connections with a request in their buffer; the read gets 20 ms more. And AwaitIdle could return before the listener had taken the connections that waited.

--- a/fleet/process/serving/conn.go
+++ b/fleet/process/serving/conn.go
@@ -13,6 +13,8 @@
 	// caller closes it too. Unread bytes make the kernel reset the connection, which discards
 	// what the caller hasn't read of the last response.
 	lingerTimeout = time.Second
+	// lastReadWindow is how long an idle connection is read from before it is closed.
+	lastReadWindow = 20 * time.Millisecond
 	// lingerBuffer is the size of the reads meanwhile.
 	lingerBuffer = 512
 )
@@ -42,6 +44,9 @@
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && isTimeout(err) && c.extendIfClosing() {
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 {
 		c.noteInput()
 	}
@@ -51,6 +56,17 @@
 	return n, err
 }
 
+// extendIfClosing gives the read of a connection that closes as idle another moment: an expired
+// deadline hides bytes that have arrived.
+func (c *trackedConn) extendIfClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isClosing {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadWindow))
+	}
+	return c.isClosing
+}
+
 func (c *trackedConn) noteInput() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/fleet/process/serving/listener.go
+++ b/fleet/process/serving/listener.go
@@ -20,10 +20,23 @@
 	server *Server
 	// closeAt is when a listener that stops is closed at the latest; nil before.
 	closeAt atomic.Pointer[time.Time]
+	// isClosed is set once Accept returns no further connections.
+	isClosed atomic.Bool
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.accept()
+	if err != nil && !isTemporary(err) {
+		l.isClosed.Store(true)
+	}
+	return accepted, err
+}
+
+// isStopping reports whether connections that wait are still to be accepted.
+func (l *listener) isStopping() bool { return l.closeAt.Load() != nil && !l.isClosed.Load() }
+
+func (l *listener) accept() (net.Conn, error) {
 	isLast := false
 	for {
 		accepted, err := l.Listener.Accept()
@@ -55,6 +68,12 @@
 	}
 }
 
+// isTemporary reports whether net/http goes on to accept after an error.
+func isTemporary(err error) bool {
+	temporary, ok := err.(interface{ Temporary() bool })
+	return ok && temporary.Temporary()
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/fleet/process/serving/serving.go
+++ b/fleet/process/serving/serving.go
@@ -235,7 +235,7 @@
 func (s *Server) isIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closesIdle && len(s.idleSince) > 0 {
+	if s.closesIdle && len(s.idleSince) > 0 || s.listener != nil && s.listener.isStopping() {
 		return false
 	}
 	for _, since := range s.idleSince {
