--- a/fleet/cmd/gentianhead/main.go
+++ b/fleet/cmd/gentianhead/main.go
@@ -159,6 +159,9 @@
 func serveHosted(ctx context.Context, path string, o *options, stdout io.Writer) error {
 	stop, release := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer release()
+	// From the first moment on, since by default SIGHUP ends a process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -170,25 +173,21 @@
 	if err != nil {
 		return err
 	}
-	reloadOnHangup(path, r, telemetry.ComponentLogger(logger, "hosted"))
+	go reloadOnHangup(hangups, path, r, telemetry.ComponentLogger(logger, "hosted"))
 	return r.Run(stop, ctx)
 }
 
-// reloadOnHangup reloads the settings file on each SIGHUP until the process ends.
+// reloadOnHangup reloads the settings file on each hangup until the process ends.
 // Invalid settings are ignored.
-func reloadOnHangup(path string, router *hosted.Router, log *slog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		for range hangups {
-			s, err := platform.LoadSettings(path)
-			if err != nil {
-				log.Error("The changed settings are invalid; the previous ones stay in use.", "error", err)
-				continue
-			}
-			router.Reload(s)
+func reloadOnHangup(hangups <-chan os.Signal, path string, router *hosted.Router, log *slog.Logger) {
+	for range hangups {
+		s, err := platform.LoadSettings(path)
+		if err != nil {
+			log.Error("The changed settings are invalid; the previous ones stay in use.", "error", err)
+			continue
 		}
-	}()
+		router.Reload(s)
+	}
 }
 
 // signalContexts returns a context that ends with the first SIGTERM or SIGINT
