A stopping router is not ready at once, also with a busy control loop

Found by the soak with 100 routers on one machine: 8 of 202 stops were still ready 0.5 to 1.2 s after SIGTERM, as readiness was read from the control loop's state.

--- a/fleet/process/hosted/directory.go
+++ b/fleet/process/hosted/directory.go
@@ -22,12 +22,17 @@
 	registerRetry = 500 * time.Millisecond
 )
 
+// isReady reports whether callers should use this router.
+func (r *Router) isReady() bool {
+	return !r.isStopping.Load() && r.control.current.Load().isReady(boottime.Now())
+}
+
 // serveReadiness handles the platform's readiness probe.
 func (r *Router) serveReadiness(w http.ResponseWriter, request *http.Request) {
 	switch {
 	case request.URL.Path != platform.ReadyPath:
 		http.NotFound(w, request)
-	case r.control.current.Load().isReady(boottime.Now()):
+	case r.isReady():
 		w.WriteHeader(http.StatusOK)
 	default:
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
@@ -60,7 +65,7 @@
 			addresses = append(addresses, member.Address)
 		}
 	}
-	if current.isReady(boottime.Now()) || len(addresses) == 0 {
+	if r.isReady() || len(addresses) == 0 {
 		addresses = append(addresses, r.settings.Callers)
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,8 +58,9 @@
 	directory *serving.Server
 	// copies serves the configuration to other routers.
 	copies *serving.Server
-	// listener accepts the callers' connections.
-	listener net.Listener
+	// isStopping is set at the start of a stop. The control loop, which may be busy, learns of
+	// it later.
+	isStopping atomic.Bool
 }
 
 // New creates a router and opens its socket for beacons.
@@ -158,9 +160,6 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		if port.server == r.callers {
-			r.listener = listener
-		}
 		go func() {
 			if err := port.server.Serve(listener); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
--- a/fleet/process/hosted/shutdown.go
+++ b/fleet/process/hosted/shutdown.go
@@ -46,6 +46,7 @@
 //  4. Requests that are left get an error response.
 func (r *Router) shutdown(abort context.Context) error {
 	startedAt := boottime.Now()
+	r.isStopping.Store(true)
 	plan := r.stopPlan(startedAt)
 	r.relay.Drain(plan)
 	clock := &stopClock{router: r, startedAt: startedAt, plan: plan}
--- a/fleet/process/hosted/stop_test.go
+++ b/fleet/process/hosted/stop_test.go
@@ -229,3 +229,20 @@
 	assert.Assert(t, boottime.Now()-stoppedAt < settings.Grace, "the process must end before it is killed")
 	assert.Equal(t, len(f.endpoint.Runs()), 2)
 }
+
+// Guards against a router that says that it is ready, or returns its address, after its stop began,
+// until a busy control loop takes note.
+func TestStoppingRouterIsNotReadyAtOnce(t *testing.T) {
+	f := newFleet(t, 2)
+	f.eventually("both routers resolved", func() bool { return len(f.resolve(0)) == 2 })
+	ready := func() int {
+		response, err := http.Get("http://" + f.routers[0].settings.Readiness + platform.ReadyPath)
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	f.eventually("the router is ready", func() bool { return ready() == http.StatusOK })
+	f.routers[0].isStopping.Store(true)
+	assert.Equal(t, ready(), http.StatusServiceUnavailable)
+	assert.DeepEqual(t, f.resolve(0), []string{f.routers[1].settings.Callers})
+}
