Relay: the end of an answer has a write deadline of its own

A complete answer whose end came over 10 s after its last bytes was cut: the final chunk was written after the handler, under an expired deadline.

--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -194,6 +194,9 @@
 	recordMetrics(c, failure)
 	r.log(c, failure)
 	if failure == nil {
+		// The end of the response is written once the handler has returned, maybe long after the
+		// last write.
+		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 		return
 	}
 	if c.isCommitted {
