--- a/fleet/cmd/gentianhead/main.go
+++ b/fleet/cmd/gentianhead/main.go
@@ -142,14 +142,19 @@
 		return serveHosted(ctx, path, o, stdout)
 	}
 	stop, force := signalContexts(ctx)
+	// By default, SIGHUP ends a process with its requests.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	s, err := o.load()
 	if err != nil {
 		return err
 	}
-	n, err := node.New(s, telemetry.NewLogger(stderr, s.Log.Level, s.Log.Format))
+	logger := telemetry.NewLogger(stderr, s.Log.Level, s.Log.Format)
+	n, err := node.New(s, logger)
 	if err != nil {
 		return err
 	}
+	go logHangups(hangups, telemetry.ComponentLogger(logger, "node"))
 	return n.Run(stop, force)
 }
 
@@ -177,6 +182,13 @@
 	return r.Run(stop, ctx)
 }
 
+// logHangups logs each hangup until the process ends.
+func logHangups(hangups <-chan os.Signal, log *slog.Logger) {
+	for range hangups {
+		log.Warn("SIGHUP was ignored: changed settings take effect at the next start.")
+	}
+}
+
 // reloadOnHangup reloads the settings file on each hangup until the process ends.
 // Invalid settings are ignored.
 func reloadOnHangup(hangups <-chan os.Signal, path string, router *hosted.Router, log *slog.Logger) {
