Server: limit lingering connections; read nothing from one that closes as idle

Found by the review. And a request that crosses the close of an idle connection was read and dropped, though callers may repeat one only if it wasn't read.

--- a/fleet/process/serving/conn.go
+++ b/fleet/process/serving/conn.go
@@ -28,6 +28,8 @@
 	// hasWritten is set once the server wrote to the connection, isEnded once nobody waits for
 	// what was written: the caller closed it, it failed or is to be reset.
 	hasWritten, isEnded atomic.Bool
+	// isLingering is set once the server closed its half of the connection.
+	isLingering atomic.Bool
 
 	mu sync.Mutex
 	// hasInput is set if bytes were read since the last response.
@@ -159,18 +161,29 @@
 }
 
 // Close implements net.Conn. If the caller may still be reading a response, it half-closes the
-// connection and closes it once the caller does, within lingerTimeout.
+// connection and closes it once the caller does, within lingerTimeout. On an idle connection,
+// a request that crosses the close is not read.
 func (c *trackedConn) Close() error {
 	half, canHalfClose := c.Conn.(interface{ CloseWrite() error })
-	if c.isEnded.Load() || !c.hasWritten.Load() || !canHalfClose || half.CloseWrite() != nil {
+	if c.isEnded.Load() || !c.hasWritten.Load() || c.closesAsIdle() || !canHalfClose || half.CloseWrite() != nil {
 		return c.Conn.Close()
 	}
-	if c.server.beginLinger(c) {
-		go c.linger()
+	if c.isLingering.Swap(true) {
+		return nil
+	}
+	if !c.server.beginLinger(c) {
+		return c.Conn.Close()
 	}
+	go c.linger()
 	return nil
 }
 
+func (c *trackedConn) closesAsIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isClosing
+}
+
 func (c *trackedConn) linger() {
 	defer c.server.endLinger(c)
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
--- a/fleet/process/serving/serving.go
+++ b/fleet/process/serving/serving.go
@@ -129,10 +129,11 @@
 	_ = waiting.Close()
 }
 
+// beginLinger reports whether the connection may stay open for its caller: not if too many do.
 func (s *Server) beginLinger(c *trackedConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, isLingering := s.lingering[c]; isLingering {
+	if len(s.lingering) >= s.options.MaxConns {
 		return false
 	}
 	s.lingering[c] = struct{}{}
