Stop: one hung request, or few answers, don't make a router refuse a whole route

One of 200 requests doesn't count if it took longer than the others; three answers are enough to expect one, by a larger factor. The decision also comes before the body is read. Answers may last 0.3 s longer, to 7.6 s of 8 s.

--- a/core/process/drain/durations.go
+++ b/core/process/drain/durations.go
@@ -1,15 +1,24 @@
 package drain
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// windowLength is how long answers count, at least; they count for up to twice as long.
 	windowLength = 30 * time.Second
 	// minSamples is the number of answers from which one may be expected.
-	minSamples = 10
-	// minSafetyFactor is the least ratio of the expected duration to the longest one seen. With
-	// few samples it is higher, as the longest one of few says less.
+	minSamples = 3
+	// The expected duration is 1 + sampleMargin/samples times the longest one seen, at least
+	// minSafetyFactor times: the longest one of few says less.
+	sampleMargin    = 10.0
 	minSafetyFactor = 1.25
+	// One in outlierInterval requests doesn't count if it took longer than the others, so that a
+	// hung one doesn't make a stop refuse all. At most maxOutliers are left out.
+	outlierInterval = 200
+	maxOutliers     = 7
 )
 
 // Durations records how long requests take, by key. It is not safe for concurrent use.
@@ -28,8 +37,21 @@
 }
 
 type window struct {
-	count   int
-	longest time.Duration
+	count int
+	// longest are the longest durations, the longest first.
+	longest longest
+}
+
+// longest are the longest of a number of durations, the longest first.
+type longest []time.Duration
+
+func (l *longest) add(d time.Duration) {
+	at, _ := slices.BinarySearchFunc(*l, d, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	if at > maxOutliers {
+		return
+	}
+	*l = slices.Insert(*l, at, d)
+	*l = (*l)[:min(len(*l), maxOutliers+1)]
 }
 
 // Request is a request in flight.
@@ -63,7 +85,7 @@
 	delete(s.inFlight, request)
 	if wasSent {
 		s.current.count++
-		s.current.longest = max(s.current.longest, now-request.startedAt)
+		s.current.longest.add(now - request.startedAt)
 	}
 }
 
@@ -80,12 +102,16 @@
 	if count < minSamples {
 		return 0, false
 	}
-	longest := max(s.current.longest, s.previous.longest)
+	all := slices.Clone(s.current.longest)
+	for _, d := range s.previous.longest {
+		all.add(d)
+	}
 	for request := range s.inFlight {
-		longest = max(longest, now-request.startedAt)
+		all.add(now - request.startedAt)
 	}
-	factor := max(minSafetyFactor, 1+minSamples/float64(count))
-	return time.Duration(factor * float64(longest)), true
+	outliers := min(maxOutliers, (count+len(s.inFlight))/outlierInterval)
+	factor := max(minSafetyFactor, 1+sampleMargin/float64(count))
+	return time.Duration(factor * float64(all[outliers])), true
 }
 
 // rotate begins a new window once the current one is over, and forgets keys without
--- a/fleet/process/hosted/shutdown.go
+++ b/fleet/process/hosted/shutdown.go
@@ -19,12 +19,12 @@
 	// maxExitMargin is the part of the grace period reserved for the process to exit, and
 	// maxAnswerMargin the part before it for error responses to requests still in flight.
 	// Both are shorter where the grace period is.
-	maxExitMargin   = 300 * time.Millisecond
-	maxAnswerMargin = 400 * time.Millisecond
+	maxExitMargin   = 200 * time.Millisecond
+	maxAnswerMargin = 200 * time.Millisecond
 	// exitMarginDivisor and answerMarginDivisor are the least ratios of the grace period to
 	// these margins.
 	exitMarginDivisor   = 20
-	answerMarginDivisor = 10
+	answerMarginDivisor = 20
 	// minIdleTime is how long a connection must be idle before it is closed.
 	minIdleTime = 200 * time.Millisecond
 	// deregisterTimeout limits the removal of this router's address from the store.
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -66,7 +66,7 @@
 				return failure
 			}
 		}
-		if failure := r.checkStop(ctx, c); failure != nil {
+		if failure := r.checkStop(c, remaining(ctx)); failure != nil {
 			return failure
 		}
 		placement, refusal := r.place(c)
--- a/fleet/request/relay/late.go
+++ b/fleet/request/relay/late.go
@@ -112,7 +112,7 @@
 // end before the process does.
 func (r *Relay) mayMove(ctx context.Context, c *call) bool {
 	switch {
-	case r.checkStop(ctx, c) != nil:
+	case r.checkStop(c, remaining(ctx)) != nil:
 		return false
 	case c.isRun:
 		return r.options.Balancer.mayRun(c.parts)
--- a/fleet/request/relay/prepare.go
+++ b/fleet/request/relay/prepare.go
@@ -43,6 +43,9 @@
 		return failure
 	}
 	c.service = c.route.Pick(rand.Float64())
+	if failure := r.checkStop(c, r.timeLimit(c)); failure != nil {
+		return failure
+	}
 	return r.readBody(c, state.Table.Limits.BodyBytes)
 }
 
--- a/fleet/request/relay/stop.go
+++ b/fleet/request/relay/stop.go
@@ -63,16 +63,16 @@
 	return s.durations.Expected(route, now)
 }
 
-// checkStop refuses a request that can't end before the process does. One that may have run
-// is sent on: its caller can't be told that it didn't.
-func (r *Relay) checkStop(ctx context.Context, c *call) *failure {
+// checkStop refuses a request with a time limit that can't end before the process does. One that
+// may have run is sent on: its caller can't be told that it didn't.
+func (r *Relay) checkStop(c *call, limit time.Duration) *failure {
 	plan := r.stop.plan.Load()
 	if plan == nil || c.mayHaveRun || c.isCommitted {
 		return nil
 	}
 	now := boottime.Now()
 	expected, isKnown := r.stop.expected(c.route.Name, now)
-	if plan.Admits(now, remaining(ctx), expected, isKnown) {
+	if plan.Admits(now, limit, expected, isKnown) {
 		return nil
 	}
 	return newFailure(kindStopping, "this router stops before the request could be answered").withRetryAfter(retryStopping)
