--- a/fleet/e2e/harness_test.go
+++ b/fleet/e2e/harness_test.go
@@ -81,6 +81,9 @@
 func start(t *testing.T, name string, args ...string) *process {
 	t.Helper()
 	p := &process{cmd: exec.Command(filepath.Join(binDir, name), args...), logs: &syncBuffer{}, done: make(chan struct{})}
+	// The kernel sends SIGHUP and SIGCONT to a process group with a stopped process when the
+	// shell that started the tests ends.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	p.cmd.Stdout, p.cmd.Stderr = p.logs, p.logs
 	p.cmd.Env = append(os.Environ(), "GENTIANHEAD_OPERATOR_TOKEN="+operatorToken, "GENTIANHEAD_FLEET_KEY="+fleetKey)
 	assert.NilError(t, p.cmd.Start())
--- a/fleet/soak/process_test.go
+++ b/fleet/soak/process_test.go
@@ -128,6 +128,9 @@
 	defer logs.Close()
 	for {
 		command := exec.Command(p.program, "serve")
+		// The kernel sends SIGHUP and SIGCONT to a process group with a stopped process when the
+		// shell that started the tests ends.
+		command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 		command.Env = append(os.Environ(), "GENTIANHEAD_BOOT="+p.settings)
 		command.Stdout, command.Stderr = logs, logs
 		p.mu.Lock()
