--- a/core/process/drain/drain.go
+++ b/core/process/drain/drain.go
@@ -2,7 +2,7 @@
 // stop, so that the end of its process cuts off none of them.
 //
 // Invariant: a request that Admits accepts after AddressesExpireAt ends before
-// AnswerBy, since its time limit does. Before that, callers find this router in
+// AnswerBy, since its time limit does, unless a reload brings AnswerBy forward. Before that, callers find this router in
 // addresses that they may still use, and a request with a longer limit is accepted
 // if answers on its route have taken much less than the time left.
 package drain
