An endpoint's stated load: each known figure counts, and a fourth one states its slowness

decodeLoad accepted exactly three figures and dropped the header of an endpoint that states four, so that its load was unknown.

--- a/core/request/exchange/exchange.go
+++ b/core/request/exchange/exchange.go
@@ -64,11 +64,14 @@
 	CopyFrom string
 }
 
-// Load is the occupancy that an endpoint reported with a response.
+// Load is the occupancy that an endpoint reported with a response. A figure that it did not
+// state is zero.
 type Load struct {
 	Running int
 	Waiting int
 	Slots   int
+	// Slowness is how long work currently takes there, in percent of the usual time.
+	Slowness int
 }
 
 // ResponseInfo is the metadata in the head of an endpoint's response.
