Send no requests to the endpoints of evacuated zones

A row evacuate/ZONE in the operator's table requests that nothing more be sent to the endpoints of a zone; nothing read it. core/process/evacuation keeps the set as of a revision of the table, from the store or from beacons (field Z), also over a new era of the store. Placement, the check before a request is written, sources of copies and cache queries leave these endpoints out.

TestEvacuationKnownWithinBound plays lost watchers at 7, 61 and 295 routers.

--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -25,6 +25,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"gentianhead/core/process/evacuation"
 	"gentianhead/core/process/freshness"
 	"gentianhead/core/process/staleness"
 	"gentianhead/core/process/table"
@@ -164,6 +165,9 @@
 	// Views pass on until when the sender's views of the store's tables are complete:
 	// that of the configuration by Version, that of the entries by EndpointsHash.
 	Views *staleness.Echo `msgpack:"T,omitempty"`
+	// Evacuations are the evacuated zones that the sender knows. Releases before this field
+	// leave it out.
+	Evacuations *evacuation.State `msgpack:"Z,omitempty"`
 	// Mentions are the Peer addresses of a few other routers.
 	Mentions []string `msgpack:"m,omitempty"`
 	// Introduces asks the receiver to answer with a beacon.
@@ -280,7 +284,7 @@
 	delete(c.candidates, beacon.Peer)
 	member := &Member{Beacon: beacon, ArrivedAt: now, lastSeenAt: now, latestStamp: beacon.Stamp, key: KeyOf(beacon.Peer)}
 	member.isCounted = c.CountsDirectly(&beacon)
-	member.Digest, member.Configuration, member.EndpointChanges = nil, nil, nil
+	member.Digest, member.Configuration, member.EndpointChanges, member.Evacuations = nil, nil, nil, nil
 	if !isMember {
 		at, _ := slices.BinarySearch(c.peers, beacon.Peer)
 		c.peers = slices.Insert(c.peers, at, beacon.Peer)
--- a/core/process/staleness/fleet_test.go
+++ b/core/process/staleness/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"gentianhead/core/process/evacuation"
 	"gentianhead/core/process/presence"
 	"gentianhead/core/process/staleness"
 	"gentianhead/core/virtual"
@@ -43,6 +44,9 @@
 	disturbed  time.Duration
 	presence   *presence.Core
 	staleness  *staleness.Core
+	evacuation *evacuation.Core
+	// followed is the version of the configuration's table that its follower has read.
+	followed   int64
 	versions   [2]int64
 	isWatcher  bool
 	calls      [2]call
@@ -73,6 +77,7 @@
 	// latest is the longest time from a change until a router in touch had it.
 	latest time.Duration
 	late   int
+	zones
 }
 
 // newFleet returns a fleet with the bounds that its users set for its size.
@@ -125,7 +130,7 @@
 	r.isDown, r.isWatcher, r.disturbed, r.versions = false, false, f.now, [2]int64{-1, -1}
 	zone := fmt.Sprint("zone-", r.number%5)
 	r.presence = presence.New(presence.Self{Instance: name(r.number), Zone: zone, Peer: f.address(r.number)}, uint64(r.number))
-	r.staleness = staleness.New(f.now)
+	r.staleness, r.evacuation, r.followed = staleness.New(f.now), evacuation.New(), 0
 	for other := range f.routers {
 		r.presence.AddPeer(f.now, f.address(other))
 	}
@@ -178,6 +183,9 @@
 	}
 	c.backoff, c.isOpen = minBackoff, false
 	isChanged := version > r.versions[table]
+	if table == 0 {
+		f.readZones(r, version)
+	}
 	r.versions[table] = max(r.versions[table], version)
 	r.staleness.Responded(staleness.Table(table), complete)
 	if isChanged && r.isWatcher {
@@ -224,6 +232,7 @@
 		Instance: name(r.number), Zone: fmt.Sprint("zone-", r.number%5), Peer: f.address(r.number), Address: fmt.Sprint("callers-", r.number),
 		Start: r.start, IsServing: true, HasStore: f.hasStore(r), IsWatching: r.staleness.IsWatching(f.now, f.bounds),
 		Version: r.versions[0], EndpointsHash: uint64(r.versions[1]), Stamp: f.now, Group: r.presence.Group(), Mentions: r.presence.Mentions(),
+		Evacuations: r.evacuation.State(f.now),
 	}
 }
 
@@ -263,6 +272,7 @@
 
 // check counts changes that a router in touch should have by now.
 func (f *fleet) check(r *router) {
+	f.checkZones(r)
 	if r.isCut || f.now-r.disturbed < calm {
 		return
 	}
@@ -298,6 +308,7 @@
 		return
 	}
 	result := r.presence.Receive(f.now, b)
+	r.evacuation.Adopt(f.now, b.Evacuations)
 	isNews := false
 	for table, version := range [2]int64{b.Version, int64(b.EndpointsHash)} {
 		if r.versions[table] >= 0 && version > r.versions[table] {
@@ -306,7 +317,7 @@
 	}
 	if b.Views != nil && b.Views.Start == r.start {
 		for table, version := range [2]int64{b.Version, int64(b.EndpointsHash)} {
-			if at, isConfirmed := b.Views.ConfirmedAt(staleness.Table(table)); isConfirmed && version == r.versions[table] {
+			if at, isConfirmed := b.Views.ConfirmedAt(staleness.Table(table)); isConfirmed && version == r.versions[table] && (table != 0 || r.evacuation.Equals(b.Evacuations)) {
 				assert.Assert(nil, at <= f.now)
 				r.staleness.Confirm(staleness.Table(table), at)
 			}
--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -116,6 +116,8 @@
 	// AtLimit means that all endpoints that could serve the request are at the request rates
 	// that they state.
 	AtLimit
+	// Evacuated means that the endpoints that could serve the request are in evacuated zones.
+	Evacuated
 )
 
 // endpointState is the state that the core tracks for one endpoint.
@@ -161,6 +163,8 @@
 	limits           *ratelimit.Core
 	rateChanges      []RateChange
 	random           func() float64
+	// evacuated are the zones whose endpoints get no requests, sorted.
+	evacuated []string
 }
 
 // New returns a core without endpoints. No engine should exceed loadFactor times
@@ -245,6 +249,10 @@
 // which may have waited for a connection. It counts the request against a limit that the
 // endpoint has stated in the meantime.
 func (c *Core) MayReceive(now time.Duration, p *Placement) bool {
+	if c.isEvacuated(p.Endpoint) {
+		p.isWithheld = true
+		return false
+	}
 	if state := c.stateOf(p); state != nil && !p.hasToken && c.limits.IsLimited(state.process) {
 		p.hasToken = c.limits.Take(now, state.process)
 		p.isWithheld = !p.hasToken
@@ -278,6 +286,9 @@
 // if all are leaving.
 func (c *Core) AwayFor(now time.Duration, service string) (wait time.Duration, isAway bool) {
 	for _, e := range c.view.InService(service) {
+		if c.isEvacuated(e) {
+			continue
+		}
 		if c.notices.MayReceive(now, e) {
 			return 0, false
 		}
@@ -290,15 +301,23 @@
 }
 
 // candidates returns the usable endpoints: the trusted ones except suspects, or all
-// if none is trusted. Endpoints that are leaving or have asked for distance, or that are at
-// the request rate that they state, are none, even if no other is left: all that they take
-// is taken. It also returns those that only their limits exclude, and the reason if there is
+// if none is trusted. Endpoints that are in an evacuated zone, are leaving or have asked for
+// distance, or that are at the request rate that they state, are none, even if no other is
+// left: all that they take is taken. It also returns those that only their limits exclude, and the reason if there is
 // no candidate.
 func (c *Core) candidates(now time.Duration, request PlacementRequest) (candidates, atLimit []*endpointState, refusal Refusal) {
 	var trusted, all []*endpointState
+	isEvacuated := false
 	for _, e := range c.view.InService(request.Service) {
 		state := c.state(e)
-		if slices.Contains(request.Excluded, e.ID) || !c.notices.MayReceive(now, e) {
+		if slices.Contains(request.Excluded, e.ID) {
+			continue
+		}
+		if c.isEvacuated(e) {
+			isEvacuated = true
+			continue
+		}
+		if !c.notices.MayReceive(now, e) {
 			continue
 		}
 		all = append(all, state)
@@ -314,6 +333,9 @@
 		if _, isAway := c.AwayFor(now, request.Service); isAway {
 			return nil, nil, Away
 		}
+		if isEvacuated {
+			return nil, nil, Evacuated
+		}
 		return nil, nil, NoEndpoint
 	}
 	// Endpoints that are not trusted don't replace those at their limits: a request that
--- a/core/request/balance/engine.go
+++ b/core/request/balance/engine.go
@@ -167,12 +167,12 @@
 		r.addSource(state, state.cache.prefix(now, keys))
 	}
 	for _, e := range c.view.Draining(request.Service) {
-		if state := c.states[e.ID]; state != nil && state.isAliveDraining(now) {
+		if state := c.states[e.ID]; state != nil && !c.isEvacuated(e) && state.isAliveDraining(now) {
 			r.addSource(state, state.cache.prefix(now, keys))
 		}
 	}
 	for _, state := range c.removed {
-		if state.entry.Service == request.Service && state.isAliveRemoved(now) {
+		if state.entry.Service == request.Service && !c.isEvacuated(state.entry) && state.isAliveRemoved(now) {
 			r.addSource(state, state.cache.prefix(now, keys))
 		}
 	}
--- a/core/request/balance/limits.go
+++ b/core/request/balance/limits.go
@@ -88,7 +88,7 @@
 func (c *Core) isUnfairAtLimits(now time.Duration, service string, flow fairness.Flow, candidates int) bool {
 	share, owned := 0.0, 0
 	for _, e := range c.view.InService(service) {
-		if !c.notices.MayReceive(now, e) {
+		if c.isEvacuated(e) || !c.notices.MayReceive(now, e) {
 			continue
 		}
 		part, isLimited := c.limits.PartOf(now, c.state(e).process)
@@ -111,7 +111,7 @@
 // other routers' only.
 func (c *Core) LimitedFor(now time.Duration, service string) (wait time.Duration, isLimited bool) {
 	for _, e := range c.view.InService(service) {
-		if !c.notices.MayReceive(now, e) {
+		if c.isEvacuated(e) || !c.notices.MayReceive(now, e) {
 			continue
 		}
 		part, isLimited := c.limits.PartOf(now, c.state(e).process)
@@ -131,6 +131,9 @@
 	serviceTime := c.statsFor(service).serviceTime.value.Seconds()
 	capacity := 0.0
 	for _, e := range c.view.InService(service) {
+		if c.isEvacuated(e) {
+			continue
+		}
 		limit := c.limits.Rate(c.state(e).process)
 		switch {
 		case serviceTime > 0:
--- a/core/request/outcome/outcome.go
+++ b/core/request/outcome/outcome.go
@@ -50,6 +50,7 @@
 	CodeAccountNotAllowed Code = "account-not-allowed"
 	CodeQuarantined       Code = "quarantined"
 	CodeEndpointLimit     Code = "endpoint-limit"
+	CodeEvacuated         Code = "evacuated"
 )
 
 // Problem is a refusal or a failure, modeled on the problem details of RFC 9457.
--- a/fleet/explain/cause.go
+++ b/fleet/explain/cause.go
@@ -77,6 +77,9 @@
 	outcome.CodeEndpointLimit: func(s *Report) string {
 		return "Refused: all endpoints of " + s.Service + " were at the request rates that they state, as far as this router may use them" + s.attemptCount() + "."
 	},
+	outcome.CodeEvacuated: func(s *Report) string {
+		return "Refused: the endpoints of " + s.Service + " that it was not sent to are in evacuated zones" + s.attemptCount() + "."
+	},
 	outcome.CodeBadRequest:   func(s *Report) string { return "The request is malformed: " + s.Detail + "." },
 	outcome.CodeBodyTooLarge: func(s *Report) string { return "Its body is larger than the configuration allows." },
 }
--- a/fleet/explain/explain_test.go
+++ b/fleet/explain/explain_test.go
@@ -122,6 +122,7 @@
 		outcome.CodeNotReady, outcome.CodeIsolated, outcome.CodeBadRequest, outcome.CodeNotFound, outcome.CodeUnauthenticated,
 		outcome.CodeBodyTooLarge, outcome.CodeOverloaded, outcome.CodeNoEndpoint, outcome.CodeLoadBound, outcome.CodeDeadline,
 		outcome.CodeEndpointFailed, outcome.CodeAbandoned, outcome.CodeQuarantined, outcome.CodeEndpointLimit,
+		outcome.CodeEvacuated,
 	} {
 		for _, attempts := range [][]outcome.Attempt{nil, {{Endpoint: "e-1", Ended: "it failed"}}} {
 			report := Report{Code: code, Service: "s", Attempts: attempts}
--- a/fleet/explain/report.go
+++ b/fleet/explain/report.go
@@ -61,6 +61,7 @@
 // requests.
 var stateMessages = []string{
 	"control: Configuration in force.",
+	"control: Evacuated zones changed.",
 	"control: Freshness of the configuration changed.",
 	"control: Contact with the store changed.",
 	"control: The configuration can't be read.",
--- a/fleet/process/hosted/caches.go
+++ b/fleet/process/hosted/caches.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentianhead/core/process/endpoints"
+	"gentianhead/core/process/evacuation"
 	"gentianhead/core/process/presence"
 	"gentianhead/core/request/exchange"
 )
@@ -45,7 +46,7 @@
 	var share []endpoints.Entry
 	for _, e := range c.endpoints.View().All() {
 		service, known := c.state.table.Service(e.Service)
-		if known && service.Engine != nil && c.handover.IsOwnEngine(e.ID, c.state.live) {
+		if known && service.Engine != nil && !evacuation.Contains(c.state.evacuated, e.Zone) && c.handover.IsOwnEngine(e.ID, c.state.live) {
 			share = append(share, e)
 		}
 	}
@@ -53,6 +54,9 @@
 	c.log.Info("Querying the caches of engines.", "engines", len(share), "live", len(c.state.live))
 	go func() {
 		for _, e := range share {
+			if evacuation.Contains(c.current.Load().evacuated, e.Zone) {
+				continue
+			}
 			report := cacheReported{engine: e}
 			report.parts, report.unreadable, report.err = c.engines.CachedParts(context.Background(), e.Address)
 			c.events <- report
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"gentianhead/core/process/endpoints"
+	"gentianhead/core/process/evacuation"
 	"gentianhead/core/process/freshness"
 	"gentianhead/core/process/handover"
 	"gentianhead/core/process/presence"
@@ -43,7 +44,10 @@
 	table *routetable.Table
 	lease freshness.Lease
 	// hasEndpoints is set once the table of endpoints was read.
-	hasEndpoints   bool
+	hasEndpoints bool
+	// hasEvacuations is set once the evacuated zones are known, and evacuated are these, sorted.
+	hasEvacuations bool
+	evacuated      []string
 	isShuttingDown bool
 	endpointCount  int
 	// era is the highest era of the store that is known.
@@ -63,7 +67,7 @@
 
 // isReady reports whether callers should use this router.
 func (s *state) isReady(now time.Duration) bool {
-	return s.table != nil && s.hasEndpoints && !s.isShuttingDown && s.lease.IsFresh(now) && s.isUpToDate(now)
+	return s.table != nil && s.hasEndpoints && s.hasEvacuations && !s.isShuttingDown && s.lease.IsFresh(now) && s.isUpToDate(now)
 }
 
 // isUpToDate reports whether the configuration in force may be used.
@@ -87,8 +91,10 @@
 	state     state
 	endpoints *endpoints.Core
 	presence  *presence.Core
-	handover  *handover.Core
-	engines   cacheReader
+	// evacuations are the zones whose endpoints get no requests.
+	evacuations *evacuation.Core
+	handover    *handover.Core
+	engines     cacheReader
 	// placementsLeft is how many more cache placements may be sent to other routers.
 	placementsLeft int
 	// start is the process's start in Unix nanoseconds, which identifies it in beacons,
@@ -138,6 +144,7 @@
 		state:         state{lease: freshness.NewLease(settings.MaxRevocationDelay), maxDelay: settings.MaxActivationDelay},
 		endpoints:     endpoints.New(),
 		presence:      presence.New(presence.Self{Instance: settings.Instance, Zone: settings.Zone, Peer: settings.Peers.String()}, uint64(start)),
+		evacuations:   evacuation.New(),
 		handover:      handover.New(settings.Instance),
 		catchup:       catchup.New(settings.Zone, uint64(start)),
 		staleness:     staleness.New(startedAt),
@@ -244,6 +251,7 @@
 func (c *control) handleBeacon(now time.Duration, received presence.Beacon) {
 	seen := c.presence.Receive(now, received)
 	c.raiseEra(now, received.StoreEra)
+	c.adoptEvacuations(now, received)
 	c.state.newestVersion = max(c.state.newestVersion, received.Version)
 	if received.Version > c.version() {
 		c.catchUpWithFleet(now, c.presence.Live(now))
@@ -387,6 +395,7 @@
 		EndpointsVersion: c.sync.newest.Version,
 		StoreEra:         c.sync.era,
 		EndpointsHash:    c.sync.hash,
+		Evacuations:      c.evacuations.State(now),
 	}
 	if c.state.table != nil {
 		b.Version = c.state.table.Version
@@ -401,6 +410,7 @@
 	if c.endpoints.Tick(now) {
 		c.endpointsChanged("a lapsed entry was not renewed")
 	}
+	c.evacuationsChanged(now, "the grace after a new era of the store has ended")
 	if fresh := c.state.lease.IsFresh(now); fresh != c.isFresh {
 		c.isFresh = fresh
 		age, _ := c.state.lease.Age(now)
@@ -456,6 +466,7 @@
 	}
 	switch update.Table {
 	case platform.TableOperator:
+		c.readEvacuations(now, update)
 		c.handleConfiguration(update)
 	case platform.TableEndpoints:
 		c.handleEndpoints(now, update)
--- a/fleet/process/hosted/era.go
+++ b/fleet/process/hosted/era.go
@@ -22,6 +22,7 @@
 	}
 	before := c.sync.era
 	c.sync.era = era
+	c.evacuations.RaiseEra(now, era)
 	c.publish()
 	if !c.state.hasEndpoints && c.state.table == nil {
 		// The first era that this router learns of.
--- a/fleet/process/hosted/metrics.go
+++ b/fleet/process/hosted/metrics.go
@@ -42,6 +42,7 @@
 		"control_is_watcher":                func(c *control) float64 { return boolToFloat(c.sync.isWatcher.Load()) },
 		"control_live_routers":              func(c *control) float64 { return float64(len(c.current.Load().live) + 1) },
 		"control_endpoints":                 func(c *control) float64 { return float64(c.current.Load().endpointCount) },
+		"control_evacuated_zones":           func(c *control) float64 { return float64(len(c.current.Load().evacuated)) },
 		"control_events_waiting":            func(c *control) float64 { return float64(len(c.events)) },
 		"control_events_dropped":            func(c *control) float64 { return float64(c.dropped.Load()) },
 	} {
--- a/fleet/process/hosted/sync.go
+++ b/fleet/process/hosted/sync.go
@@ -167,8 +167,12 @@
 // bounds returns the bounds of staleness.
 func (c *control) bounds() staleness.Bounds {
 	settings := c.settings.Load()
+	operator := settings.MaxActivationDelay
+	if delay := settings.MaxEvacuationDelay; delay > 0 && (operator == 0 || delay < operator) {
+		operator = delay
+	}
 	return staleness.Bounds{
-		Tables: [...]time.Duration{staleness.Configuration: settings.MaxActivationDelay, staleness.Endpoints: settings.MaxWithdrawalDelay},
+		Tables: [...]time.Duration{staleness.Configuration: operator, staleness.Endpoints: settings.MaxWithdrawalDelay},
 		Lease:  freshness.NewLease(settings.MaxRevocationDelay).Lifetime,
 	}
 }
@@ -268,7 +272,8 @@
 	for _, view := range viewOf {
 		isEqual := c.state.hasEndpoints && received.EndpointsHash == c.sync.hash
 		if view == staleness.Configuration {
-			isEqual = c.state.table != nil && received.Version == c.state.table.Version
+			// One table of the store holds both.
+			isEqual = c.state.table != nil && received.Version == c.state.table.Version && c.evacuations.Equals(received.Evacuations)
 		}
 		if at, isConfirmed := echo.ConfirmedAt(view); isEqual && isConfirmed && at <= now {
 			c.staleness.Confirm(view, at)
--- a/fleet/process/hosted/sync_test.go
+++ b/fleet/process/hosted/sync_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"gentianhead/core/process/evacuation"
 	"gentianhead/core/process/presence"
 	"gentianhead/core/process/staleness"
 	"gentianhead/core/process/table"
@@ -164,16 +165,20 @@
 	spec, err := routetable.New(routetable.Spec{Version: 7})
 	assert.NilError(t, err)
 	c.state.table, c.sync.era = spec, 3
+	c.evacuations.Read(0, table.Revision{Era: 3, Version: 5}, true, []evacuation.Row{{Zone: "a"}})
 	now := boottime.Now()
 	equal := others[0]
 	equal.Version, equal.EndpointsHash, equal.StoreEra = 7, c.sync.hash, 3
+	equal.Evacuations = &evacuation.State{Era: 3, Version: 8, Zones: []string{"a"}}
 	equal.Views = &staleness.Echo{Start: c.start, Stamp: now - time.Second}
 	for name, change := range map[string]func(*presence.Beacon){
-		"another process":   func(b *presence.Beacon) { b.Views = &staleness.Echo{Start: c.start + 1, Stamp: now - time.Second} },
-		"another era":       func(b *presence.Beacon) { b.StoreEra = 2 },
-		"in the future":     func(b *presence.Beacon) { b.Views = &staleness.Echo{Start: c.start, Stamp: now + time.Hour} },
-		"no echo":           func(b *presence.Beacon) { b.Views = nil },
-		"different entries": func(b *presence.Beacon) { b.EndpointsHash++; b.Version-- },
+		"another process":       func(b *presence.Beacon) { b.Views = &staleness.Echo{Start: c.start + 1, Stamp: now - time.Second} },
+		"another era":           func(b *presence.Beacon) { b.StoreEra = 2 },
+		"in the future":         func(b *presence.Beacon) { b.Views = &staleness.Echo{Start: c.start, Stamp: now + time.Hour} },
+		"no echo":               func(b *presence.Beacon) { b.Views = nil },
+		"different entries":     func(b *presence.Beacon) { b.EndpointsHash++; b.Version-- },
+		"different evacuations": func(b *presence.Beacon) { b.EndpointsHash++; b.Evacuations = &evacuation.State{Era: 3, Version: 5} },
+		"no evacuations":        func(b *presence.Beacon) { b.EndpointsHash++; b.Evacuations = nil },
 	} {
 		beacon := equal
 		change(&beacon)
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -39,6 +39,8 @@
 	news chan struct{}
 	// unreadableLogs limits the log lines about rates without a meaning.
 	unreadableLogs *rate.Limiter
+	// isEmptying is set while requests of this router are in progress in evacuated zones.
+	isEmptying bool
 }
 
 // NewBalancer returns a balancer. It keeps each engine below loadFactor times the
@@ -88,6 +90,13 @@
 	b.core.SetTable(table)
 }
 
+// SetEvacuated replaces the evacuated zones, sorted.
+func (b *Balancer) SetEvacuated(zones []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.SetEvacuated(zones)
+}
+
 // SetFleet sets this router's instance and the other live routers.
 func (b *Balancer) SetFleet(instance string, others []ratelimit.Router) {
 	b.mu.Lock()
@@ -106,11 +115,19 @@
 	limited, owned := b.core.LimitedEndpoints(now)
 	limitedEndpoints.Set(int64(limited))
 	ownedLimits.Set(int64(owned))
+	evacuated, evacuatedWork := b.core.EvacuatedWork()
+	evacuatedEndpoints.Set(int64(evacuated))
+	evacuatedRunning.Set(int64(evacuatedWork))
+	wasEmptying := b.isEmptying
+	b.isEmptying = evacuatedWork > 0
 	b.quarantine.Step(now, b.core.HasEntry)
 	quarantined.Set(int64(b.quarantine.Size()))
 	changes := b.quarantine.TakeChanges()
 	isUrgent := b.quarantine.TakeUrgent()
 	b.mu.Unlock()
+	if wasEmptying && evacuatedWork == 0 {
+		b.log.Info("No request of this router is in progress in an evacuated zone any more.", "endpoints", evacuated)
+	}
 	b.logQuarantine(changes)
 	b.signalNews(isUrgent)
 }
@@ -266,6 +283,9 @@
 func (b *Balancer) mayReceive(p *balance.Placement) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.core.IsEvacuated(p) {
+		evacuatedWithheld.Add(1)
+	}
 	return b.core.MayReceive(boottime.Now(), p)
 }
 
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -116,6 +116,8 @@
 	switch refusal {
 	case balance.NoEndpoint:
 		return newFailure(kindNoEndpoint, "no endpoint of the service is known").withRetryAfter(retryNoEndpoint)
+	case balance.Evacuated:
+		return newFailure(kindEvacuated, "the endpoints of the service are in evacuated zones").withRetryAfter(retryNoEndpoint)
 	case balance.Away:
 		return newFailure(kindOverloaded, "all endpoints of the service are leaving or take no requests for now").withRetryAfter(retryOverloaded)
 	}
@@ -280,7 +282,7 @@
 	case ctx.Err() != nil:
 		return result{failure: newFailure(kindCallerGone, "the caller closed the connection"), isUnsent: isUnsent, mayHaveRun: !isUnsent, isFinal: true, breakerOutcome: breaker.Neutral}
 	case isUnsent && r.options.Balancer.isWithheld(placement):
-		return result{failure: newFailure(kindRefused, "the endpoint asked for no requests, or fewer, before this one was sent").withRetryAfter(retryOverloaded), isUnsent: true, breakerOutcome: breaker.Neutral}
+		return result{failure: newFailure(kindRefused, "the endpoint asked for no requests, or fewer, or its zone was evacuated before this one was sent").withRetryAfter(retryOverloaded), isUnsent: true, breakerOutcome: breaker.Neutral}
 	case isUnsent && r.isQuarantined(c):
 		// The next admission refuses it.
 		return result{failure: newFailure(kindQuarantined, "a part of the request was put in quarantine before it was sent"), isUnsent: true, breakerOutcome: breaker.Neutral}
--- a/fleet/request/relay/failure.go
+++ b/fleet/request/relay/failure.go
@@ -40,6 +40,8 @@
 	kindAtLimit
 	// kindStopping: the process ends before the request could be answered.
 	kindStopping
+	// kindEvacuated: the endpoints are in evacuated zones.
+	kindEvacuated
 )
 
 // codes maps each kind to its code in responses, logs and metrics, and to its
@@ -65,6 +67,7 @@
 	kindQuarantined:     {outcome.CodeQuarantined, http.StatusServiceUnavailable},
 	kindStopping:        {outcome.CodeStopping, http.StatusServiceUnavailable},
 	kindAtLimit:         {outcome.CodeEndpointLimit, http.StatusServiceUnavailable},
+	kindEvacuated:       {outcome.CodeEvacuated, http.StatusServiceUnavailable},
 }
 
 // statusCallerGone is the non-standard status for a connection closed by the client.
--- a/fleet/request/relay/metrics.go
+++ b/fleet/request/relay/metrics.go
@@ -23,6 +23,12 @@
 	limitedEndpoints = expvar.NewInt("relay_limited_endpoints")
 	ownedLimits      = expvar.NewInt("relay_owned_limits")
 	unreadableRates  = expvar.NewInt("relay_unreadable_rates")
+	// evacuatedEndpoints is the number of endpoints in evacuated zones, evacuatedRunning that of
+	// this router's requests in progress there, and evacuatedWithheld counts requests that were
+	// placed there before the evacuation and not sent.
+	evacuatedEndpoints = expvar.NewInt("relay_evacuated_endpoints")
+	evacuatedRunning   = expvar.NewInt("relay_evacuated_running")
+	evacuatedWithheld  = expvar.NewInt("relay_evacuated_withheld")
 	// quarantined is the number of prompt parts in quarantine.
 	quarantined = expvar.NewInt("relay_quarantined_parts")
 	// firstByteTime and requestTime cover successful requests only.
