--- a/fleet/process/hosted/caches_test.go
+++ b/fleet/process/hosted/caches_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"gentianhead/core/process/endpoints"
+	"gentianhead/core/process/evacuation"
 	"gentianhead/core/process/presence"
 	"gentianhead/core/request/exchange"
 	"gentianhead/core/version/routetable"
@@ -72,6 +73,35 @@
 	assert.Assert(t, c.beacon(now).KnowsCaches)
 }
 
+// Guards against queries of engines in evacuated zones: of those that are evacuated before the
+// share of a router is queried, and while it is.
+func TestCachesOfEvacuatedZoneNotQueried(t *testing.T) {
+	for _, isLate := range []bool{false, true} {
+		c := newControlWithEngines(t, fakeEngines{"one": {{ID: "doc", Tokens: 9000}}})
+		now := boottime.Now()
+		zones := &evacuation.State{Version: 1, Zones: []string{"z"}}
+		c.endpoints.Apply(now, []endpoints.Entry{{ID: "e-2", Service: "pool", Address: "two", Zone: "z"}}, nil)
+		c.queryCaches(now)
+		if isLate {
+			c.engines = blockedEngines{c}
+		} else {
+			c.adoptEvacuations(now, presence.Beacon{Evacuations: zones})
+		}
+		c.queryCaches(now + time.Second)
+		assert.Equal(t, (<-c.events).(cacheReported).engine.ID, "e-1")
+		_, isDone := (<-c.events).(cacheQueriesDone)
+		assert.Assert(t, isDone, "late %v", isLate)
+	}
+}
+
+// blockedEngines evacuates zone z during each query.
+type blockedEngines struct{ c *control }
+
+func (b blockedEngines) CachedParts(context.Context, string) ([]exchange.Part, int, error) {
+	b.c.adoptEvacuations(boottime.Now(), presence.Beacon{Evacuations: &evacuation.State{Version: 1, Zones: []string{"z"}}})
+	return nil, 0, nil
+}
+
 // In a large fleet, each router sends only its share of the placements, longest
 // prompt parts first.
 func TestCachePlacementsLimitedInLargeFleet(t *testing.T) {
