Name no lost router after a pause

A router that was paused counted the others as live when it woke, and took beacons that had waited at its socket or in its queue for new ones; its digests passed that on. In TestFleetDirectoryForgetsLostRouters, routers lost for 8.4 s (7 routers) and 10.6 s (61 and 295) were named; the bound is 7 s. Callers now get the addresses of routers with news of the last 4 s, where the receiver states for how long a beacon may have waited, and only the own one while the list isn't renewed.

--- a/core/process/presence/digest.go
+++ b/core/process/presence/digest.go
@@ -109,7 +109,7 @@
 		age := now - member.ArrivedAt
 		sum.add(member.Load(), age)
 		digest.Members = append(digest.Members, MemberState{
-			Peer: member.key, Start: shortStart(member.Start), Stamp: milliseconds(member.Stamp), Age: milliseconds(age), Flags: flagsOf(&member.Beacon),
+			Peer: member.key, Start: shortStart(member.Start), Stamp: milliseconds(member.Stamp), Age: milliseconds(now - member.heardAt), Flags: flagsOf(&member.Beacon),
 		})
 	}
 	digest.setLoad(sum.result())
@@ -258,9 +258,9 @@
 	return max(1, o.Reporters)
 }
 
-// applyStates applies the states of the routers of another group. It reports whether what
-// callers are told about one has changed.
-func (c *Core) applyStates(now time.Duration, group Key, states []MemberState) (isChanged bool) {
+// applyStates applies the states of the routers of another group, which were sent after a time.
+// It reports whether what callers are told about one has changed.
+func (c *Core) applyStates(sentAfter time.Duration, group Key, states []MemberState) (isChanged bool) {
 	for _, state := range states {
 		member, known := c.byKey[state.Peer]
 		if !known || member.Peer == c.self {
@@ -268,10 +268,11 @@
 		}
 		if shortStart(member.Start) != state.Start {
 			// A new process whose introduction was lost.
-			c.introduce(now, member.Peer)
+			c.introduce(sentAfter, member.Peer)
 			continue
 		}
-		member.lastSeenAt = max(member.lastSeenAt, now-time.Duration(state.Age)*time.Millisecond)
+		heardAt := sentAfter - time.Duration(state.Age)*time.Millisecond
+		member.lastSeenAt, member.heardAt = max(member.lastSeenAt, heardAt), max(member.heardAt, heardAt)
 		if int32(state.Stamp-milliseconds(member.latestStamp)) <= 0 {
 			continue
 		}
--- a/core/process/presence/fleet_test.go
+++ b/core/process/presence/fleet_test.go
@@ -26,6 +26,11 @@
 	// sources holds the latest load by source: a peer address or a group.
 	sources map[string]Load
 	sent    int
+	// isFrozen is set while the process is stopped. held are the datagrams that wait for it.
+	isFrozen bool
+	held     []Beacon
+	// downSince is when the router was lost.
+	downSince time.Duration
 }
 
 // fleet is a fleet of routers whose datagrams take a millisecond and get lost at times.
@@ -91,7 +96,7 @@
 
 func (f *fleet) tick(r *router) {
 	f.queue.Add(f.now+100*time.Millisecond, func() { f.tick(r) })
-	if r.isDown {
+	if r.isDown || r.isFrozen {
 		return
 	}
 	r.tickedAt = f.now
@@ -132,6 +137,12 @@
 	if r == nil || r.isDown || f.isCut(r.number, from) {
 		return
 	}
+	if r.isFrozen {
+		if len(r.held) < heldDatagrams {
+			r.held = append(r.held, b)
+		}
+		return
+	}
 	result := r.core.Receive(f.now, b)
 	switch {
 	case r.core.CountsDirectly(&b):
--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -44,6 +44,10 @@
 	// reorderWindow is how long after a beacon one from an older process may still
 	// arrive. Later a lower Start is accepted, as the time of day can jump back.
 	reorderWindow = time.Second
+	// namedFor is how long after the latest news of a router callers may be given its address.
+	// They must not be given that of a router that was lost 7 s ago, and use the answer for a
+	// while.
+	namedFor = 4 * time.Second
 	// memberTTL is how long beacons are still sent to a silent router.
 	memberTTL   = 60 * time.Second
 	maxMentions = 4
@@ -178,6 +182,9 @@
 	// Digest is the sum of the sender's group, for routers of other groups. A beacon
 	// with a digest carries no load of its own.
 	Digest *Digest `msgpack:"d,omitempty"`
+	// HeldFor is how long the beacon may have waited at the receiver, which sets it: datagrams
+	// wait for a process that is paused.
+	HeldFor time.Duration `msgpack:"-"`
 }
 
 // Member is the state of a peer as known to this router.
@@ -188,6 +195,9 @@
 	// lastSeenAt is the time of the latest beacon to any router that is known of, plus
 	// any later pauses of this router.
 	lastSeenAt time.Duration
+	// heardAt is the time of the latest beacon to any router that is known of. Unlike
+	// lastSeenAt, it doesn't advance in pauses of this router.
+	heardAt time.Duration
 	// latestStamp is the stamp of that beacon.
 	latestStamp time.Duration
 	// key is the key of the peer address.
@@ -282,7 +292,11 @@
 		return BeaconResult{}
 	}
 	delete(c.candidates, beacon.Peer)
-	member := &Member{Beacon: beacon, ArrivedAt: now, lastSeenAt: now, latestStamp: beacon.Stamp, key: KeyOf(beacon.Peer)}
+	sentAfter := now - beacon.HeldFor
+	member := &Member{Beacon: beacon, ArrivedAt: now, lastSeenAt: sentAfter, heardAt: sentAfter, latestStamp: beacon.Stamp, key: KeyOf(beacon.Peer)}
+	if isMember && known.Start == beacon.Start {
+		member.lastSeenAt, member.heardAt = max(member.lastSeenAt, known.lastSeenAt), max(member.heardAt, known.heardAt)
+	}
 	member.isCounted = c.CountsDirectly(&beacon)
 	member.Digest, member.Configuration, member.EndpointChanges, member.Evacuations = nil, nil, nil, nil
 	if !isMember {
@@ -301,7 +315,7 @@
 	}
 	if c.CountsDigest(&beacon) {
 		c.groups.heardAt[beacon.Group] = now
-		isChanged := c.applyStates(now, beacon.Group, beacon.Digest.Members)
+		isChanged := c.applyStates(sentAfter, beacon.Group, beacon.Digest.Members)
 		result.IsChanged = result.IsChanged || isChanged
 	}
 	return result
@@ -432,6 +446,12 @@
 	return now-member.lastSeenAt <= time.Duration(intervals)*c.Interval()
 }
 
+// IsNamed reports whether callers may be given the address of a live member. After a pause of
+// this router, members count as live until they had time to send a beacon, but may be lost.
+func (c *Core) IsNamed(now time.Duration, member *Member) bool {
+	return c.isLive(now, member) && now-member.heardAt <= namedFor
+}
+
 // IsCurrent reports whether a member's latest beacon to this router is recent, so that
 // its fields other than those in a MemberState hold.
 func (c *Core) IsCurrent(now time.Duration, member *Member) bool {
--- a/fleet/connection/beacon/beacon.go
+++ b/fleet/connection/beacon/beacon.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"gentianhead/core/process/presence"
+	"gentianhead/fleet/process/boottime"
 )
 
 // maxBytes is the largest datagram that is sent or accepted.
@@ -22,6 +24,12 @@
 	// batchPause is the pause between two batches of received beacons, a fifth of their
 	// shortest interval.
 	batchPause = 50 * time.Millisecond
+	// idleTimeout is how long the receiver waits for a datagram, so that a longer time without a
+	// look at the socket means a pause of the process.
+	idleTimeout = 500 * time.Millisecond
+	// pauseThreshold is the time since the last look at the socket from which datagrams count as
+	// held.
+	pauseThreshold = time.Second
 	// maxBatch is the maximum number of datagrams handled without a pause.
 	maxBatch = 1024
 )
@@ -66,7 +74,8 @@
 
 // Receive calls handle for each beacon until the socket is closed. It reads all waiting
 // datagrams at once and then pauses: in a large fleet, waking up for each of a hundred
-// datagrams a second costs more than handling them.
+// datagrams a second costs more than handling them. After a pause of the process, it states
+// for how long the beacons may have waited.
 func (c *Conn) Receive(handle func(presence.Beacon)) {
 	raw, err := c.conn.SyscallConn()
 	if err != nil {
@@ -74,8 +83,26 @@
 		return
 	}
 	buffer := make([]byte, maxBytes)
+	lookedAt := boottime.Now()
+	read := func(fd uintptr) bool {
+		heldFor := boottime.Now() - lookedAt
+		if heldFor < pauseThreshold {
+			heldFor = 0
+		}
+		isRead := readWaiting(fd, buffer, func(b presence.Beacon) {
+			b.HeldFor = heldFor
+			handle(b)
+		})
+		lookedAt = boottime.Now()
+		return isRead
+	}
 	for {
-		if err := raw.Read(func(fd uintptr) bool { return readWaiting(fd, buffer, handle) }); err != nil {
+		// Without a deadline, which only a closed socket refuses, it would wait for longer.
+		_ = c.conn.SetReadDeadline(time.Now().Add(idleTimeout))
+		switch err := raw.Read(read); {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			continue
+		case err != nil:
 			return
 		}
 		time.Sleep(batchPause)
--- a/fleet/connection/beacon/beacon_test.go
+++ b/fleet/connection/beacon/beacon_test.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
+	"gentianhead/core/process/evacuation"
 	"gentianhead/core/process/presence"
 	"gentianhead/core/process/table"
 	"gentianhead/core/request/ratelimit"
@@ -48,6 +49,7 @@
 		Outcomes:        []presence.Outcomes{{Endpoint: 14, Failed: 2, Succeeded: 1}},
 		Unreachable:     []presence.Key{12}, Configuration: []byte("packed"), Stamp: time.Second, EchoStart: 13,
 		Mentions: []string{"127.0.0.1:3"}, Introduces: true, Group: 15, StoreEra: 16,
+		Evacuations:   &evacuation.State{Era: 16, Version: 17, Zones: []string{"a"}, Kept: []string{"b"}, KeptFor: time.Second},
 		CrashEvidence: evidence,
 		Digest: &presence.Digest{
 			Work: map[presence.Key]presence.Work{9: {Running: 3, Prefill: 4}}, Placed: []presence.Placed{{Part: 1, Endpoint: 2}},
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -63,6 +63,8 @@
 	configuration *encodedConfiguration
 	// live are the other routers that sent a beacon recently.
 	live []*presence.Member
+	// addresses are those of the other routers that callers may be given.
+	addresses []string
 }
 
 // isReady reports whether callers should use this router.
@@ -87,6 +89,8 @@
 	current  atomic.Pointer[state]
 	// dropped counts beacons dropped because the queue was full.
 	dropped atomic.Int64
+	// listedAt is when the addresses in the state were last known to be current.
+	listedAt atomic.Int64
 
 	state     state
 	endpoints *endpoints.Core
@@ -129,7 +133,10 @@
 
 // Events of the control goroutine.
 type (
-	beaconReceived    struct{ beacon presence.Beacon }
+	beaconReceived struct {
+		beacon presence.Beacon
+		at     time.Duration
+	}
 	routersDiscovered struct{ peers []string }
 	shutdownRequested struct{ done chan struct{} }
 )
@@ -197,7 +204,7 @@
 // drops the beacon, since the next one carries the same state.
 func (c *control) enqueueBeacon(received presence.Beacon) {
 	select {
-	case c.events <- beaconReceived{received}:
+	case c.events <- beaconReceived{received, boottime.Now()}:
 	default:
 		c.dropped.Add(1)
 	}
@@ -220,6 +227,8 @@
 	case watch.Update:
 		c.handleUpdate(now, e)
 	case beaconReceived:
+		// The process may have been paused meanwhile.
+		e.beacon.HeldFor += now - e.at
 		c.handleBeacon(now, e.beacon)
 	case routersDiscovered:
 		for _, peer := range e.peers {
@@ -566,6 +575,7 @@
 // publishLive publishes the live routers if they changed, and returns them.
 func (c *control) publishLive(now time.Duration) []*presence.Member {
 	live := c.presence.Live(now)
+	c.listAddresses(now, live)
 	isSame := slices.EqualFunc(live, c.state.live, func(a, b *presence.Member) bool {
 		return a.Instance == b.Instance && a.Address == b.Address && a.IsServing == b.IsServing
 	})
--- a/fleet/process/hosted/directory.go
+++ b/fleet/process/hosted/directory.go
@@ -4,8 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
+	"gentianhead/core/process/presence"
 	"gentianhead/core/process/table"
 	"gentianhead/fleet/process/boottime"
 	"gentianhead/fleet/process/watch"
@@ -18,6 +20,9 @@
 	// tableRouters is the store table in which routers register their addresses for
 	// those that start later.
 	tableRouters = "routers"
+	// maxListAge is the age of the list of other routers from which it isn't given to callers: the
+	// control goroutine renews it several times a second, unless the process is paused.
+	maxListAge = 2 * time.Second
 	// registerRetry is the delay before a failed store call is retried.
 	registerRetry = 500 * time.Millisecond
 )
@@ -58,12 +63,9 @@
 // addresses returns the addresses of the routers that serve callers. If there are
 // none, it returns this router's own, so that the response is never empty.
 func (r *Router) addresses() []string {
-	current := r.control.current.Load()
 	var addresses []string
-	for _, member := range current.live {
-		if member.IsServing {
-			addresses = append(addresses, member.Address)
-		}
+	if boottime.Now()-time.Duration(r.control.listedAt.Load()) <= maxListAge {
+		addresses = slices.Clone(r.control.current.Load().addresses)
 	}
 	if r.isReady() || len(addresses) == 0 {
 		addresses = append(addresses, r.settings.Callers)
@@ -72,6 +74,21 @@
 	return addresses[:min(len(addresses), maxAddresses)]
 }
 
+// listAddresses publishes the addresses of the other routers that callers may be given.
+func (c *control) listAddresses(now time.Duration, live []*presence.Member) {
+	var addresses []string
+	for _, member := range live {
+		if member.IsServing && c.presence.IsNamed(now, member) {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	if !slices.Equal(addresses, c.state.addresses) {
+		c.state.addresses = addresses
+		c.publish()
+	}
+	c.listedAt.Store(int64(now))
+}
+
 // putAddress writes a row in the table of routers.
 func (r *Router) putAddress(ctx context.Context, put table.Put) error {
 	_, err := r.store.Table(tableRouters).Commit(ctx, table.Transaction{Puts: []table.Put{put}})
--- a/fleet/process/hosted/evacuation_test.go
+++ b/fleet/process/hosted/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,13 +16,13 @@
 	"gentianhead/platform/platformtest"
 )
 
-// awaitZones waits until routers know the number of evacuated zones.
-func (f *fleet) awaitZones(count int) {
+// awaitZones waits until all routers know which zones are evacuated.
+func (f *fleet) awaitZones(zones ...string) {
 	f.t.Helper()
 	for _, router := range f.routers {
-		f.eventually(fmt.Sprint(count, " zones known to be evacuated"), func() bool {
+		f.eventually(fmt.Sprint(zones, " known to be evacuated"), func() bool {
 			current := router.control.current.Load()
-			return current.hasEvacuations && len(current.evacuated) == count
+			return current.hasEvacuations && slices.Equal(current.evacuated, zones)
 		})
 	}
 }
@@ -56,7 +57,7 @@
 	}
 	f.store.Evacuate("zone-1")
 	f.store.Evacuate("nowhere")
-	f.awaitZones(2)
+	f.awaitZones("nowhere", "zone-1")
 	before := f.endpoint.RequestCount()
 	send(http.StatusOK)
 	assert.Equal(t, f.endpoint.RequestCount(), before)
@@ -64,15 +65,16 @@
 	f.store.Put(platform.TableOperator, "evacuate/zone-2", []byte("no JSON"))
 	f.store.Put(platform.TableOperator, "evacuate/", []byte("no zone"))
 	f.store.Compact()
-	f.store.EndEvacuation("nowhere")
-	f.awaitZones(2)
-	f.eventually("refused", func() bool { return f.status(0, "first", fmt.Sprint("s-", time.Now().UnixNano())) == http.StatusServiceUnavailable })
+	f.awaitZones("zone-1", "zone-2")
+	f.eventually("refused", func() bool {
+		return f.status(0, "first", fmt.Sprint("s-", time.Now().UnixNano())) == http.StatusServiceUnavailable
+	})
 	before = f.endpoint.RequestCount() + second.RequestCount()
 	send(http.StatusServiceUnavailable)
 	assert.Equal(t, f.endpoint.RequestCount()+second.RequestCount(), before)
 	f.store.EndEvacuation("zone-1")
 	f.store.EndEvacuation("zone-2")
-	f.awaitZones(0)
+	f.awaitZones()
 	send(http.StatusOK)
 }
 
@@ -86,7 +88,7 @@
 	f.addEndpoint()
 	older := f.store.Copy()
 	f.store.Evacuate("zone-1")
-	f.awaitZones(1)
+	f.awaitZones("zone-1")
 	before := f.endpoint.RequestCount()
 	lost := f.store.Restore(older)
 	f.start(3)
@@ -101,7 +103,7 @@
 		}
 	}
 	assert.Equal(t, f.endpoint.RequestCount(), before)
-	f.awaitZones(1)
+	f.awaitZones("zone-1")
 	assert.Equal(t, f.routers[3].control.current.Load().era, uint64(1))
 }
 
@@ -124,12 +126,12 @@
 	f.eventually("request served", func() bool { return f.status(3, "first", fmt.Sprint("a-", time.Now().UnixNano())) == http.StatusOK })
 	own.SetFault(platformtest.Unavailable)
 	f.store.Evacuate("zone-1")
-	f.awaitZones(1)
+	f.awaitZones("zone-1")
 	before := f.endpoint.RequestCount()
 	assert.Equal(t, f.status(3, "first", "b"), http.StatusServiceUnavailable)
 	assert.Equal(t, f.endpoint.RequestCount(), before)
 	f.store.EndEvacuation("zone-1")
-	f.awaitZones(0)
+	f.awaitZones()
 }
 
 // Guards against a router that says it is ready before it knows the evacuated zones, and against
