--- a/fleet/soak/check_test.go
+++ b/fleet/soak/check_test.go
@@ -41,6 +41,7 @@
 		h.checkRuns(a, runs[a.id])
 	}
 	h.checkDrains()
+	h.checkEvacuations()
 	h.checkCrashes()
 	h.checkLimits()
 	h.checkConnections(runs)
--- a/fleet/soak/soak_test.go
+++ b/fleet/soak/soak_test.go
@@ -39,6 +39,7 @@
 type harness struct {
 	t               *testing.T
 	random          *rand.Rand
+	seed            uint64
 	store           *platformtest.Store
 	endpoints       []*platformtest.Endpoint
 	endpointProxies []*proxy
@@ -49,6 +50,7 @@
 	crashes         crashes
 	drains          []drain
 	limits          []*limitedEndpoint
+	evacuations     []evacuation
 	// slow are the endpoints whose answers take long, slowKinds the routes to them.
 	slow      []*platformtest.Endpoint
 	slowKinds []kind
@@ -174,7 +176,7 @@
 // given times.
 func newHarness(t *testing.T, seed uint64, answerTimes ...time.Duration) *harness {
 	h := &harness{
-		t: t, random: rand.New(rand.NewPCG(seed, 0)), store: platformtest.NewStore(),
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), store: platformtest.NewStore(),
 		byAddress: make(map[string]*process), removedAt: make(map[string]time.Time), configuredAt: make(map[int]time.Time),
 		reservedUntil: make(map[*platformtest.Endpoint]time.Time), hasOnlyPlannedFaults: seed%3 == 0,
 		losesWatchers: seed%watchersEvery == watchersEvery-3,
@@ -193,6 +195,7 @@
 		h.endpoints, h.endpointProxies, h.linkFaults = append(h.endpoints, endpoint), append(h.endpointProxies, link), append(h.linkFaults, &intervals{})
 		h.store.Put(platform.TableEndpoints, endpoint.ID, endpoint.Entry("pool", "ready"))
 	}
+	h.moveToZones(seed)
 	h.startCrashable(seed)
 	h.limitEndpoints(seed)
 	directory := t.TempDir()
@@ -387,6 +390,7 @@
 		wg.Go(func() { c.run(stop) })
 	}
 	wg.Go(func() { h.replaceCrashed(stop) })
+	wg.Go(func() { h.evacuate(h.seed, stop) })
 	for _, limited := range h.limits {
 		seed := h.random.Uint64()
 		wg.Go(func() { limited.run(seed, stop) })
