--- a/fleet/process/hosted/evacuation_test.go
+++ b/fleet/process/hosted/evacuation_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,6 +74,13 @@
 	before = f.endpoint.RequestCount() + second.RequestCount()
 	send(http.StatusServiceUnavailable)
 	assert.Equal(t, f.endpoint.RequestCount()+second.RequestCount(), before)
+	refused := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodPost, "/orders/1", nil)
+	request.Host = hostName
+	request.Header.Set("Authorization", "Token first")
+	f.routers[0].relay.ServeHTTP(refused, request)
+	assert.Equal(t, refused.Code, http.StatusServiceUnavailable)
+	assert.Assert(t, refused.Header().Get("Retry-After") != "" && strings.Contains(refused.Body.String(), `"code":"evacuated"`), "%v", refused)
 	f.store.EndEvacuation("zone-1")
 	f.store.EndEvacuation("zone-2")
 	f.awaitZones()
--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -103,8 +103,13 @@
 
 func (r *Router) relayState() relay.State {
 	current := r.control.current.Load()
+	table := current.table
+	if !current.hasEvacuations {
+		// A configuration of a release without evacuations: this router reads the zones itself.
+		table = nil
+	}
 	return relay.State{
-		Table: current.table, Lease: current.lease, IsBehind: current.isBehind, IsOutdated: !current.isUpToDate(boottime.Now()),
+		Table: table, Lease: current.lease, IsBehind: current.isBehind, IsOutdated: !current.isUpToDate(boottime.Now()),
 		RequiresAccount: r.control.settings.Load().RequiresAccount,
 	}
 }
