Cold endpoints get no more requests a second than they stand

An endpoint that is cold crashes at a rate well above the ColdPerS of its service, and nothing read ColdRemainingMs: idle cold endpoints drew most of the load. All routers together now keep, in any second, below ColdPerS times Bounds.ColdOverage plus Bounds.ColdTolerance. A few owner routers, as for stated request rates, have a bucket of one request each; rates and bursts are chosen so that the bound holds even if all parts are in use twice, as on both sides of a long partition. A token holds for 50 ms while its request waits for a connection, so that requests which waited aren't written at once.

Cold endpoints that are slower than a request's target are left to requests with more time while warm ones have room.

--- a/core/process/endpoints/endpoints.go
+++ b/core/process/endpoints/endpoints.go
@@ -42,6 +42,29 @@
 	// StartedAt is the endpoint's start in Unix milliseconds. An endpoint that
 	// restarts under the same id has lost its state.
 	StartedAt int64
+	// Cold is how long the endpoint is still cold, as its entry states; IsColdUnknown is set
+	// if that doesn't say.
+	Cold          time.Duration
+	IsColdUnknown bool
+	// ColdFrom is when the entry of an endpoint that may be cold arrived, zero for others.
+	// The core sets it.
+	ColdFrom time.Duration
+}
+
+// MaxCold bounds the time for which an endpoint may be cold, so that a mistake doesn't last.
+const MaxCold = time.Minute
+
+// ColdUntil returns when the endpoint is no longer cold, on the clock of ColdFrom; zero if it
+// never was. An endpoint whose entry doesn't say is cold for coldStart after it started.
+func (e Entry) ColdUntil(coldStart time.Duration) time.Duration {
+	if e.ColdFrom == 0 {
+		return 0
+	}
+	cold := e.Cold
+	if e.IsColdUnknown {
+		cold = coldStart
+	}
+	return e.ColdFrom + max(0, min(cold, MaxCold))
 }
 
 // Process names one process of an endpoint: a restarted one, or another endpoint at the
@@ -156,7 +179,9 @@
 }
 
 func (c *Core) apply(now time.Duration, written []Entry, removed []string, isSettled bool) {
+	isFirst := len(c.entries) == 0
 	for _, entry := range written {
+		entry.ColdFrom = c.coldFrom(now, entry, isFirst)
 		c.put(entry)
 	}
 	for _, id := range removed {
@@ -179,6 +204,27 @@
 	return true
 }
 
+// coldFrom returns ColdFrom of an entry. One that doesn't say whether it is cold may be if its
+// process is new, unless isFirst is set: the first entries read are of endpoints that may have
+// started long ago.
+func (c *Core) coldFrom(now time.Duration, entry Entry, isFirst bool) time.Duration {
+	if !entry.IsColdUnknown {
+		if entry.Cold > 0 {
+			return now
+		}
+		return 0
+	}
+	known, isKnown := c.entries[entry.ID]
+	if isKnown && known.StartedAt == entry.StartedAt && known.Address == entry.Address {
+		return known.ColdFrom
+	}
+	startedAt, hasDeparted := c.departed[entry.ID]
+	if isFirst || hasDeparted && startedAt == entry.StartedAt {
+		return 0
+	}
+	return now
+}
+
 func (c *Core) put(entry Entry) {
 	if startedAt, isBarred := c.barred[entry.ID]; isBarred {
 		if entry.StartedAt <= startedAt {
--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -94,6 +94,8 @@
 	placedAt          time.Duration
 	// hasToken is set if the request was counted against a limit of the endpoint.
 	hasToken bool
+	// coldToken is the token taken from the limit of a cold endpoint.
+	coldToken ratelimit.ColdToken
 	// isWithheld is set once the request may not be sent to the endpoint any more.
 	isWithheld bool
 	// isAnswered reports whether the endpoint has begun its response.
@@ -137,6 +139,7 @@
 	drainingSince time.Duration
 	// removedAt is when the endpoint's entry was removed.
 	removedAt time.Duration
+	cold      coldness
 }
 
 // Core places the requests of one router.
@@ -161,6 +164,12 @@
 	limits           *ratelimit.Core
 	rateChanges      []RateChange
 	random           func() float64
+	// coldOverage and coldTolerance are the parameters of SetColdBounds.
+	coldOverage, coldTolerance     float64
+	coldChanges                    []ColdChange
+	coldEndpoints, ownedColdLimits int
+	// tickedAt is the time of the latest TickLimits.
+	tickedAt time.Duration
 }
 
 // New returns a core without endpoints. No engine should exceed loadFactor times
@@ -177,6 +186,8 @@
 		notices:    notice.New(),
 		limits:     ratelimit.New(random),
 		random:     random,
+
+		coldOverage: ratelimit.DefaultColdOverage, coldTolerance: ratelimit.DefaultColdTolerance,
 	}
 }
 
@@ -211,8 +222,9 @@
 		Running: chosen.running(now), Prefill: chosen.own.Prefill + chosen.peers.Prefill,
 		prefill: picked.prefill, isPrefilling: picked.prefill > 0, endpointStartedAt: chosen.entry.StartedAt, placedAt: now,
 	}
-	if c.limits.IsLimited(chosen.process) {
-		placed.hasToken = c.limits.Take(now, chosen.process)
+	if c.isLimited(now, chosen) {
+		placed.hasToken = c.limits.IsLimited(chosen.process) && c.limits.Take(now, chosen.process)
+		placed.isWithheld = !c.takeColdToken(now, chosen, &placed)
 		c.statsFor(request.Service).demand.RecordServed(c.flowOf(request))
 	}
 	chosen.own.Running++
@@ -243,13 +255,13 @@
 
 // MayReceive reports whether the endpoint of a placement may still be sent the request,
 // which may have waited for a connection. It counts the request against a limit that the
-// endpoint has stated in the meantime.
+// endpoint has stated in the meantime, and again if the token of a cold endpoint is old.
 func (c *Core) MayReceive(now time.Duration, p *Placement) bool {
 	if state := c.stateOf(p); state != nil && !p.hasToken && c.limits.IsLimited(state.process) {
 		p.hasToken = c.limits.Take(now, state.process)
 		p.isWithheld = !p.hasToken
 	}
-	p.isWithheld = p.isWithheld || !c.notices.MayReceive(now, p.Endpoint)
+	p.isWithheld = p.isWithheld || !c.mayReceiveCold(now, p) || !c.notices.MayReceive(now, p.Endpoint)
 	return !p.isWithheld
 }
 
@@ -320,7 +332,8 @@
 	// fails there is worse than one that is refused.
 	candidates, atLimit = c.withinLimits(now, usable)
 	if len(candidates) > 0 {
-		return candidates, atLimit, Accepted
+		preferred, slow := c.withoutSlowCold(now, request, candidates)
+		return preferred, append(atLimit, slow...), Accepted
 	}
 	if len(request.Excluded) == 0 {
 		c.statsFor(request.Service).demand.Record(now, c.flowOf(request))
@@ -381,6 +394,7 @@
 	if state != nil && !p.isAnswered {
 		state.suspicion.own.add(now, false)
 	}
+	c.recordColdTime(now, p)
 	p.isAnswered = true
 	c.endPrefill(state, p)
 }
@@ -406,10 +420,13 @@
 	case breaker.Succeeded:
 		state.succeededAt = now
 		c.recordServiceTime(now, p)
+		c.recordColdTime(now, p)
 		if !p.isAnswered {
 			state.suspicion.own.add(now, false)
 		}
 	case breaker.Failed:
+		// The time until the failure is the least that an answer would have taken.
+		c.recordColdTime(now, p)
 		state.suspicion.own.add(now, true)
 	}
 	return state.breaker.Report(now, outcome)
--- a/core/request/balance/engine.go
+++ b/core/request/balance/engine.go
@@ -88,7 +88,7 @@
 		}
 		extra, candidatePrefill := reuse.cost(i)
 		random := c.random() * (1 + spread)
-		if c.limits.IsLimited(state.process) {
+		if c.isLimited(now, state) {
 			random = 0
 		}
 		cost := float64(state.own.Prefill+state.peers.Prefill+running*streamTokens) + extra + random
@@ -177,7 +177,7 @@
 		}
 	}
 	if shared := len(r.parts) - 1; shared > 0 && r.mostHeld < shared {
-		r.missing = c.missShares(r.parts[shared-1].ID, candidates)
+		r.missing = c.missShares(now, r.parts[shared-1].ID, candidates)
 	}
 	return r
 }
@@ -251,8 +251,8 @@
 // missShares returns the share of a part that each candidate is expected to lack,
 // by its rank in the rendezvous order of the part. Engines with a limit are homes only if
 // there are no others: which of them allow a request differs between routers.
-func (c *Core) missShares(part string, candidates []*endpointState) []float64 {
-	isLimited := func(s *endpointState) bool { return c.limits.IsLimited(s.process) }
+func (c *Core) missShares(now time.Duration, part string, candidates []*endpointState) []float64 {
+	isLimited := func(s *endpointState) bool { return c.isLimited(now, s) }
 	areAllLimited := !slices.ContainsFunc(candidates, func(s *endpointState) bool { return !isLimited(s) })
 	shares := make([]float64, len(candidates))
 	first, second := -1, -1
--- a/core/request/balance/limits.go
+++ b/core/request/balance/limits.go
@@ -60,16 +60,20 @@
 // that this router may send requests to.
 func (c *Core) LimitedEndpoints(now time.Duration) (limited, owned int) { return c.limits.Limited(now) }
 
-// TickLimits drops limits that have expired.
-func (c *Core) TickLimits(now time.Duration) { c.limits.Tick(now) }
+// TickLimits drops limits that have expired, and notes which endpoints became cold or warm.
+func (c *Core) TickLimits(now time.Duration) {
+	c.tickedAt = now
+	c.limits.Tick(now)
+	c.trackCold(now)
+}
 
 // withinLimits divides endpoints into those whose limits allow a request now and the others.
 func (c *Core) withinLimits(now time.Duration, states []*endpointState) (allowed, atLimit []*endpointState) {
-	if !slices.ContainsFunc(states, func(s *endpointState) bool { return c.limits.IsLimited(s.process) }) {
+	if !slices.ContainsFunc(states, func(s *endpointState) bool { return c.isLimited(now, s) }) {
 		return states, nil
 	}
 	for _, state := range states {
-		if c.limits.Allows(now, state.process) {
+		if c.allows(now, state) {
 			allowed = append(allowed, state)
 		} else {
 			atLimit = append(atLimit, state)
@@ -91,7 +95,7 @@
 		if !c.notices.MayReceive(now, e) {
 			continue
 		}
-		part, isLimited := c.limits.PartOf(now, c.state(e).process)
+		part, isLimited := c.partOf(now, c.state(e))
 		if !isLimited {
 			return false
 		}
@@ -114,7 +118,7 @@
 		if !c.notices.MayReceive(now, e) {
 			continue
 		}
-		part, isLimited := c.limits.PartOf(now, c.state(e).process)
+		part, isLimited := c.partOf(now, c.state(e))
 		if !isLimited || part.PerSecond > 0 && part.Tokens >= 1 {
 			return 0, false
 		}
@@ -131,7 +135,7 @@
 	serviceTime := c.statsFor(service).serviceTime.value.Seconds()
 	capacity := 0.0
 	for _, e := range c.view.InService(service) {
-		limit := c.limits.Rate(c.state(e).process)
+		limit := c.rateOf(c.state(e))
 		switch {
 		case serviceTime > 0:
 			capacity += min(float64(e.Slots)/serviceTime, limit)
--- a/core/request/balance/plain.go
+++ b/core/request/balance/plain.go
@@ -49,7 +49,7 @@
 	for _, state := range candidates {
 		slots := float64(max(1, state.entry.Slots))
 		spread := 1 + unreported
-		if c.limits.IsLimited(state.process) {
+		if c.isLimited(now, state) {
 			spread = 0
 		}
 		cost := (float64(state.running(now)) + c.random()*spread) / slots
@@ -91,7 +91,7 @@
 		}
 	}
 	isBusy := max(float64(preferred.running(now)), mean) >= preferredUtilization*float64(preferred.entry.Slots)
-	if isBusy || c.limits.IsLimited(preferred.process) {
+	if isBusy || c.isLimited(now, preferred) {
 		return nil
 	}
 	return preferred
--- a/core/request/balance/service.go
+++ b/core/request/balance/service.go
@@ -34,6 +34,10 @@
 	// serviceTime is the time of a request at an endpoint, without the queueing time at
 	// a plain server.
 	serviceTime movingAverage
+	// coldTime is the time of a request at a cold endpoint, to the first event of a stream, and
+	// coldMeasuredAt when it was last measured.
+	coldTime       movingAverage
+	coldMeasuredAt time.Duration
 	// demand decides how refusals are divided among client accounts.
 	demand fairness.DemandTracker
 }
--- a/core/request/exchange/exchange.go
+++ b/core/request/exchange/exchange.go
@@ -90,6 +90,10 @@
 	// together, as it stated them; nil if it didn't. A value that is no number is NaN, and
 	// the numbers may be absurd.
 	StatedRates []float64
+	// Cold is how long the endpoint is still cold, zero if it is not, as it stated it;
+	// IsColdStated is false if it didn't. The time may be absurd.
+	Cold         time.Duration
+	IsColdStated bool
 }
 
 // ParseRates reads the values of a header field, each a list of decimal numbers. A value that is no
--- a/core/request/ratelimit/fleet.go
+++ b/core/request/ratelimit/fleet.go
@@ -32,6 +32,9 @@
 	maxTakenOver = 1.0 / 3
 	// lostMemory is how long a lost router counts as known.
 	lostMemory = 30 * time.Second
+	// coldLostMemory is lostMemory for the limits of cold endpoints. They are held over one
+	// second, in any partition, and a part that lies idle costs little: others serve.
+	coldLostMemory = 5 * time.Minute
 	// settleTime is how long a router that has started waits until it knows the others.
 	settleTime = 2 * time.Second
 )
@@ -58,8 +61,9 @@
 	// lost holds routers that stopped without notice, and when.
 	lost map[string]time.Duration
 	// liveHashes and lostHashes are the hashes of the other instances, own that of this one.
-	liveHashes, lostHashes []uint64
-	own                    uint64
+	// lostHashes has those lost for at most lostMemory, allLostHashes for coldLostMemory.
+	liveHashes, lostHashes, allLostHashes []uint64
+	own                                   uint64
 	// epoch changes with these; it is never zero.
 	epoch int
 }
@@ -84,37 +88,39 @@
 		}
 	}
 	f.live = live
-	f.divide()
+	f.divide(now)
 }
 
 func (f *fleet) tick(now time.Duration) {
-	isChanged := false
+	recent := 0
 	for instance, lostAt := range f.lost {
-		if now-lostAt > lostMemory {
+		if now-lostAt > coldLostMemory {
 			delete(f.lost, instance)
-			isChanged = true
+		} else if now-lostAt <= lostMemory {
+			recent++
 		}
 	}
-	if isChanged {
-		f.divide()
+	if recent != len(f.lostHashes) || len(f.lost) != len(f.allLostHashes) {
+		f.divide(now)
 	}
 }
 
 // divide updates what the division of limits depends on.
-func (f *fleet) divide() {
+func (f *fleet) divide(now time.Duration) {
 	f.epoch++
-	f.liveHashes, f.lostHashes = f.liveHashes[:0], f.lostHashes[:0]
+	f.liveHashes, f.lostHashes, f.allLostHashes = f.liveHashes[:0], f.lostHashes[:0], f.allLostHashes[:0]
 	for instance := range f.live {
 		f.liveHashes = append(f.liveHashes, xxhash.Sum64String(instance))
 	}
-	for instance := range f.lost {
-		f.lostHashes = append(f.lostHashes, xxhash.Sum64String(instance))
+	for instance, lostAt := range f.lost {
+		hash := xxhash.Sum64String(instance)
+		f.allLostHashes = append(f.allLostHashes, hash)
+		if now-lostAt <= lostMemory {
+			f.lostHashes = append(f.lostHashes, hash)
+		}
 	}
 }
 
-// seesMost reports whether this router sees more than half of the routers that it knew lately.
-func (f *fleet) seesMost() bool { return len(f.live)+1 > len(f.lost) }
-
 // settlesIn returns the time until this router takes part in limits.
 func (f *fleet) settlesIn(now time.Duration) time.Duration {
 	if !f.isStarted {
@@ -127,14 +133,14 @@
 func (f *fleet) owners(perSecond float64) int {
 	most := max(minOwners, math.Ceil(perSecond/ratePerOwner))
 	owners := min(max(1, math.Ceil(perSecond/minShare)), most)
-	return int(min(owners, float64(len(f.live)+len(f.lost)+1)))
+	return int(min(owners, float64(len(f.live)+len(f.lostHashes)+1)))
 }
 
 // part returns this router's part of the rate of a process, in requests per second, and its
 // burst in requests. The part is zero if others own the limit.
 func (f *fleet) part(process presence.Key, perSecond float64) (share float64, burst int) {
 	owners := f.owners(perSecond)
-	if !f.isOwner(process, owners) {
+	if !f.isOwner(process, owners, f.lostHashes) {
 		return 0, minBurst
 	}
 	share = perSecond / float64(owners)
@@ -143,8 +149,9 @@
 
 // isOwner reports whether this router is one of the owners: the first in the rendezvous order
 // of the live and the lost routers, or one of the first live ones behind them that take over
-// parts of lost ones.
-func (f *fleet) isOwner(process presence.Key, owners int) bool {
+// parts of lost ones. They do so only if they see more than half of the routers that they
+// knew.
+func (f *fleet) isOwner(process presence.Key, owners int, lostHashes []uint64) bool {
 	own := entry.Mix(uint64(process), f.own)
 	var live, lost []uint64
 	for _, router := range f.liveHashes {
@@ -154,7 +161,7 @@
 			}
 		}
 	}
-	for _, router := range f.lostHashes {
+	for _, router := range lostHashes {
 		if score := entry.Mix(uint64(process), router); score > own {
 			lost = append(lost, score)
 		}
@@ -171,5 +178,6 @@
 		}
 	}
 	takenOver := min(lostOwners, max(1, int(maxTakenOver*float64(owners))))
-	return f.seesMost() && len(live)-(owners-lostOwners) < takenOver
+	seesMost := len(f.live)+1 > len(lostHashes)
+	return seesMost && len(live)-(owners-lostOwners) < takenOver
 }
--- a/core/request/ratelimit/fleet_test.go
+++ b/core/request/ratelimit/fleet_test.go
@@ -83,6 +83,8 @@
 	excused func(f *fleet) [][2]time.Duration
 	// heavy is the share of the requests that come from one account; the others come from nine.
 	heavy float64
+	// cold makes endpoints cold at times; nil for none.
+	cold *coldSpec
 }
 
 type router struct {
@@ -99,6 +101,8 @@
 	entry    endpoints.Entry
 	rate     float64
 	arrivals []time.Duration
+	// cold are the spans in which the endpoint is cold.
+	cold []coldSpan
 }
 
 type fleet struct {
@@ -111,6 +115,7 @@
 	routers []*router
 	byPeer  map[string]*router
 	servers []*server
+	entries *endpoints.Core
 	view    *endpoints.View
 	table   *routetable.Table
 	// perEndpoint is the mean number of requests per second and endpoint.
@@ -138,10 +143,14 @@
 			f.servers[number].rate = s.fraction * f.perEndpoint * (0.6 + 0.8*f.random.Float64())
 		}
 	}
-	core := endpoints.New()
-	core.Apply(0, entries, nil)
-	f.view = core.View()
+	f.entries = endpoints.New()
+	f.entries.Apply(0, entries, nil)
+	f.view = f.entries.View()
 	spec := routetable.Service{Name: service}
+	if s.cold != nil {
+		spec.ColdPerSecond = s.cold.perSecond
+		f.perEndpoint = max(f.perEndpoint, 2*s.cold.perSecond)
+	}
 	if !s.isPlain {
 		spec.Engine = &routetable.Engine{Slots: slots}
 	}
@@ -157,6 +166,9 @@
 		f.queue.Add(time.Duration(f.random.Int64N(int64(100*time.Millisecond))), func() { f.tick(r) })
 	}
 	f.queue.Add(3*time.Second, f.arrive)
+	if s.cold != nil {
+		s.cold.schedule(f)
+	}
 	if s.disturb != nil {
 		s.disturb(f)
 	}
@@ -301,6 +313,8 @@
 	}
 	placement, refusal := r.balance.Place(f.clock(), balance.PlacementRequest{Service: service, Target: 2 * time.Second, Flow: fairness.Flow{Account: account}})
 	switch {
+	case refusal == balance.Accepted && f.cold != nil:
+		f.connect(r, account, placement, retries)
 	case refusal == balance.Accepted:
 		f.servedBy[account == "heavy"]++
 		f.queue.Add(f.now+linkTime, func() { f.serve(r, &placement) })
@@ -325,6 +339,9 @@
 	if !f.isPlain {
 		end += time.Duration(f.random.Int64N(int64(2 * time.Second)))
 	}
+	if s.isCold(f.now) {
+		head, end = coldSlowness*head, coldSlowness*end
+	}
 	f.queue.Add(f.now+head, func() {
 		stated := f.stated(s, f.now)
 		f.queue.Add(f.now+linkTime, func() {
--- a/core/request/ratelimit/ratelimit.go
+++ b/core/request/ratelimit/ratelimit.go
@@ -75,6 +75,7 @@
 // the former stated.
 type Core struct {
 	limits map[presence.Key]*limit
+	cold   map[presence.Key]*coldPart
 	fleet  fleet
 	random func() float64
 }
@@ -82,7 +83,7 @@
 // New returns a core without limits for a router that knows no other. random returns values
 // in [0, 1).
 func New(random func() float64) *Core {
-	return &Core{limits: make(map[presence.Key]*limit), fleet: newFleet(), random: random}
+	return &Core{limits: make(map[presence.Key]*limit), cold: make(map[presence.Key]*coldPart), fleet: newFleet(), random: random}
 }
 
 // SetRouters replaces the other live routers. After the first call, the router waits for
@@ -213,6 +214,7 @@
 			delete(c.limits, process)
 		}
 	}
+	c.tickCold(now)
 	c.fleet.tick(now)
 }
 
@@ -282,15 +284,19 @@
 	if l == nil {
 		return Part{}, false
 	}
-	if l.share == 0 {
-		return Part{}, true
+	return c.partOf(now, l.share, l.tokens), true
+}
+
+func (c *Core) partOf(now time.Duration, share float64, tokens *rate.Limiter) Part {
+	if share == 0 {
+		return Part{}
 	}
-	part = Part{PerSecond: l.share, Tokens: l.tokens.TokensAt(clock(now))}
-	part.Wait = time.Duration(math.Max(0, 1-part.Tokens) / l.share * float64(time.Second))
+	part := Part{PerSecond: share, Tokens: tokens.TokensAt(clock(now))}
+	part.Wait = time.Duration(math.Max(0, 1-part.Tokens) / share * float64(time.Second))
 	if settlesIn := c.fleet.settlesIn(now); settlesIn > 0 {
 		part.Tokens, part.Wait = 0, max(part.Wait, settlesIn)
 	}
-	return part, true
+	return part
 }
 
 // Limited returns the number of processes with a limit, and of those that this router owns
--- a/core/version/routetable/routetable.go
+++ b/core/version/routetable/routetable.go
@@ -65,6 +65,10 @@
 	Name string
 	// Engine is nil for plain services.
 	Engine *Engine
+	// ColdStart is how long an endpoint is cold after it started, and ColdPerSecond the rate
+	// above which it crashes meanwhile, in requests per second; zero if it has no limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Engine describes the model engines of a service.
@@ -106,6 +110,8 @@
 	// there is none. Any account sets it as well.
 	RequiresAccount bool
 	Limits          Limits
+	// Skipped are the values that were skipped since they can't be read, for the log.
+	Skipped []string
 }
 
 // Table is the indexed form of a version.
--- a/fleet/process/hosted/caches.go
+++ b/fleet/process/hosted/caches.go
@@ -45,7 +45,9 @@
 	var share []endpoints.Entry
 	for _, e := range c.endpoints.View().All() {
 		service, known := c.state.table.Service(e.Service)
-		if known && service.Engine != nil && c.handover.IsOwnEngine(e.ID, c.state.live) {
+		// A cold engine has started lately and has little cached, and a query is a request.
+		isCold := known && e.ColdUntil(service.ColdStart) > now
+		if known && !isCold && service.Engine != nil && c.handover.IsOwnEngine(e.ID, c.state.live) {
 			share = append(share, e)
 		}
 	}
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -151,6 +151,7 @@
 	c.settings.Store(settings)
 	c.sync.init(store, c.bounds)
 	balancer.SetFleet(settings.Instance, nil)
+	c.applyBounds(settings)
 	c.addSeeds(boottime.Now())
 	c.publish()
 	return c
@@ -533,6 +534,9 @@
 	if !table.RequiresAccount() && c.settings.Load().RequiresAccount {
 		c.log.Error("The configuration has no list of client accounts. All requests that need one are refused.", "version", spec.Version)
 	}
+	for _, skipped := range spec.Skipped {
+		c.log.Warn("A value of the configuration was skipped.", "version", spec.Version, "reason", skipped)
+	}
 	c.state.table = table
 	c.state.newestVersion = max(c.state.newestVersion, table.Version)
 	c.tableEra = c.sync.era
--- a/fleet/process/hosted/reload.go
+++ b/fleet/process/hosted/reload.go
@@ -21,10 +21,19 @@
 	c.state.lease = c.state.lease.WithBound(changed.MaxRevocationDelay)
 	c.state.maxDelay = changed.MaxActivationDelay
 	c.balancer.SetLimits(changed.LoadFactor, retryLimits(changed))
+	c.applyBounds(changed)
 	c.addSeeds(boottime.Now())
 	c.publish()
 }
 
+// applyBounds passes bounds to the balancer, and logs which settings were skipped.
+func (c *control) applyBounds(settings *platform.Settings) {
+	for _, skipped := range settings.Skipped {
+		c.log.Warn("A setting was skipped.", "setting", skipped.Key, "line", skipped.Line, "reason", skipped.Reason)
+	}
+	c.balancer.SetColdBounds(settings.ColdOverage, settings.ColdTolerance)
+}
+
 func retryLimits(settings *platform.Settings) retry.FleetLimits {
 	return retry.FleetLimits{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow}
 }
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -73,6 +74,14 @@
 	}
 }
 
+// SetColdBounds sets the bound on requests to a cold endpoint in any one second: overage times
+// the rate of its service, plus tolerance.
+func (b *Balancer) SetColdBounds(overage, tolerance float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.SetColdBounds(overage, tolerance)
+}
+
 // SetView replaces the endpoints that accept new requests.
 func (b *Balancer) SetView(view *endpoints.View) {
 	b.mu.Lock()
@@ -106,11 +115,16 @@
 	limited, owned := b.core.LimitedEndpoints(now)
 	limitedEndpoints.Set(int64(limited))
 	ownedLimits.Set(int64(owned))
+	cold, ownedCold := b.core.ColdEndpoints()
+	coldEndpoints.Set(int64(cold))
+	ownedColdLimits.Set(int64(ownedCold))
+	coldChanges := b.core.TakeColdChanges()
 	b.quarantine.Step(now, b.core.HasEntry)
 	quarantined.Set(int64(b.quarantine.Size()))
 	changes := b.quarantine.TakeChanges()
 	isUrgent := b.quarantine.TakeUrgent()
 	b.mu.Unlock()
+	b.logColdChanges(now, coldChanges)
 	b.logQuarantine(changes)
 	b.signalNews(isUrgent)
 }
@@ -183,6 +197,9 @@
 	suspects := b.core.TakeSuspicionChanges()
 	b.mu.Unlock()
 	b.logSuspects(suspects)
+	if placement.IsCold() {
+		coldPlaced.Add(1)
+	}
 	return placement, refusal
 }
 
@@ -255,6 +272,31 @@
 	}
 }
 
+// recordCold records for how long an endpoint is still cold, as its response stated it.
+func (b *Balancer) recordCold(p *balance.Placement, info exchange.ResponseInfo) {
+	if !info.IsColdStated {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.RecordCold(boottime.Now(), p, info.Cold)
+}
+
+func (b *Balancer) logColdChanges(now time.Duration, changes []balance.ColdChange) {
+	for _, change := range changes {
+		attributes := []any{"endpoint", change.Endpoint.ID, "service", change.Endpoint.Service, "isCold", change.Until != 0}
+		level := slog.LevelInfo
+		if change.Until != 0 {
+			attributes = append(attributes, "remaining", change.Until-now, "stated", change.Stated, "age", change.Age,
+				"isFromResponse", change.IsFromResponse, "perSecond", change.Limit.PerSecond, "owners", change.Limit.Owners, "part", change.Part)
+		}
+		if change.Stated > endpoints.MaxCold {
+			level = slog.LevelWarn
+		}
+		b.log.Log(context.Background(), level, "Whether an endpoint is cold changed.", attributes...)
+	}
+}
+
 // isWithheld reports whether mayReceive has refused the request of a placement.
 func (b *Balancer) isWithheld(p *balance.Placement) bool {
 	b.mu.Lock()
@@ -266,7 +308,11 @@
 func (b *Balancer) mayReceive(p *balance.Placement) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.core.MayReceive(boottime.Now(), p)
+	mayReceive := b.core.MayReceive(boottime.Now(), p)
+	if !mayReceive && p.IsCold() {
+		coldWithheld.Add(1)
+	}
+	return mayReceive
 }
 
 func (b *Balancer) recordResult(p *balance.Placement, result breaker.Outcome) {
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -233,6 +233,7 @@
 	isOwn := isOwnResponse(c, response, info)
 	if isOwn && (info.Signature != "" || info.IsNotRun) && response.StatusCode != http.StatusMisdirectedRequest {
 		r.options.Balancer.recordRate(placement, info)
+		r.options.Balancer.recordCold(placement, info)
 	}
 	switch {
 	case !isOwn:
--- a/fleet/request/relay/metrics.go
+++ b/fleet/request/relay/metrics.go
@@ -23,6 +23,13 @@
 	limitedEndpoints = expvar.NewInt("relay_limited_endpoints")
 	ownedLimits      = expvar.NewInt("relay_owned_limits")
 	unreadableRates  = expvar.NewInt("relay_unreadable_rates")
+	// coldEndpoints is the number of endpoints that are cold, ownedColdLimits that of those to
+	// which this router may send requests, coldPlaced counts requests placed on cold endpoints
+	// and coldWithheld those that waited for a connection too long and were not written.
+	coldEndpoints   = expvar.NewInt("relay_cold_endpoints")
+	ownedColdLimits = expvar.NewInt("relay_owned_cold_limits")
+	coldPlaced      = expvar.NewInt("relay_cold_placed")
+	coldWithheld    = expvar.NewInt("relay_cold_withheld")
 	// quarantined is the number of prompt parts in quarantine.
 	quarantined = expvar.NewInt("relay_quarantined_parts")
 	// firstByteTime and requestTime cover successful requests only.
