Requests of routes and accounts stay in their homes

AllowedRegions of a route or account had no effect, nor had the region in a query of the directory. Zones.ZONE=REGION in the settings names the regions of zones; what can't be read, is empty or unknown allows no endpoint. The regions of the configuration in force are applied to every placement and once more just before a request is written. The directory names routers of the caller's region first, then those in the homes of the host's routes; beacons state the region (field G).

--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -109,6 +109,8 @@
 type Beacon struct {
 	Instance string `msgpack:"i"`
 	Zone     string `msgpack:"z"`
+	// Region is the region of the sender. Releases before this field leave it out.
+	Region string `msgpack:"G,omitempty"`
 	// Address is the address for callers.
 	Address string `msgpack:"a"`
 	// Peer is the address for datagrams from other routers.
--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -69,6 +69,8 @@
 	Target time.Duration
 	// Excluded endpoints have already been tried.
 	Excluded []string
+	// Regions are those of the zones whose endpoints may get the request.
+	Regions routetable.Homes
 	// Repeat is equal for repeats of one request; zero if that is not known.
 	Repeat uint64
 	// IsMove is set while another endpoint may still answer the request. It is then placed
@@ -118,6 +120,9 @@
 	// AtLimit means that all endpoints that could serve the request are at the request rates
 	// that they state.
 	AtLimit
+	// OutsideRegions means that the service has endpoints, but none in a region to which the
+	// request may be sent.
+	OutsideRegions
 )
 
 // endpointState is the state that the core tracks for one endpoint.
@@ -170,6 +175,8 @@
 	coldEndpoints, ownedColdLimits int
 	// tickedAt is the time of the latest TickLimits.
 	tickedAt time.Duration
+	// regions are the regions of zones.
+	regions map[string]string
 }
 
 // New returns a core without endpoints. No engine should exceed loadFactor times
@@ -308,7 +315,11 @@
 // no candidate.
 func (c *Core) candidates(now time.Duration, request PlacementRequest) (candidates, atLimit []*endpointState, refusal Refusal) {
 	var trusted, all []*endpointState
-	for _, e := range c.view.InService(request.Service) {
+	inService := c.inRegions(c.view.InService(request.Service), request.Regions)
+	if len(inService) == 0 && len(c.view.InService(request.Service)) > 0 {
+		return nil, nil, OutsideRegions
+	}
+	for _, e := range inService {
 		state := c.state(e)
 		if slices.Contains(request.Excluded, e.ID) || !c.notices.MayReceive(now, e) {
 			continue
--- a/core/request/balance/cold_test.go
+++ b/core/request/balance/cold_test.go
@@ -209,9 +209,10 @@
 // Guards against a bound that is not kept, or a rate of zero or above the stated one, for odd
 // settings.
 func TestColdLimitKeepsBound(t *testing.T) {
-	for _, bound := range []ratelimit.ColdBound{
+	for _, odd := range [][3]float64{
 		{0.1, 1.5, 5}, {1, 1.5, 5}, {2, 1.5, 5}, {5, 1.5, 5}, {40, 1.5, 5}, {1000, 1.5, 5}, {5, 1, 0}, {10, 1, 0}, {3, 1, 2}, {1, 100, 0}, {20, 0, 9},
 	} {
+		bound := ratelimit.ColdBound{PerSecond: odd[0], Overage: odd[1], Tolerance: odd[2]}
 		limit := bound.Limit()
 		most := bound.PerSecond*bound.Overage + bound.Tolerance
 		assert.Assert(t, limit.PerSecond > 0 && limit.PerSecond <= bound.PerSecond && limit.Owners >= 1, "%+v: %+v", bound, limit)
--- a/core/request/balance/engine.go
+++ b/core/request/balance/engine.go
@@ -166,13 +166,13 @@
 	for _, state := range atLimit {
 		r.addSource(state, state.cache.prefix(now, keys))
 	}
-	for _, e := range c.view.Draining(request.Service) {
+	for _, e := range c.inRegions(c.view.Draining(request.Service), request.Regions) {
 		if state := c.states[e.ID]; state != nil && state.isAliveDraining(now) {
 			r.addSource(state, state.cache.prefix(now, keys))
 		}
 	}
 	for _, state := range c.removed {
-		if state.entry.Service == request.Service && state.isAliveRemoved(now) {
+		if state.entry.Service == request.Service && c.IsInRegions(state.entry, request.Regions) && state.isAliveRemoved(now) {
 			r.addSource(state, state.cache.prefix(now, keys))
 		}
 	}
--- a/core/version/routetable/routetable.go
+++ b/core/version/routetable/routetable.go
@@ -53,6 +53,7 @@
 	IsAnonymous bool
 	// IsResumable streams may run more than once.
 	IsResumable bool
+	Homes       Homes
 }
 
 // IsRetryable reports whether a request that may have run can be retried.
@@ -83,6 +84,7 @@
 	Name string
 	// Priority overrides the route's priority unless nil.
 	Priority *int
+	Homes    Homes
 }
 
 // Credentials are the secrets of one account.
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -372,6 +372,7 @@
 	b := presence.Beacon{
 		Instance:   settings.Instance,
 		Zone:       settings.Zone,
+		Region:     settings.Region,
 		Address:    settings.Callers,
 		Peer:       settings.Peers.String(),
 		Start:      c.start,
@@ -560,7 +561,7 @@
 func (c *control) publishLive(now time.Duration) []*presence.Member {
 	live := c.presence.Live(now)
 	isSame := slices.EqualFunc(live, c.state.live, func(a, b *presence.Member) bool {
-		return a.Instance == b.Instance && a.Address == b.Address && a.IsServing == b.IsServing
+		return a.Instance == b.Instance && a.Address == b.Address && a.IsServing == b.IsServing && a.Region == b.Region
 	})
 	if isSame {
 		c.logLive(now)
--- a/fleet/process/hosted/directory.go
+++ b/fleet/process/hosted/directory.go
@@ -1,11 +1,15 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"time"
 
+	"gentianhead/core/process/entry"
+	"gentianhead/core/process/presence"
 	"gentianhead/core/process/table"
 	"gentianhead/fleet/process/boottime"
 	"gentianhead/fleet/process/watch"
@@ -45,7 +49,7 @@
 		http.NotFound(w, request)
 		return
 	}
-	answer, err := platform.EncodeResolved(r.addresses(), r.addressTTL())
+	answer, err := platform.EncodeResolved(r.addresses(request.URL.Query()), r.addressTTL())
 	if err != nil {
 		r.log.Error("Encoding addresses failed.", "error", err)
 		http.Error(w, "internal error", http.StatusInternalServerError)
@@ -55,23 +59,35 @@
 	_, _ = w.Write(answer)
 }
 
-// addresses returns the addresses of the routers that serve callers. If there are
-// none, it returns this router's own, so that the response is never empty.
-func (r *Router) addresses() []string {
+// addresses returns the addresses of the routers that serve callers, those in the caller's
+// region first. If there are none, it returns this router's own, so that the response is never
+// empty.
+func (r *Router) addresses(query url.Values) []string {
 	current := r.control.current.Load()
-	var addresses []string
+	var routers []entry.Located
 	for _, member := range current.live {
 		if member.IsServing {
-			addresses = append(addresses, member.Address)
+			routers = append(routers, entry.Located{Address: member.Address, Region: r.regionOf(member)})
 		}
 	}
-	if r.isReady() || len(addresses) == 0 {
-		addresses = append(addresses, r.settings.Callers)
+	if r.isReady() || len(routers) == 0 {
+		routers = append(routers, entry.Located{Address: r.settings.Callers, Region: r.settings.Region})
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	rand.Shuffle(len(routers), func(i, j int) { routers[i], routers[j] = routers[j], routers[i] })
+	var homes []string
+	if current.table != nil {
+		homes = current.table.HomesOf(query.Get("Name"))
+	}
+	addresses := entry.ByRegion(routers, query.Get("Region"), homes)
 	return addresses[:min(len(addresses), maxAddresses)]
 }
 
+// regionOf returns the region of another router. That of an older release, which doesn't state
+// it, is in this router's if its zone is in no known one.
+func (r *Router) regionOf(member *presence.Member) string {
+	return cmp.Or(member.Region, r.control.settings.Load().Regions[member.Zone], r.settings.Region)
+}
+
 // putAddress writes a row in the table of routers.
 func (r *Router) putAddress(ctx context.Context, put table.Put) error {
 	_, err := r.store.Table(tableRouters).Commit(ctx, table.Transaction{Puts: []table.Put{put}})
--- a/fleet/process/hosted/hosted_test.go
+++ b/fleet/process/hosted/hosted_test.go
@@ -35,6 +35,8 @@
 	stops    []context.CancelFunc
 	ended    []chan error
 	port     uint16
+	// adjust changes the settings of a router before it starts; nil for none.
+	adjust func(number int, settings *platform.Settings)
 }
 
 const hostName = "a.example"
@@ -57,7 +59,13 @@
 
 func newFleet(t *testing.T, size int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: platformtest.NewStore(), endpoint: platformtest.NewEndpoint("e-1")}
+	return newAdjustedFleet(t, size, nil)
+}
+
+// newAdjustedFleet returns a fleet whose routers have settings that adjust changes.
+func newAdjustedFleet(t *testing.T, size int, adjust func(number int, settings *platform.Settings)) *fleet {
+	t.Helper()
+	f := &fleet{t: t, adjust: adjust, store: platformtest.NewStore(), endpoint: platformtest.NewEndpoint("e-1")}
 	t.Cleanup(f.store.Close)
 	t.Cleanup(f.endpoint.Close)
 	f.store.Put(platform.TableOperator, platform.KeyConfiguration, configuration(1, "first"))
@@ -123,6 +131,10 @@
 		MemoryBytes: 1 << 30, MaxOpenFiles: 1000, MaxRevocationDelay: 5 * time.Second, MaxActivationDelay: 3 * time.Second, MaxWithdrawalDelay: 2 * time.Second,
 		Grace: 8 * time.Second, AddressTTL: 5 * time.Second, LoadFactor: 2, RetryRatio: 0.2, RetrySlack: 50,
 		RetryWindow: 10 * time.Second, PrefixReuseWindow: 10 * time.Second,
+		Regions: map[string]string{"zone-1": "region-1"}, ColdOverage: 1.5, ColdTolerance: 5,
+	}
+	if f.adjust != nil {
+		f.adjust(number, settings)
 	}
 	router, err := New(settings, slog.New(slog.DiscardHandler))
 	assert.NilError(f.t, err)
@@ -172,9 +184,12 @@
 	return response.StatusCode
 }
 
-func (f *fleet) resolve(number int) []string {
+func (f *fleet) resolve(number int) []string { return f.resolveFor(number, "Name="+hostName) }
+
+// resolveFor returns what a router's directory answers to a query.
+func (f *fleet) resolveFor(number int, query string) []string {
 	f.t.Helper()
-	response, err := http.Get("http://" + f.routers[number].settings.Directory + platform.ResolvePath + "?Name=" + hostName)
+	response, err := http.Get("http://" + f.routers[number].settings.Directory + platform.ResolvePath + "?" + query)
 	if err != nil {
 		return nil
 	}
--- a/fleet/process/hosted/reload.go
+++ b/fleet/process/hosted/reload.go
@@ -31,6 +31,7 @@
 	for _, skipped := range settings.Skipped {
 		c.log.Warn("A setting was skipped.", "setting", skipped.Key, "line", skipped.Line, "reason", skipped.Reason)
 	}
+	c.balancer.SetRegions(settings.Regions)
 	c.balancer.SetColdBounds(settings.ColdOverage, settings.ColdTolerance)
 }
 
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -82,6 +82,13 @@
 	b.core.SetColdBounds(overage, tolerance)
 }
 
+// SetRegions replaces the regions of zones.
+func (b *Balancer) SetRegions(regions map[string]string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.SetRegions(regions)
+}
+
 // SetView replaces the endpoints that accept new requests.
 func (b *Balancer) SetView(view *endpoints.View) {
 	b.mu.Lock()
@@ -304,10 +311,16 @@
 	return b.core.IsWithheld(p)
 }
 
-// mayReceive reports whether the endpoint of a placement may still be sent its request.
-func (b *Balancer) mayReceive(p *balance.Placement) bool {
+// mayReceive reports whether the endpoint of a placement may still be sent its request, which
+// may be sent to some regions only.
+func (b *Balancer) mayReceive(p *balance.Placement, homes routetable.Homes) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.core.IsInRegions(p.Endpoint, homes) {
+		b.core.Withhold(p)
+		homesWithheld.Add(1)
+		return false
+	}
 	mayReceive := b.core.MayReceive(boottime.Now(), p)
 	if !mayReceive && p.IsCold() {
 		coldWithheld.Add(1)
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -69,6 +69,7 @@
 		if failure := r.checkStop(c, remaining(ctx)); failure != nil {
 			return failure
 		}
+		c.homes = c.currentHomes(r.options.State())
 		placement, refusal := r.place(c)
 		if refusal != balance.Accepted {
 			return refusalFailure(refusal)
@@ -107,13 +108,16 @@
 
 func (c *call) placementRequest() balance.PlacementRequest {
 	return balance.PlacementRequest{
-		Service: c.service, Prompt: c.metadata.Prompt, Target: c.route.TargetLatency, Excluded: c.excluded,
+		Service: c.service, Prompt: c.metadata.Prompt, Target: c.route.TargetLatency, Excluded: c.excluded, Regions: c.homes,
 		Flow: fairness.Flow{Account: c.accountName(), Rank: c.priority()}, Repeat: uint64(c.parts[len(c.parts)-1].Key),
 	}
 }
 
 func refusalFailure(refusal balance.Refusal) *failure {
 	switch refusal {
+	case balance.OutsideRegions:
+		homesRefused.Add(1)
+		return newFailure(kindNoEndpoint, "no endpoint of the service is in a region to which the request may be sent").withRetryAfter(retryNoEndpoint)
 	case balance.NoEndpoint:
 		return newFailure(kindNoEndpoint, "no endpoint of the service is known").withRetryAfter(retryNoEndpoint)
 	case balance.Away:
@@ -214,7 +218,9 @@
 		Body:    c.body,
 		// Without an id, a response on a reused connection can't be told from another's.
 		IsSingleUse: !c.route.IsRetryable() || c.metadata.AttemptID == "",
-		MayWrite:    func() bool { return r.options.Balancer.mayReceive(placement) && !r.isQuarantined(c) },
+		MayWrite: func() bool {
+			return r.options.Balancer.mayReceive(placement, c.currentHomes(r.options.State())) && !r.isQuarantined(c)
+		},
 	})
 	if !errors.Is(err, transport.ErrNotSent) {
 		c.sends++
--- a/fleet/request/relay/metrics.go
+++ b/fleet/request/relay/metrics.go
@@ -30,6 +30,11 @@
 	ownedColdLimits = expvar.NewInt("relay_owned_cold_limits")
 	coldPlaced      = expvar.NewInt("relay_cold_placed")
 	coldWithheld    = expvar.NewInt("relay_cold_withheld")
+	// homesRefused counts requests refused since their service has no endpoint in a region to
+	// which they may be sent, and homesWithheld those not written since the configuration
+	// changed.
+	homesRefused  = expvar.NewInt("relay_outside_regions")
+	homesWithheld = expvar.NewInt("relay_outside_regions_withheld")
 	// quarantined is the number of prompt parts in quarantine.
 	quarantined = expvar.NewInt("relay_quarantined_parts")
 	// firstByteTime and requestTime cover successful requests only.
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -101,6 +101,8 @@
 	mayHaveRun bool
 	// excluded are the endpoints already tried.
 	excluded []string
+	// homes are the regions to which the next attempt may be sent.
+	homes routetable.Homes
 	// reserved is the place of the next attempt if the latest was given up for it.
 	reserved *reservation
 	// attempts are the sends with the reason why each ended, logged when the request
