--- a/fleet/process/hosted/hosted_test.go
+++ b/fleet/process/hosted/hosted_test.go
@@ -169,7 +169,12 @@
 
 func (f *fleet) status(number int, secret, id string) int {
 	f.t.Helper()
-	request, err := http.NewRequest(http.MethodPost, "http://"+f.routers[number].settings.Callers+"/orders/1", strings.NewReader("order"))
+	return f.statusAt(number, "/orders/1", secret, id)
+}
+
+func (f *fleet) statusAt(number int, path, secret, id string) int {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.routers[number].settings.Callers+path, strings.NewReader("order"))
 	assert.NilError(f.t, err)
 	request.Host = hostName
 	request.Header.Set("Authorization", "Token "+secret)
