--- a/fleet/soak/check_test.go
+++ b/fleet/soak/check_test.go
@@ -19,7 +19,7 @@
 	for _, a := range h.recorder.attempts {
 		known[a.id] = a
 	}
-	for _, endpoint := range slices.Concat(h.crashes.all, h.endpoints, h.slow) {
+	for _, endpoint := range slices.Concat(h.crashes.all, h.endpoints, h.slow, h.cold) {
 		for _, run := range endpoint.Runs() {
 			id := run.Header.Get("Gentianhead-Attempt-Id")
 			runs[id]++
@@ -43,6 +43,7 @@
 	h.checkDrains()
 	h.checkCrashes()
 	h.checkLimits()
+	h.checkCold()
 	h.checkConnections(runs)
 	h.checkStops()
 	h.t.Logf("%d requests, %d served", len(h.recorder.attempts), served)
--- a/fleet/soak/soak_test.go
+++ b/fleet/soak/soak_test.go
@@ -49,6 +49,8 @@
 	crashes         crashes
 	drains          []drain
 	limits          []*limitedEndpoint
+	// cold are the endpoints that started cold.
+	cold []*platformtest.Endpoint
 	// slow are the endpoints whose answers take long, slowKinds the routes to them.
 	slow      []*platformtest.Endpoint
 	slowKinds []kind
@@ -144,7 +146,7 @@
 	chat["Service"], chat["SessionAffinity"] = serviceOf(kindChat), true
 	price["Service"] = serviceOf(kindPrice)
 	routes = append(routes, chat, price)
-	services := []any{map[string]any{"Name": "pool"}, map[string]any{"Name": serviceOf(kindChat)}, map[string]any{"Name": serviceOf(kindPrice)}}
+	services := []any{map[string]any{"Name": "pool", "ColdStartS": coldTime.Seconds(), "ColdPerS": coldPerSecond}, map[string]any{"Name": serviceOf(kindChat)}, map[string]any{"Name": serviceOf(kindPrice)}}
 	for _, k := range h.slowKinds {
 		routeType := "unsafe"
 		if k.isStream() {
@@ -387,6 +389,7 @@
 		wg.Go(func() { c.run(stop) })
 	}
 	wg.Go(func() { h.replaceCrashed(stop) })
+	wg.Go(func() { h.startCold(stop) })
 	for _, limited := range h.limits {
 		seed := h.random.Uint64()
 		wg.Go(func() { limited.run(seed, stop) })
