--- a/core/request/balance/engine.go
+++ b/core/request/balance/engine.go
@@ -88,7 +88,7 @@
 		}
 		extra, candidatePrefill := reuse.cost(i)
 		random := c.random() * (1 + spread)
-		if c.limits.IsLimited(state.process) {
+		if c.isLimited(now, state) {
 			random = 0
 		}
 		cost := float64(state.own.Prefill+state.peers.Prefill+running*streamTokens) + extra + random
@@ -166,18 +166,19 @@
 	for _, state := range atLimit {
 		r.addSource(state, state.cache.prefix(now, keys))
 	}
-	for _, e := range c.view.Draining(request.Service) {
+	for _, e := range c.inRegions(c.view.Draining(request.Service), request.Regions) {
 		if state := c.states[e.ID]; state != nil && !c.isEvacuated(e) && state.isAliveDraining(now) {
 			r.addSource(state, state.cache.prefix(now, keys))
 		}
 	}
 	for _, state := range c.removed {
-		if state.entry.Service == request.Service && !c.isEvacuated(state.entry) && state.isAliveRemoved(now) {
+		isAllowed := c.IsInRegions(state.entry, request.Regions) && !c.isEvacuated(state.entry)
+		if state.entry.Service == request.Service && isAllowed && state.isAliveRemoved(now) {
 			r.addSource(state, state.cache.prefix(now, keys))
 		}
 	}
 	if shared := len(r.parts) - 1; shared > 0 && r.mostHeld < shared {
-		r.missing = c.missShares(r.parts[shared-1].ID, candidates)
+		r.missing = c.missShares(now, r.parts[shared-1].ID, candidates)
 	}
 	return r
 }
@@ -251,8 +252,8 @@
 // missShares returns the share of a part that each candidate is expected to lack,
 // by its rank in the rendezvous order of the part. Engines with a limit are homes only if
 // there are no others: which of them allow a request differs between routers.
-func (c *Core) missShares(part string, candidates []*endpointState) []float64 {
-	isLimited := func(s *endpointState) bool { return c.limits.IsLimited(s.process) }
+func (c *Core) missShares(now time.Duration, part string, candidates []*endpointState) []float64 {
+	isLimited := func(s *endpointState) bool { return c.isLimited(now, s) }
 	areAllLimited := !slices.ContainsFunc(candidates, func(s *endpointState) bool { return !isLimited(s) })
 	shares := make([]float64, len(candidates))
 	first, second := -1, -1
--- a/core/version/routetable/routetable.go
+++ b/core/version/routetable/routetable.go
@@ -53,6 +53,7 @@
 	IsAnonymous bool
 	// IsResumable streams may run more than once.
 	IsResumable bool
+	Homes       Homes
 }
 
 // IsRetryable reports whether a request that may have run can be retried.
@@ -65,6 +66,10 @@
 	Name string
 	// Engine is nil for plain services.
 	Engine *Engine
+	// ColdStart is how long an endpoint is cold after it started, and ColdPerSecond the rate
+	// above which it crashes meanwhile, in requests per second; zero if it has no limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Engine describes the model engines of a service.
@@ -79,6 +84,7 @@
 	Name string
 	// Priority overrides the route's priority unless nil.
 	Priority *int
+	Homes    Homes
 }
 
 // Credentials are the secrets of one account.
@@ -106,6 +112,8 @@
 	// there is none. Any account sets it as well.
 	RequiresAccount bool
 	Limits          Limits
+	// Skipped are the values that were skipped since they can't be read, for the log.
+	Skipped []string
 }
 
 // Table is the indexed form of a version.
--- a/fleet/process/hosted/caches.go
+++ b/fleet/process/hosted/caches.go
@@ -46,7 +46,10 @@
 	var share []endpoints.Entry
 	for _, e := range c.endpoints.View().All() {
 		service, known := c.state.table.Service(e.Service)
-		if known && service.Engine != nil && !evacuation.Contains(c.state.evacuated, e.Zone) && c.handover.IsOwnEngine(e.ID, c.state.live) {
+		// A cold engine has started lately and has little cached, and a query is a request.
+		isCold := known && e.ColdUntil(service.ColdStart) > now
+		isExcluded := isCold || evacuation.Contains(c.state.evacuated, e.Zone)
+		if known && !isExcluded && service.Engine != nil && c.handover.IsOwnEngine(e.ID, c.state.live) {
 			share = append(share, e)
 		}
 	}
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"gentianhead/core/process/endpoints"
+	"gentianhead/core/process/entry"
 	"gentianhead/core/process/evacuation"
 	"gentianhead/core/process/freshness"
 	"gentianhead/core/process/handover"
@@ -63,8 +64,8 @@
 	configuration *encodedConfiguration
 	// live are the other routers that sent a beacon recently.
 	live []*presence.Member
-	// addresses are those of the other routers that callers may be given.
-	addresses []string
+	// listed are the other routers that callers may be given.
+	listed []entry.Located
 }
 
 // isReady reports whether callers should use this router.
@@ -89,7 +90,7 @@
 	current  atomic.Pointer[state]
 	// dropped counts beacons dropped because the queue was full.
 	dropped atomic.Int64
-	// listedAt is when the addresses in the state were last known to be current.
+	// listedAt is when the list in the state was last known to be current.
 	listedAt atomic.Int64
 
 	state     state
@@ -165,6 +166,7 @@
 	c.settings.Store(settings)
 	c.sync.init(store, c.bounds)
 	balancer.SetFleet(settings.Instance, nil)
+	c.applyBounds(settings)
 	c.addSeeds(boottime.Now())
 	c.publish()
 	return c
@@ -388,6 +390,7 @@
 	b := presence.Beacon{
 		Instance:   settings.Instance,
 		Zone:       settings.Zone,
+		Region:     settings.Region,
 		Address:    settings.Callers,
 		Peer:       settings.Peers.String(),
 		Start:      c.start,
@@ -553,6 +556,9 @@
 	if !table.RequiresAccount() && c.settings.Load().RequiresAccount {
 		c.log.Error("The configuration has no list of client accounts. All requests that need one are refused.", "version", spec.Version)
 	}
+	for _, skipped := range spec.Skipped {
+		c.log.Warn("A value of the configuration was skipped.", "version", spec.Version, "reason", skipped)
+	}
 	c.state.table = table
 	c.state.newestVersion = max(c.state.newestVersion, table.Version)
 	c.tableEra = c.sync.era
@@ -575,9 +581,9 @@
 // publishLive publishes the live routers if they changed, and returns them.
 func (c *control) publishLive(now time.Duration) []*presence.Member {
 	live := c.presence.Live(now)
-	c.listAddresses(now, live)
+	c.listRouters(now, live)
 	isSame := slices.EqualFunc(live, c.state.live, func(a, b *presence.Member) bool {
-		return a.Instance == b.Instance && a.Address == b.Address && a.IsServing == b.IsServing
+		return a.Instance == b.Instance && a.Address == b.Address && a.IsServing == b.IsServing && a.Region == b.Region
 	})
 	if isSame {
 		c.logLive(now)
--- a/fleet/process/hosted/directory_test.go
+++ b/fleet/process/hosted/directory_test.go
@@ -15,15 +15,15 @@
 	c, others := newControlWithPeers(t, 3)
 	r := &Router{control: c, settings: c.settings.Load()}
 	c.publishLive(boottime.Now())
-	assert.Equal(t, len(r.addresses()), 3)
+	assert.Equal(t, len(r.addresses(nil)), 3)
 	c.listedAt.Add(-int64(maxListAge + time.Second))
-	assert.DeepEqual(t, r.addresses(), []string{r.settings.Callers})
+	assert.DeepEqual(t, r.addresses(nil), []string{r.settings.Callers})
 	c.tick()
-	assert.Equal(t, len(r.addresses()), 3)
+	assert.Equal(t, len(r.addresses(nil)), 3)
 
 	late, _ := newControlWithPeers(t, 0)
 	r = &Router{control: late, settings: late.settings.Load()}
 	late.handleEvent(beaconReceived{others[0], boottime.Now() - 8*time.Second})
 	late.publishLive(boottime.Now())
-	assert.DeepEqual(t, r.addresses(), []string{r.settings.Callers})
+	assert.DeepEqual(t, r.addresses(nil), []string{r.settings.Callers})
 }
--- a/fleet/request/relay/metrics.go
+++ b/fleet/request/relay/metrics.go
@@ -29,6 +29,18 @@
 	evacuatedEndpoints = expvar.NewInt("relay_evacuated_endpoints")
 	evacuatedRunning   = expvar.NewInt("relay_evacuated_running")
 	evacuatedWithheld  = expvar.NewInt("relay_evacuated_withheld")
+	// coldEndpoints is the number of endpoints that are cold, ownedColdLimits that of those to
+	// which this router may send requests, coldPlaced counts requests placed on cold endpoints
+	// and coldWithheld those that waited for a connection too long and were not written.
+	coldEndpoints   = expvar.NewInt("relay_cold_endpoints")
+	ownedColdLimits = expvar.NewInt("relay_owned_cold_limits")
+	coldPlaced      = expvar.NewInt("relay_cold_placed")
+	coldWithheld    = expvar.NewInt("relay_cold_withheld")
+	// homesRefused counts requests refused since their service has no endpoint in a region to
+	// which they may be sent, and homesWithheld those not written since the configuration
+	// changed.
+	homesRefused  = expvar.NewInt("relay_outside_regions")
+	homesWithheld = expvar.NewInt("relay_outside_regions_withheld")
 	// quarantined is the number of prompt parts in quarantine.
 	quarantined = expvar.NewInt("relay_quarantined_parts")
 	// firstByteTime and requestTime cover successful requests only.
