--- a/core/request/ratelimit/cold.go
+++ b/core/request/ratelimit/cold.go
@@ -15,7 +15,7 @@
 	coldDoubling = 2
 	// coldMargin is the fraction of the bound that is used. The rest covers requests that are
 	// written up to ColdTokenTTL after their token was taken.
-	coldMargin = 0.9
+	coldMargin = 0.95
 	// minColdOwners is the number of owners of a cold limit, so that the loss of one leaves
 	// another, and coldRatePerOwner the rate in requests per second from which it has more.
 	minColdOwners, coldRatePerOwner = 2, 4
--- a/fleet/explain/report.go
+++ b/fleet/explain/report.go
@@ -55,6 +55,8 @@
 	msgFailed   = "relay: Request failed."
 	// msgRate is logged when an endpoint begins, changes or ends a stated request rate.
 	msgRate = "balance: The request rate of an endpoint changed."
+	// msgCold is logged when an endpoint becomes cold or warm.
+	msgCold = "balance: Whether an endpoint is cold changed."
 )
 
 // stateMessages holds the messages about state of the request's router that affects
@@ -111,14 +113,15 @@
 	return found[max(0, len(found)-maxEvents):]
 }
 
-// statedRates returns the lines with the request rates that were known to a report's router
-// for the endpoints of its service: the latest line of each.
+// statedRates returns the lines with the request rates, and with the cold times, that were known
+// to a report's router for the endpoints of its service: the latest line of each.
 func statedRates(lines []Line, report *Report) []Line {
-	latest := make(map[string]Line)
+	latest := make(map[[2]string]Line)
 	for _, line := range lines {
-		isKnown := line.Message == msgRate && line.Router == report.Router && line.Service == report.Service
-		if isKnown && !line.Time.After(report.EndedAt) && !line.Time.Before(latest[line.Endpoint].Time) {
-			latest[line.Endpoint] = line
+		isKnown := (line.Message == msgRate || line.Message == msgCold) && line.Router == report.Router && line.Service == report.Service
+		key := [2]string{line.Message, line.Endpoint}
+		if isKnown && !line.Time.After(report.EndedAt) && !line.Time.Before(latest[key].Time) {
+			latest[key] = line
 		}
 	}
 	return slices.Collect(maps.Values(latest))
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -124,7 +124,7 @@
 		return newFailure(kindOverloaded, "all endpoints of the service are leaving or take no requests for now").withRetryAfter(retryOverloaded)
 	}
 	if refusal == balance.AtLimit {
-		return newFailure(kindAtLimit, "all endpoints of the service are at the request rates that they state").withRetryAfter(retryOverloaded)
+		return newFailure(kindAtLimit, "all endpoints of the service are at the request rates that they state, or that they take while they are cold").withRetryAfter(retryOverloaded)
 	}
 	return newFailure(kindOverloaded, "all endpoints of the service are at capacity").withRetryAfter(retryOverloaded)
 }
