Plain services under pressure: refuse before queues overflow, return in time

Cause: each of many routers fills few servers up to the target latency, as of reports that are some hundred milliseconds old. Refused callers came back after a third of their time left, so all that were served then were late.

Change: the younger of a server's stated load and the reports is used, the latter extrapolated; what a server holds is learned from its rejections; refusals begin at half of the target or of that; retries return within a third of the target. Only with the setting 'pressure', or where an endpoint states its slowness.

--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -126,6 +126,7 @@
 	peers        presence.Work
 	reportedLoad exchange.Load
 	reportedAt   time.Duration
+	capacity     heldCapacity
 	breaker      breaker.Breaker
 	cache        *cache
 	// unreachableBy is how many other routers report that they can't connect to it.
@@ -161,6 +162,9 @@
 	limits           *ratelimit.Core
 	rateChanges      []RateChange
 	random           func() float64
+	options          Options
+	// isSlownessStated is set once an endpoint has stated a slowness.
+	isSlownessStated bool
 }
 
 // New returns a core without endpoints. No engine should exceed loadFactor times
@@ -438,6 +442,7 @@
 // RecordLoad records the load that an endpoint reported with a response.
 func (c *Core) RecordLoad(now time.Duration, id string, load exchange.Load) {
 	if state, known := c.states[id]; known {
+		c.isSlownessStated = c.isSlownessStated || load.Slowness > 0
 		state.reportedLoad, state.reportedAt = load, now
 	}
 }
--- a/core/request/balance/balancetest/engine.go
+++ b/core/request/balance/balancetest/engine.go
@@ -133,9 +133,7 @@
 	}
 	took := e.options.Step + time.Duration(len(e.batch))*e.options.StepPerSlot +
 		time.Duration(float64(prefill)/e.options.PrefillPerMS*float64(time.Millisecond))
-	if slow := e.fleet.options.SlowFactor; slow != nil {
-		took = time.Duration(float64(took) * slow(e.id, e.fleet.now))
-	}
+	took = time.Duration(float64(took) * e.fleet.slowFactor(e.id))
 	e.fleet.after(took, e.finishStep)
 }
 
--- a/core/request/balance/balancetest/fleet.go
+++ b/core/request/balance/balancetest/fleet.go
@@ -27,6 +27,9 @@
 // linkDelay is the one-way latency between two processes.
 const linkDelay = time.Millisecond
 
+// HastyDelay is the time after which callers with HastyRepeats repeat a refused request.
+const HastyDelay = 20 * time.Millisecond
+
 // Options describe a fleet.
 type Options struct {
 	Routers int
@@ -43,6 +46,8 @@
 	Engine    *Engine
 	// LoadFactor is the bound of an engine's load as a multiple of the mean.
 	LoadFactor float64
+	// IsPressured is the option of the placement cores.
+	IsPressured bool
 	// IsDown reports whether an endpoint refuses connections; nil means that none does.
 	IsDown func(endpoint string, at time.Duration) bool
 	// IsFailing reports whether an endpoint resets all requests; nil means that none
@@ -53,7 +58,8 @@
 	IsShedding     func(endpoint string, at time.Duration) bool
 	ShedDistance   time.Duration
 	IgnoresNotices bool
-	// SlowFactor returns the factor by which an engine's steps take longer; nil means one.
+	// SlowFactor returns the factor by which an engine's steps, or a plain server's work,
+	// take longer; nil means one.
 	SlowFactor func(endpoint string, at time.Duration) float64
 	// RestartAt is when all routers restart; zero means never. With ReportsCaches, they
 	// get reports of what engines hold immediately.
@@ -70,8 +76,12 @@
 	At time.Duration
 	// Work is the service time at a plain server.
 	Work time.Duration
-	// Account is the requesting client account.
+	// Account is the requesting client account, and Rank the request's rank.
 	Account string
+	Rank    int
+	// HastyRepeats is how often the caller repeats the request HastyDelay after a refusal,
+	// whatever the retry delay.
+	HastyRepeats int
 	// Prompt and Output, in tokens, are an engine's input and output.
 	Prompt *exchange.Prompt
 	Output int
@@ -132,6 +142,9 @@
 	away          map[awayKey]*awaySpan
 	// FailedConnections counts attempts at endpoints that were down.
 	FailedConnections int
+	// Offered counts the requests that arrived at endpoints, and Rejected those of them that
+	// the endpoint did not accept.
+	Offered, Rejected int
 	prefilledParts    map[string]bool
 }
 
@@ -186,6 +199,7 @@
 	for number := range f.options.Routers {
 		seed := rand.New(rand.NewPCG(f.options.Seed, uint64(number+100)))
 		core := balance.New(f.options.LoadFactor, 10*time.Second, seed.Float64)
+		core.SetOptions(balance.Options{IsPressured: f.options.IsPressured})
 		core.SetTable(table)
 		core.SetView(view)
 		core.Tick(f.clock())
@@ -224,7 +238,7 @@
 		if f.options.Engine != nil {
 			f.servers[id] = newEngine(f, id, *f.options.Engine)
 		} else {
-			f.servers[id] = &plainServer{fleet: f, options: f.options.Plain}
+			f.servers[id] = &plainServer{id: id, fleet: f, options: f.options.Plain}
 		}
 		f.list = append(f.list, f.servers[id])
 	}
@@ -237,6 +251,14 @@
 	return core.View(), table
 }
 
+// slowFactor returns the factor by which an endpoint's work takes longer now.
+func (f *Fleet) slowFactor(id string) float64 {
+	if f.options.SlowFactor == nil {
+		return 1
+	}
+	return f.options.SlowFactor(id, f.now)
+}
+
 func (f *Fleet) after(d time.Duration, run func()) {
 	f.events.Add(f.now+d, run)
 }
@@ -333,6 +355,14 @@
 // refuse ends a request, or schedules its caller's retry.
 func (f *Fleet) refuse(number int, result *Result) {
 	left := result.At + result.Deadline - f.now
+	if result.Retries < result.HastyRepeats && left > 0 {
+		result.Retries++
+		f.after(HastyDelay, func() {
+			result.IsRefused, result.IsUnanswered = false, true
+			f.attempt(f.random.IntN(len(f.routers)), result, nil)
+		})
+		return
+	}
 	if f.options.RetryDelay == nil || result.Retries > 0 || left <= 0 {
 		return
 	}
@@ -347,7 +377,7 @@
 	router := f.routers[number]
 	request := balance.PlacementRequest{
 		Service: Service, Prompt: result.Prompt, Target: result.Target, Excluded: excluded,
-		Flow: fairness.Flow{Account: result.Account}, Repeat: result.Repeat,
+		Flow: fairness.Flow{Account: result.Account, Rank: result.Rank}, Repeat: result.Repeat,
 	}
 	placement, refusal := router.Place(f.clock(), request)
 	if refusal != balance.Accepted {
@@ -385,7 +415,7 @@
 			f.after(linkDelay, func() {
 				result.Latency = f.now - result.At
 				result.IsUnanswered = false
-				if f.options.Engine != nil {
+				if f.options.Engine != nil || f.options.Plain.StatesLoad {
 					router.RecordLoad(f.clock(), id, load)
 				}
 				router.RecordFirstEvent(f.clock(), &placement)
@@ -394,10 +424,19 @@
 		done := func() {
 			f.after(linkDelay, func() { router.Done(f.clock(), &placement, breaker.Succeeded) })
 		}
+		f.Offered++
 		if target.offer(result.Request, f.servers[placement.CopyFrom], begun, done) {
 			return
 		}
+		f.Rejected++
+		load := target.load()
 		f.after(linkDelay, func() {
+			var stated *exchange.Load
+			if f.options.Plain.StatesLoad {
+				stated = &load
+				router.RecordLoad(f.clock(), id, load)
+			}
+			router.RecordRejection(f.clock(), &placement, stated)
 			router.Done(f.clock(), &placement, breaker.Neutral)
 			if excluded = append(excluded, id); len(excluded) < maxAttempts {
 				f.attempt(number, result, excluded)
--- a/core/request/balance/balancetest/plain.go
+++ b/core/request/balance/balancetest/plain.go
@@ -10,9 +10,13 @@
 // up to Queue in order of arrival and rejects others.
 type Plain struct {
 	Slots, Queue int
+	// StatesLoad is set if responses, rejections among them, state the server's load, and
+	// StatesSlowness if that has its slowness.
+	StatesLoad, StatesSlowness bool
 }
 
 type plainServer struct {
+	id      string
 	fleet   *Fleet
 	options Plain
 	running int
@@ -20,13 +24,18 @@
 }
 
 func (s *plainServer) load() exchange.Load {
-	return exchange.Load{Running: s.running, Waiting: len(s.waiting), Slots: s.options.Slots}
+	load := exchange.Load{Running: s.running, Waiting: len(s.waiting), Slots: s.options.Slots}
+	if s.options.StatesSlowness {
+		load.Slowness = int(100 * s.fleet.slowFactor(s.id))
+	}
+	return load
 }
 
 func (s *plainServer) offer(request Request, _ server, begun, done func()) bool {
 	run := func() {
 		s.running++
-		s.fleet.after(request.Work, func() {
+		work := time.Duration(float64(request.Work) * s.fleet.slowFactor(s.id))
+		s.fleet.after(work, func() {
 			s.running--
 			begun()
 			done()
--- a/core/request/balance/plain.go
+++ b/core/request/balance/plain.go
@@ -38,6 +38,9 @@
 // reach a server between two beacons. Few can reach one with a limit, which has few owners
 // and whose tokens are lost if they are not used.
 func (c *Core) pickPlain(now time.Duration, request PlacementRequest, candidates []*endpointState) *endpointState {
+	if c.isPressured(request.Service) {
+		return c.pickPressedPlain(now, request, candidates)
+	}
 	service := c.statsFor(request.Service)
 	if len(request.Excluded) == 0 {
 		service.demand.Record(now, request.Flow)
--- a/core/request/balance/reports.go
+++ b/core/request/balance/reports.go
@@ -11,6 +11,7 @@
 	work        map[presence.Key]presence.Work
 	unreachable []presence.Key
 	outcomes    []presence.Outcomes
+	routers     int
 }
 
 // WorkReport is the report of one router, or of a group of them, about its work at
@@ -54,7 +55,7 @@
 		c.addReport(old, -1)
 		c.reportInterval.AddSamples(now-old.at+2*received.Age, max(1, received.Routers))
 	}
-	r := report{at: now, work: received.Work, outcomes: received.Outcomes}
+	r := report{at: now, work: received.Work, outcomes: received.Outcomes, routers: received.Routers}
 	if len(received.Unreachable) <= int(maxUnreachableShare*float64(c.view.Len())) {
 		r.unreachable = received.Unreachable
 	}
--- a/core/request/balance/service.go
+++ b/core/request/balance/service.go
@@ -68,6 +68,9 @@
 func (c *Core) recordServiceTime(now time.Duration, p *Placement) {
 	if service, known := c.services[p.Endpoint.Service]; known && p.Endpoint.Slots > 0 {
 		perSlot := max(1, float64(p.Running+1)/float64(p.Endpoint.Slots))
+		if state := c.stateOf(p); state != nil && c.isPressured(p.Endpoint.Service) {
+			perSlot *= state.slowness(now)
+		}
 		service.serviceTime.Add(time.Duration(float64(now-p.placedAt) / perSlot))
 	}
 }
--- a/core/request/exchange/exchange.go
+++ b/core/request/exchange/exchange.go
@@ -69,6 +69,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowness is how long work takes at the endpoint now, in hundredths of the usual time;
+	// zero if it isn't stated.
+	Slowness int
 }
 
 // ResponseInfo is the metadata in the head of an endpoint's response.
--- a/core/request/retrydelay/retrydelay.go
+++ b/core/request/retrydelay/retrydelay.go
@@ -56,6 +56,17 @@
 	return late(maxDelay, random)
 }
 
+// InTime returns a delay after which the retry may still be in time: random up to a third of
+// the target latency, but at least twice MinDelay. left and random are as in Delay.
+//
+// While a service is overloaded for seconds, a later retry is refused as often as an early
+// one, and all that are served are late, in the place of others that would be in time.
+func InTime(target, left time.Duration, random float64) time.Duration {
+	maxDelay := max(MinDelay, time.Duration(maxDelayFraction*float64(left)))
+	latest := max(2*MinDelay, target/3)
+	return clamp(MinDelay+time.Duration(random*float64(latest-MinDelay)), maxDelay)
+}
+
 // late returns a random delay in the second half of the allowed time.
 func late(maxDelay time.Duration, random float64) time.Duration {
 	return clamp(time.Duration((0.5+random/2)*float64(maxDelay)), maxDelay)
--- a/core/request/retrydelay/retrydelay_test.go
+++ b/core/request/retrydelay/retrydelay_test.go
@@ -70,3 +70,14 @@
 		}
 	}
 }
+
+// Guards against retries that can only be late, and against a delay beyond what callers honour.
+func TestInTimeDelaysAreWithinThirdOfTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		target := time.Duration(rapid.IntRange(0, 3000).Draw(t, "target")) * time.Millisecond
+		left := time.Duration(rapid.IntRange(0, 15000).Draw(t, "left")) * time.Millisecond
+		delay := InTime(target, left, rapid.Float64Range(0, 0.999).Draw(t, "random"))
+		assert.Assert(t, delay >= MinDelay && delay <= max(2*MinDelay, target/3) && delay <= max(MinDelay, left/3), "%v of %v and %v", delay, target, left)
+	})
+	assert.Assert(t, InTime(300*time.Millisecond, time.Second, 0.1) != InTime(300*time.Millisecond, time.Second, 0.9), "retries are not spread")
+}
--- a/fleet/process/hosted/reload.go
+++ b/fleet/process/hosted/reload.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"gentianhead/core/request/balance"
 	"gentianhead/core/request/retry"
 	"gentianhead/fleet/process/boottime"
 	"gentianhead/platform"
@@ -21,6 +22,7 @@
 	c.state.lease = c.state.lease.WithBound(changed.MaxRevocationDelay)
 	c.state.maxDelay = changed.MaxActivationDelay
 	c.balancer.SetLimits(changed.LoadFactor, retryLimits(changed))
+	c.balancer.SetOptions(balance.Options{IsPressured: changed.HasPressure})
 	c.addSeeds(boottime.Now())
 	c.publish()
 }
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -255,6 +255,20 @@
 	}
 }
 
+// recordRejection records that the endpoint of a placement was full.
+func (b *Balancer) recordRejection(p *balance.Placement, load *exchange.Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.RecordRejection(boottime.Now(), p, load)
+}
+
+// SetOptions replaces the options of the placement core.
+func (b *Balancer) SetOptions(options balance.Options) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.SetOptions(options)
+}
+
 // isWithheld reports whether mayReceive has refused the request of a placement.
 func (b *Balancer) isWithheld(p *balance.Placement) bool {
 	b.mu.Lock()
@@ -315,8 +329,9 @@
 
 // retryDelay returns the delay after which the caller of a refused request should
 // retry. service is empty if the request matched none. fallback applies when the
-// service's capacity is unknown; left is the time until the caller's deadline.
-func (b *Balancer) retryDelay(service string, fallback, left time.Duration) time.Duration {
+// service's capacity is unknown; target is the target latency, zero if there is none, and left
+// the time until the caller's deadline.
+func (b *Balancer) retryDelay(service string, fallback, target, left time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delays, known := b.delays[service]
@@ -330,5 +345,8 @@
 	if wait, isLimited := b.core.LimitedFor(now, service); isLimited && !isAway {
 		opensIn = wait
 	}
+	if opensIn == 0 && target > 0 && b.core.IsPressured(service) {
+		return retrydelay.InTime(target, left, rand.Float64())
+	}
 	return delays.Delay(now, opensIn, capacity, fallback, left, rand.Float64())
 }
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -240,6 +240,9 @@
 		return result{failure: newFailure(kindFailed, "the endpoint answered another request"), mayHaveRun: true, breakerOutcome: breaker.Neutral}
 	case info.IsNotRun:
 		discardBody(response.Response)
+		if response.StatusCode == http.StatusServiceUnavailable && !info.IsLeaving && info.StayAwaySeconds == 0 {
+			r.options.Balancer.recordRejection(placement, info.Load)
+		}
 		return notRunResult(response.StatusCode)
 	case info.Signature == "":
 		_ = response.Body.Close()
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -190,13 +190,22 @@
 	return max(0, deadline-(boottime.Now()-c.startedAt))
 }
 
+// retryTarget returns the target latency within which a retry should be answered: zero for
+// failures other than a lack of capacity.
+func (c *call) retryTarget(f *failure) time.Duration {
+	if c.route == nil || f.kind != kindOverloaded && f.kind != kindRefused {
+		return 0
+	}
+	return c.route.TargetLatency
+}
+
 // defaultTimeout applies when neither the route nor the caller sets a limit.
 const defaultTimeout = time.Minute
 
 // finish records the end of a request and writes the error response if it failed.
 func (r *Relay) finish(c *call, failure *failure) {
 	if failure != nil && failure.retryAfter > 0 && failure.kind != kindQuarantined && failure.kind != kindStopping {
-		failure.retryAfter = r.options.Balancer.retryDelay(c.service, failure.retryAfter, c.callerTimeLeft())
+		failure.retryAfter = r.options.Balancer.retryDelay(c.service, failure.retryAfter, c.retryTarget(failure), c.callerTimeLeft())
 	}
 	recordMetrics(c, failure)
 	r.log(c, failure)
