Hostile: tests of processes under callers outside the limits

Crowds of callers on loopback at each kind of path of a process whose limits are lowered by its settings: unfinished heads of many fields, heads and fields without an end, bodies that stop short or are far over the limit, requests ahead without reading, silent and slow connections. Each checks that the process stays alive, its peak memory, its open descriptors, and that an ordinary request is answered afterwards.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,13 +11,15 @@
 # cache doesn't track the programs that they start, so -count=1 disables it.
 go test -race -count=1 -parallel 6 -timeout 10m ./fleet/e2e >"$processes" 2>&1 &
 beside=$!
-packages=$(go list ./core/... ./fleet/... ./measure/... ./platform/... ./standin/... | grep -v -e /e2e -e /soak)
+packages=$(go list ./core/... ./fleet/... ./measure/... ./platform/... ./standin/... | grep -v -e /e2e -e /soak -e /hostile)
 # shellcheck disable=SC2086
 go test -race -timeout 10m $packages 2>&1 | tee "$log" || status=$?
 wait "$beside" || status=$?
 tee -a "$log" <"$processes"
 # The soak checks bounds in real time, which a machine short of processor time can't keep.
 go test -race -count=1 -timeout 10m ./fleet/soak 2>&1 | tee -a "$log" || status=$?
+# These check the memory of processes under crowds, one process at a time.
+go test -count=1 -timeout 10m ./fleet/hostile 2>&1 | tee -a "$log" || status=$?
 known=$(sed -n 's/^test: //p' KNOWN-RED.txt)
 failed=$(sed -n 's/^ *--- FAIL: \([^ /]*\).*/\1/p' "$log" | sort -u)
 sed -n -e 's/^faults: /KNOWN RED at another seed: /p' -e 's/^open: /KNOWN OPEN: /p' KNOWN-RED.txt
