Limits of callers' connections apply to all listeners together

Cause: each listener counted its own connections, to 0.4 of the descriptors, or twice that for new ones, and net/http held heads up to 64 KiB whatever their fields take when parsed. 400 unfinished heads of 15 KiB took 130 MB with Limits.MemoryMb=64, and 150 connections at each of three listeners 468 descriptors with Limits.MaxFds=256.

serving.Pool holds the connections of all listeners within one budget of descriptors and one of memory, charged as bytes of a head arrive. A head of more than 256 fields, or over the limit in force, gets 431; HeaderTimeout and IdleTimeout of the configuration in force apply with each new version.

--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -18,6 +18,7 @@
 	"gentianhead/fleet/connection/beacon"
 	"gentianhead/fleet/connection/upstream"
 	"gentianhead/fleet/process/boottime"
+	"gentianhead/fleet/process/memory"
 	"gentianhead/fleet/process/serving"
 	"gentianhead/fleet/process/telemetry"
 	"gentianhead/fleet/request/relay"
@@ -28,11 +29,18 @@
 	// heapShare is the share of the process's memory used as the Go memory limit.
 	// The rest is for stacks, kernel buffers and data received but not yet read.
 	heapShare = 0.5
-	// bodyShare is the share of the memory that request bodies may use.
-	bodyShare = 0.2
-	// connectionShare is the share of the file descriptors that one listener may
-	// use; connections to endpoints need the others.
-	connectionShare = 0.4
+	// callerShare is the share of the memory that may be held for callers: connections, heads
+	// and bodies. With what the router holds for itself it is less than heapShare.
+	callerShare = 0.3
+	// reserveDivisor is the part of that memory that callers' requests leave to readiness checks
+	// and router lookups.
+	reserveDivisor = 10
+	// connectionShare is the share of the file descriptors that callers' connections at all
+	// listeners may use before some are closed, and maxConnectionShare the share that they never
+	// exceed. Each request in flight needs another for its endpoint, and the store and the other
+	// routers need some.
+	connectionShare    = 0.4
+	maxConnectionShare = 0.45
 	// maxHeaderBytes and headerTimeout limit request headers. They are above the
 	// limits that operators set.
 	maxHeaderBytes = 64 << 10
@@ -78,6 +86,14 @@
 		beacons:  beacons,
 	}
 	balancer := relay.NewBalancer(settings.LoadFactor, settings.PrefixReuseWindow, retryLimits(settings), telemetry.ComponentLogger(logger, "balance"))
+	budget := memory.NewBudget(int64(callerShare * float64(settings.MemoryBytes)))
+	pool := serving.NewPool(serving.PoolOptions{
+		MaxConns:     int(connectionShare * float64(settings.MaxOpenFiles)),
+		HardMaxConns: int(maxConnectionShare * float64(settings.MaxOpenFiles)),
+		Memory:       budget,
+		Log:          telemetry.ComponentLogger(logger, "serving"),
+	})
+	poolSource.Store(pool)
 	r.control = newControl(settings, balancer, beacons, r.store, telemetry.ComponentLogger(logger, "control"))
 	r.relay = relay.New(relay.Options{
 		State:      r.relayState,
@@ -85,22 +101,34 @@
 		Balancer:   balancer,
 		Upstream:   r.upstream,
 		Log:        telemetry.ComponentLogger(logger, "relay"),
-		BodyMemory: int64(bodyShare * float64(settings.MemoryBytes)),
+		BodyMemory: budget.Limit(),
 	})
 	options := serving.Options{
 		MaxConns:      int(connectionShare * float64(settings.MaxOpenFiles)),
 		HeaderBytes:   maxHeaderBytes,
 		HeaderTimeout: headerTimeout,
 		MinIdleTime:   minIdleTime,
+		Pool:          pool,
+		Limits:        r.callerLimits,
 	}
+	r.readiness = serving.New(serving.WithoutBodies(http.HandlerFunc(r.serveReadiness)), options)
+	r.directory = serving.New(serving.WithoutBodies(http.HandlerFunc(r.serveAddresses)), options)
+	options.MemoryReserve = budget.Limit() / reserveDivisor
 	r.callers = serving.New(r.relay, options)
-	r.readiness = serving.New(http.HandlerFunc(r.serveReadiness), options)
-	r.directory = serving.New(http.HandlerFunc(r.serveAddresses), options)
-	options.MaxConns = maxCopyConnections
+	options.MaxConns, options.Pool, options.Limits, options.MemoryReserve = maxCopyConnections, nil, nil, 0
 	r.copies = serving.New(r.copyServer(), options)
 	return r, nil
 }
 
+// callerLimits returns the limits of the configuration in force.
+func (r *Router) callerLimits() serving.Limits {
+	table := r.control.current.Load().table
+	if table == nil {
+		return serving.Limits{}
+	}
+	return serving.Limits{HeaderBytes: table.Limits.HeaderBytes, HeaderTimeout: table.Limits.HeaderTimeout, IdleTimeout: table.Limits.IdleTimeout}
+}
+
 func (r *Router) relayState() relay.State {
 	current := r.control.current.Load()
 	return relay.State{
--- a/fleet/process/hosted/metrics.go
+++ b/fleet/process/hosted/metrics.go
@@ -10,6 +10,7 @@
 
 	"gentianhead/core/process/staleness"
 	"gentianhead/fleet/process/boottime"
+	"gentianhead/fleet/process/serving"
 	"gentianhead/fleet/process/telemetry"
 )
 
@@ -19,6 +20,9 @@
 // metricsSource is the control loop that the metrics read from.
 var metricsSource atomic.Pointer[control]
 
+// poolSource holds the callers' connections that the metrics read from.
+var poolSource atomic.Pointer[serving.Pool]
+
 // newsSent counts the news of crashes that was sent before the next round of beacons.
 var newsSent = expvar.NewInt("control_crash_news_sent")
 
@@ -52,6 +56,17 @@
 			return 0.0
 		}))
 	}
+	for name, read := range map[string]func(*serving.Pool) int64{
+		"serving_connections":  func(p *serving.Pool) int64 { return int64(p.Conns()) },
+		"serving_memory_bytes": (*serving.Pool).Memory,
+	} {
+		expvar.Publish(name, expvar.Func(func() any {
+			if p := poolSource.Load(); p != nil {
+				return read(p)
+			}
+			return 0
+		}))
+	}
 	for name, sample := range map[string]string{
 		"runtime_heap_bytes": "/memory/classes/heap/objects:bytes",
 		"runtime_goroutines": "/sched/goroutines:goroutines",
--- a/fleet/process/serving/conn.go
+++ b/fleet/process/serving/conn.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -17,14 +19,35 @@
 	lastReadWindow = 20 * time.Millisecond
 	// lingerBuffer is the size of the reads meanwhile.
 	lingerBuffer = 512
+	// maxWriteTime limits each write to a caller: one that reads slower than that is cut off.
+	maxWriteTime = 30 * time.Second
 )
 
+// errRefused means that a head exceeded a limit.
+var errRefused = errors.New("serving: the request was refused")
+
 // trackedConn is a caller's connection that can be closed between two requests.
 //
 // Invariant: closeIfIdle closes no connection from which a byte of a request was read.
 type trackedConn struct {
 	net.Conn
 	server *Server
+	// pool is nil if the server shares no limits with others.
+	pool *Pool
+	// held are the bytes charged for the connection. hasLeft is set once those of the connection
+	// itself are released, isEvicted once it is closed to make room.
+	held               atomic.Int64
+	hasLeft, isEvicted atomic.Bool
+	// isKnown is set once the caller presented the secret of a client account.
+	isKnown atomic.Bool
+	// moved are the bytes read and written in the current phase.
+	moved atomic.Int64
+	// writingSince is when the write in progress began, in nanoseconds of Unix time; 0 without one.
+	writingSince atomic.Int64
+	// isReadingBody is set while net/http reads the body.
+	isReadingBody atomic.Bool
+	// writeDeadline is the one that net/http or a handler set last, as Unix time; 0 without one.
+	writeDeadline atomic.Int64
 	// hasWritten is set once the server wrote to the connection, isEnded once nobody waits for
 	// what was written: the caller closed it, it failed or is to be reset.
 	hasWritten, isEnded atomic.Bool
@@ -41,16 +64,36 @@
 	// isIdle is set while net/http waits for a further request, and hasIdleDeadline once it has
 	// set the deadline for that.
 	isIdle, hasIdleDeadline bool
+	// isReadingHead is set until net/http has read a head, phaseAt is when the phase began.
+	isReadingHead bool
+	phaseAt       time.Time
+	head          headScanner
+	// headBytes are the bytes charged for the head, or for the part read so far.
+	headBytes int64
+}
+
+func newTrackedConn(accepted net.Conn, server *Server) *trackedConn {
+	return &trackedConn{Conn: accepted, server: server, pool: server.options.Pool, isReadingHead: true, phaseAt: time.Now()}
 }
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	isReadingHead := c.isAtHead()
+	// While a handler runs, net/http reads a single byte to learn of a closed connection.
+	c.isReadingBody.Store(!isReadingHead && len(p) > 1)
 	n, err := c.Conn.Read(p)
 	if n == 0 && isTimeout(err) && c.extendIfClosing() {
 		n, err = c.Conn.Read(p)
 	}
+	c.isReadingBody.Store(false)
 	if n > 0 {
+		c.moved.Add(int64(n))
 		c.noteInput()
+		if isReadingHead {
+			if refused := c.scanHead(p[:n]); refused != nil {
+				return 0, refused
+			}
+		}
 	}
 	if err != nil && !isTimeout(err) {
 		c.isEnded.Store(true)
@@ -58,15 +101,78 @@
 	return n, err
 }
 
+func (c *trackedConn) isAtHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isReadingHead
+}
+
+// scanHead charges bytes of a head, and refuses a head that exceeds a limit.
+func (c *trackedConn) scanHead(p []byte) error {
+	limits := c.server.limits()
+	c.mu.Lock()
+	before := c.head
+	c.head.scan(p)
+	after := c.head
+	c.mu.Unlock()
+	switch {
+	case after.bytes > limits.HeaderBytes+headerSlack:
+		return c.refuseHead("header bytes", "431 Request Header Fields Too Large")
+	case after.fields() > limits.HeaderFields:
+		return c.refuseHead("header fields", "431 Request Header Fields Too Large")
+	}
+	if c.pool == nil {
+		return nil
+	}
+	cost := int64(headByteCost*(after.bytes-before.bytes) + fieldCost*(after.fields()-before.fields()))
+	if !c.Charge(cost) {
+		return c.refuseHead("memory", "503 Service Unavailable\r\nRetry-After: 1")
+	}
+	c.mu.Lock()
+	c.headBytes += cost
+	c.mu.Unlock()
+	return nil
+}
+
+func (c *trackedConn) refuseHead(reason, response string) error {
+	if c.isEvicted.Load() {
+		return &net.OpError{Op: "read", Net: "tcp", Err: errRefused}
+	}
+	if c.pool != nil {
+		c.pool.note(reason)
+	}
+	return c.refuse(response)
+}
+
+// releaseHead releases what is charged for a head.
+func (c *trackedConn) releaseHead() {
+	c.mu.Lock()
+	charged := c.headBytes
+	c.headBytes = 0
+	c.mu.Unlock()
+	if charged > 0 {
+		c.Release(charged)
+	}
+}
+
+// endHead records that net/http has read a head.
+func (c *trackedConn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isReadingHead, c.phaseAt = false, time.Now()
+	c.moved.Store(0)
+}
+
 // extendIfClosing gives the read of a connection that closes as idle another moment: an expired
-// deadline hides bytes that have arrived.
+// deadline hides bytes that have arrived, which happens to a process that was paused.
 func (c *trackedConn) extendIfClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isClosing {
+	isExtended := c.isClosing || c.isIdle && c.hasIdleDeadline
+	if isExtended {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadWindow))
 	}
-	return c.isClosing
+	return isExtended
 }
 
 func (c *trackedConn) noteInput() {
@@ -77,6 +183,9 @@
 
 // beginRequest is called with mu held.
 func (c *trackedConn) beginRequest() {
+	if c.isIdle {
+		c.phaseAt = time.Now()
+	}
 	c.hasInput, c.isIdle = true, false
 	if c.isClosing {
 		// A request arrived first.
@@ -88,7 +197,26 @@
 // Write implements net.Conn.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.hasWritten.Store(true)
-	return c.Conn.Write(p)
+	now := time.Now()
+	limit := now.Add(maxWriteTime)
+	if set := c.writeDeadline.Load(); set == 0 || set > limit.UnixNano() {
+		_ = c.Conn.SetWriteDeadline(limit)
+	}
+	c.writingSince.Store(now.UnixNano())
+	n, err := c.Conn.Write(p)
+	c.writingSince.Store(0)
+	c.moved.Add(int64(n))
+	return n, err
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *trackedConn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() {
+		c.writeDeadline.Store(0)
+	} else {
+		c.writeDeadline.Store(t.UnixNano())
+	}
+	return c.Conn.SetWriteDeadline(t)
 }
 
 // SetDeadline implements net.Conn.
@@ -103,6 +231,16 @@
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !t.IsZero() {
+		// The limits in force are those of now; net/http knows those at the start.
+		limits := c.server.limits()
+		switch {
+		case c.isIdle && !c.hasIdleDeadline:
+			t = earlier(t, time.Now().Add(limits.IdleTimeout))
+		case c.isReadingHead:
+			t = earlier(t, time.Now().Add(limits.HeaderTimeout))
+		}
+	}
 	c.readDeadline = t
 	if c.isIdle && c.hasIdleDeadline {
 		// Bytes of the next request were read with the one before: net/http now sets the
@@ -121,6 +259,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hasInput, c.isIdle, c.hasIdleDeadline = false, true, false
+	c.isReadingHead, c.phaseAt, c.head = true, time.Now(), headScanner{}
+	c.moved.Store(0)
 }
 
 // hasRequest reports whether bytes of a request were read since the last response.
@@ -164,15 +304,16 @@
 // connection and closes it once the caller does, within lingerTimeout. On an idle connection,
 // a request that crosses the close is not read.
 func (c *trackedConn) Close() error {
+	c.leave()
 	half, canHalfClose := c.Conn.(interface{ CloseWrite() error })
 	if c.isEnded.Load() || !c.hasWritten.Load() || c.closesAsIdle() || !canHalfClose || half.CloseWrite() != nil {
-		return c.Conn.Close()
+		return c.closeNow()
 	}
 	if c.isLingering.Swap(true) {
 		return nil
 	}
 	if !c.server.beginLinger(c) {
-		return c.Conn.Close()
+		return c.closeNow()
 	}
 	go c.linger()
 	return nil
@@ -188,7 +329,16 @@
 	defer c.server.endLinger(c)
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.CopyBuffer(io.Discard, onlyReader{c.Conn}, make([]byte, lingerBuffer))
-	_ = c.Conn.Close()
+	_ = c.closeNow()
+}
+
+// closeNow closes the connection without waiting for the caller.
+func (c *trackedConn) closeNow() error {
+	err := c.Conn.Close()
+	if c.pool != nil {
+		c.pool.remove(c)
+	}
+	return err
 }
 
 // onlyReader hides the methods with which io.CopyBuffer avoids the buffer.
--- a/fleet/process/serving/listener.go
+++ b/fleet/process/serving/listener.go
@@ -46,7 +46,12 @@
 			if closeAt != nil {
 				_ = l.setDeadline(earlier(time.Now().Add(acceptWindow), *closeAt))
 			}
-			return &trackedConn{Conn: accepted, server: l.server}, nil
+			tracked := newTrackedConn(accepted, l.server)
+			if tracked.pool != nil && !tracked.pool.add(tracked) {
+				_ = accepted.Close()
+				continue
+			}
+			return tracked, nil
 		case closeAt == nil || !isTimeout(err):
 			return nil, err
 		case isLast || !time.Now().Before(*closeAt):
--- /dev/null
+++ b/fleet/process/serving/pool_test.go
@@ -0,0 +1,124 @@
+package serving
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"gentianhead/fleet/process/memory"
+)
+
+// startPooled serves handler on loopback with a pool of 20 connections.
+func startPooled(t *testing.T, bytes int64, limits func() Limits) (*Pool, string) {
+	t.Helper()
+	accepting, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	pool := NewPool(PoolOptions{MaxConns: 16, HardMaxConns: 20, Memory: memory.NewBudget(bytes), Log: slog.New(slog.DiscardHandler)})
+	s := New(WithoutBodies(http.NotFoundHandler()), Options{
+		MaxConns: 100, HeaderBytes: 64 << 10, HeaderTimeout: 5 * time.Second, MinIdleTime: 50 * time.Millisecond, Pool: pool, Limits: limits,
+	})
+	go func() { _ = s.Serve(accepting) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return pool, accepting.Addr().String()
+}
+
+func awaitReleased(t *testing.T, pool *Pool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if pool.Conns() == 0 && pool.Memory() == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%d connections, %d bytes", pool.Conns(), pool.Memory())
+	})
+}
+
+func statusOf(t *testing.T, address, request string) int {
+	t.Helper()
+	caller := dial(t, address)
+	defer caller.Close()
+	send(t, caller, request)
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	assert.NilError(t, err)
+	return response.StatusCode
+}
+
+// Guards against more connections than descriptors, requests that find no room beside a crowd,
+// and charges that are never released.
+func TestPoolKeepsToConnsAndReleasesAll(t *testing.T) {
+	for name, text := range map[string]string{
+		"silent": "", "unfinished heads": "GET / HTTP/1.1\r\nA: b\r\n", "unfinished bodies": "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n",
+		"answered": testRequest,
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool, address := startPooled(t, 10<<20, nil)
+			for range 60 {
+				send(t, dial(t, address), text)
+				assert.Assert(t, pool.Conns() <= 20)
+			}
+			assert.Equal(t, statusOf(t, address, testRequest), http.StatusNotFound)
+		})
+	}
+	t.Run("released", func(t *testing.T) {
+		pool, address := startPooled(t, 10<<20, func() Limits {
+			return Limits{HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}
+		})
+		for _, text := range []string{"", "GET / HTTP/1.1\r\nA: b\r\n", testRequest, testRequest + testRequest, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"} {
+			for range 5 {
+				send(t, dial(t, address), text)
+			}
+		}
+		awaitReleased(t, pool)
+	})
+}
+
+// Guards against heads that together take more memory than the budget.
+func TestPoolHeadsWithinMemory(t *testing.T) {
+	const budget = 600 << 10
+	pool, address := startPooled(t, budget, nil)
+	for range 40 {
+		// A connection that was closed meanwhile fails.
+		_, _ = io.WriteString(dial(t, address), "GET / HTTP/1.1\r\nA: "+strings.Repeat("b", 15<<10))
+		assert.Assert(t, pool.Memory() <= budget)
+	}
+	assert.Equal(t, statusOf(t, address, testRequest), http.StatusNotFound)
+}
+
+// Guards against limits that apply only from the next start on.
+func TestLimitsInForceAreFollowed(t *testing.T) {
+	var limits atomic.Pointer[Limits]
+	limits.Store(&Limits{})
+	_, address := startPooled(t, 10<<20, func() Limits { return *limits.Load() })
+	head := func(fields, size int) string {
+		return "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("A: "+strings.Repeat("b", size)+"\r\n", fields) + "\r\n"
+	}
+	assert.Equal(t, statusOf(t, address, head(200, 10)), http.StatusNotFound)
+	assert.Equal(t, statusOf(t, address, head(DefaultHeaderFields, 1)), http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, statusOf(t, address, head(30, 1000)), http.StatusNotFound)
+	kept := dial(t, address)
+	reader := bufio.NewReader(kept)
+	for i, status := range []int{http.StatusNotFound, http.StatusRequestHeaderFieldsTooLarge} {
+		send(t, kept, head(30, 1000))
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err, fmt.Sprint(i))
+		assert.Equal(t, response.StatusCode, status)
+		_, _ = io.Copy(io.Discard, response.Body)
+		limits.Store(&Limits{HeaderBytes: 16384})
+	}
+	limits.Store(&Limits{HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond})
+	for _, text := range []string{"GET", testRequest} {
+		caller := dial(t, address)
+		send(t, caller, text)
+		_, err := io.ReadAll(caller)
+		assert.NilError(t, err, "the connection was not closed")
+	}
+}
--- a/fleet/process/serving/serving.go
+++ b/fleet/process/serving/serving.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"gentianhead/fleet/process/memory"
 )
 
 const (
@@ -18,9 +20,22 @@
 	// newConnGrace is how long a new connection is exempt from eviction: a process
 	// short of CPU time reads request headers late.
 	newConnGrace = 500 * time.Millisecond
+	// DefaultHeaderFields is the maximum number of fields of a request's header. Ordinary callers
+	// send fewer than a hundred.
+	DefaultHeaderFields = 256
+	// headerSlack is by how much a header may exceed its limit, as in net/http: the request line
+	// and bytes of the body that arrive with the header count too.
+	headerSlack = 4 << 10
 )
 
-// Options sets the limits of a server. All fields are required.
+// Limits are the limits on callers' requests that may change while the server runs.
+type Limits struct {
+	HeaderBytes, HeaderFields  int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Options sets the limits of a server. Pool, Limits and MemoryReserve are optional, all other
+// fields required.
 type Options struct {
 	// MaxConns is the maximum number of open connections. Connections opened in the
 	// last newConnGrace may exceed it, up to twice as many in total.
@@ -32,6 +47,12 @@
 	// MinIdleTime is how long a connection must be idle before it may be closed:
 	// the next request may already have been sent.
 	MinIdleTime time.Duration
+	// Pool holds the limits that the server shares with others.
+	Pool *Pool
+	// Limits returns the limits in force; those that are zero, or above the ones here, don't apply.
+	Limits func() Limits
+	// MemoryReserve is the part of the pool's memory, in bytes, that this server leaves to others.
+	MemoryReserve int64
 }
 
 // Server is an HTTP server that tracks the idle time of its connections and can
@@ -72,11 +93,44 @@
 		MaxHeaderBytes:    options.HeaderBytes,
 		IdleTimeout:       idleTimeout,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnContext:       withHolder,
 		ConnState:         s.trackState,
 	}
 	return s
 }
 
+// withHolder lets handlers charge memory to the connection.
+func withHolder(ctx context.Context, conn net.Conn) context.Context {
+	if tracked, ok := conn.(*trackedConn); ok {
+		return memory.WithHolder(ctx, tracked)
+	}
+	return ctx
+}
+
+func (s *Server) memoryReserve() int64 { return s.options.MemoryReserve }
+
+// limits returns the limits in force.
+func (s *Server) limits() Limits {
+	limits := Limits{HeaderBytes: s.options.HeaderBytes, HeaderFields: DefaultHeaderFields, HeaderTimeout: s.options.HeaderTimeout, IdleTimeout: idleTimeout}
+	if s.options.Limits == nil {
+		return limits
+	}
+	current := s.options.Limits()
+	limits.HeaderBytes = lowerLimit(limits.HeaderBytes, current.HeaderBytes)
+	limits.HeaderFields = lowerLimit(limits.HeaderFields, current.HeaderFields)
+	limits.HeaderTimeout = lowerLimit(limits.HeaderTimeout, current.HeaderTimeout)
+	limits.IdleTimeout = lowerLimit(limits.IdleTimeout, current.IdleTimeout)
+	return limits
+}
+
+// lowerLimit returns current if it is a limit below that of the server.
+func lowerLimit[T int | time.Duration](own, current T) T {
+	if current > 0 && current < own {
+		return current
+	}
+	return own
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(accepting net.Listener) error {
 	wrapped := &listener{Listener: accepting, server: s}
@@ -156,9 +210,13 @@
 		s.openedAt[conn] = time.Now()
 		s.evictConn()
 	case http.StateActive:
+		if tracked, ok := conn.(*trackedConn); ok {
+			tracked.endHead()
+		}
 		s.busy[conn] = struct{}{}
 	case http.StateIdle:
 		if tracked, ok := conn.(*trackedConn); ok {
+			tracked.releaseHead()
 			tracked.awaitRequest()
 		}
 		s.idleSince[conn] = time.Now()
@@ -191,6 +249,10 @@
 	}
 	if victim != nil {
 		s.forget(victim)
+		if tracked, ok := victim.(*trackedConn); ok {
+			// Close would wait for the caller of a refused header, and need the lock held here.
+			tracked.isEnded.Store(true)
+		}
 		_ = victim.Close()
 	}
 }
