Relay: memory for a body follows what has arrived, and slow bodies are refused

Cause: readBody reserved the declared length, besides a buffer of 16 KiB for each body being read, before a byte had arrived, counted only what was read, and waited up to 30 s for a body that had stopped. A body now takes memory by doubling as it arrives, charged to its connection before it is taken, so that under shortage the connections whose bodies have stopped are closed first. A body that pauses for 5 s, or is slower than 512 bytes per second from then on, gets 408 and has not run. A caller with the secret of an account is the last whose connection is closed.

--- a/fleet/request/relay/failure.go
+++ b/fleet/request/relay/failure.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gentianhead/core/request/outcome"
+	"gentianhead/fleet/process/serving"
 )
 
 // kind classifies why a request failed.
@@ -23,6 +24,8 @@
 	kindBodyTooLarge
 	kindBodyMemory
 	kindBodyBroken
+	// kindBodySlow: the body arrives more slowly than any ordinary caller's.
+	kindBodySlow
 	// kindNoEndpoint: no endpoint of the service is known.
 	kindNoEndpoint
 	// kindOverloaded: all endpoints are at capacity.
@@ -56,6 +59,7 @@
 	kindBodyTooLarge:    {outcome.CodeBodyTooLarge, http.StatusRequestEntityTooLarge},
 	kindBodyMemory:      {outcome.CodeOverloaded, http.StatusServiceUnavailable},
 	kindBodyBroken:      {outcome.CodeBadRequest, http.StatusBadRequest},
+	kindBodySlow:        {outcome.CodeBadRequest, http.StatusRequestTimeout},
 	kindNoEndpoint:      {outcome.CodeNoEndpoint, http.StatusServiceUnavailable},
 	kindOverloaded:      {outcome.CodeLoadBound, http.StatusServiceUnavailable},
 	kindRefused:         {outcome.CodeOverloaded, http.StatusServiceUnavailable},
@@ -127,6 +131,10 @@
 		r.options.Log.Error("Encoding the problem details failed.", "error", err)
 	}
 	r.announceClose(c)
+	if c.sends == 0 {
+		// The body may not have been read.
+		serving.DiscardBody(c.w, c.r)
+	}
 	header := c.w.Header()
 	r.options.Dialect.SetAttemptID(header, c.metadata.AttemptID)
 	header.Set("Content-Type", "application/problem+json")
--- a/fleet/request/relay/prepare.go
+++ b/fleet/request/relay/prepare.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -27,6 +28,12 @@
 	// defaultMaxBodyBytes is the body limit when the configuration sets none.
 	defaultMaxBodyBytes = 4 << 20
 	bodyReadTimeout     = 30 * time.Second
+	// bodyPauseTimeout is how long a body may pause. minBodyRate, in bytes per second, is the
+	// slowest rate of a body from then on. Slow mobile links have ten times that rate.
+	bodyPauseTimeout = 5 * time.Second
+	minBodyRate      = 512
+	// firstBodyBytes is the memory for a body at first.
+	firstBodyBytes = 4 << 10
 )
 
 // prepare authorizes the request, selects its service and reads the body.
@@ -80,6 +87,7 @@
 		return denial(state, kindUnauthenticated, "no client account has this secret")
 	}
 	c.account = account
+	c.holder.MarkKnown()
 	return nil
 }
 
@@ -148,36 +156,82 @@
 	if c.r.Body == nil || c.r.Body == http.NoBody {
 		return nil
 	}
+	size := limit
 	if c.r.ContentLength > 0 {
-		c.body = make([]byte, 0, c.r.ContentLength)
+		size = c.r.ContentLength
 	}
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	controller := http.NewResponseController(c.w)
 	reader := http.MaxBytesReader(c.w, c.r.Body, limit)
-	chunk := make([]byte, 16<<10)
+	startedAt := time.Now()
 	for {
-		n, err := reader.Read(chunk)
-		if n > 0 {
-			if r.bufferedBodyBytes.Add(int64(n)) > r.options.BodyMemory {
-				c.bodyBytes += int64(n)
-				return newFailure(kindBodyMemory, "the router's memory for request bodies is exhausted").withRetryAfter(retryBodyMemory)
-			}
-			c.bodyBytes += int64(n)
-			c.body = append(c.body, chunk[:n]...)
+		if len(c.body) == cap(c.body) && !r.growBody(c, size) {
+			return newFailure(kindBodyMemory, "the router's memory for request bodies is exhausted").withRetryAfter(retryBodyMemory)
 		}
+		_ = controller.SetReadDeadline(earlier(startedAt.Add(bodyReadTimeout), time.Now().Add(bodyPauseTimeout)))
+		if isStopped(c.r.Context()) {
+			// The deadline that ends reads at a stop may have been set before this one.
+			return stoppedFailure()
+		}
+		n, err := reader.Read(c.body[len(c.body):cap(c.body)])
+		c.body = c.body[:len(c.body)+n]
 		switch {
 		case errors.Is(err, io.EOF):
-			_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+			_ = controller.SetReadDeadline(time.Time{})
 			return nil
 		case errors.As(err, new(*http.MaxBytesError)):
 			return newFailure(kindBodyTooLarge, "the body exceeds the size limit")
 		case err != nil && isStopped(c.r.Context()):
 			return stoppedFailure().withCause(err)
+		case errors.Is(err, os.ErrDeadlineExceeded) || isTooSlow(len(c.body), time.Since(startedAt)):
+			return newFailure(kindBodySlow, "the body arrives too slowly").withCause(err)
 		case err != nil:
 			return newFailure(kindBodyBroken, "reading the request body failed").withCause(err)
 		}
 	}
 }
 
+// isTooSlow reports whether a body of which n bytes arrived in the time is slower than minBodyRate.
+func isTooSlow(n int, elapsed time.Duration) bool {
+	return elapsed > bodyPauseTimeout && float64(n) < minBodyRate*(elapsed-bodyPauseTimeout).Seconds()
+}
+
+// growBody makes room for more of a body that has at most size bytes. Memory grows with what has
+// arrived: a declared length that never arrives takes none.
+func (r *Relay) growBody(c *call, size int64) bool {
+	old := int64(cap(c.body))
+	// One more byte lets the end be read.
+	grown := min(max(2*old, firstBodyBytes), size+1)
+	if grown <= old {
+		grown = old + 1
+	}
+	if r.bufferedBodyBytes.Add(grown-old) > r.options.BodyMemory {
+		r.bufferedBodyBytes.Add(old - grown)
+		return false
+	}
+	if !c.holder.Charge(grown - old) {
+		r.bufferedBodyBytes.Add(old - grown)
+		return false
+	}
+	c.bodyBytes += grown - old
+	body := make([]byte, len(c.body), grown)
+	copy(body, c.body)
+	c.body = body
+	return true
+}
+
+// releaseBody releases the memory charged for the body.
+func (r *Relay) releaseBody(c *call) {
+	r.bufferedBodyBytes.Add(-c.bodyBytes)
+	c.holder.Release(c.bodyBytes)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // priority returns the account's priority, or the route's if the account has none.
 func (c *call) priority() int {
 	return priorityOf(c.route, c.account)
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -22,6 +22,7 @@
 	"gentianhead/core/version/routetable"
 	"gentianhead/fleet/connection/upstream"
 	"gentianhead/fleet/process/boottime"
+	"gentianhead/fleet/process/memory"
 )
 
 // Dialect reads and writes the headers of callers and endpoints. Each platform
@@ -93,7 +94,10 @@
 	account   *routetable.Account
 	service   string
 	startedAt time.Duration
-	body      []byte
+	// holder is what memory for the request is charged to.
+	holder memory.Holder
+	body   []byte
+	// bodyBytes are the bytes charged for body.
 	bodyBytes int64
 	// sends counts the endpoints that may have received part of the request.
 	sends int
@@ -144,8 +148,8 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	inFlight.Add(1)
 	defer inFlight.Add(-1)
-	c := &call{w: w, r: request, startedAt: boottime.Now()}
-	defer func() { r.bufferedBodyBytes.Add(-c.bodyBytes) }()
+	c := &call{w: w, r: request, startedAt: boottime.Now(), holder: memory.HolderOf(request.Context())}
+	defer r.releaseBody(c)
 	defer unblockAtStop(c)()
 	if hasAmbiguousLength(request) {
 		w.Header().Set("Connection", "close")
