Product front end: callers' and operators' connections share a budget of memory

Cause: heads at the product's listeners were limited in size only: 400 fields without an end took 60 MB, and 400 heads of many fields 147 MB before fields were counted. Both listeners now share a budget of 32 KiB for each connection that the settings allow, of which callers leave a tenth to operators; a body may pause for 5 s. A caller with a known token is the last whose connection is closed.

--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -16,6 +16,7 @@
 	"gentianhead/fleet/connection/engine"
 	"gentianhead/fleet/connection/peer"
 	"gentianhead/fleet/process/control"
+	"gentianhead/fleet/process/memory"
 	"gentianhead/fleet/process/serving"
 	"gentianhead/fleet/process/settings"
 	"gentianhead/fleet/process/telemetry"
@@ -52,6 +53,10 @@
 		return nil, err
 	}
 	loop := do.MustInvoke[*control.Loop](injector)
+	pool := newPool(s, logger)
+	options := serverOptions(s, pool)
+	callerOptions := options
+	callerOptions.MemoryReserve = pool.Budget() / reserveDivisor
 	n := &Node{
 		settings: s,
 		log:      telemetry.ComponentLogger(logger, "node"),
@@ -61,9 +66,9 @@
 		engine:   do.MustInvoke[*engine.Client](injector),
 		claims:   do.MustInvoke[*claims.Manager](injector),
 		gateway:  do.MustInvoke[*gateway.Gateway](injector),
-		callers:  serving.New(do.MustInvoke[*gateway.Gateway](injector).Handler(), serverOptions(s)),
+		callers:  serving.New(do.MustInvoke[*gateway.Gateway](injector).Handler(), callerOptions),
 	}
-	n.operators = serving.New(n.closeWhenClosing(operatorsHandler(do.MustInvoke[admin.Options](injector))), serverOptions(s))
+	n.operators = serving.New(n.closeWhenClosing(operatorsHandler(do.MustInvoke[admin.Options](injector))), options)
 	return n, nil
 }
 
@@ -78,12 +83,33 @@
 	})
 }
 
-func serverOptions(s *settings.Settings) serving.Options {
+const (
+	// memoryPerConn is the memory for each connection that the settings allow, on average: that of
+	// the connection and of an ordinary request's header. Bodies have a limit of their own.
+	memoryPerConn = 32 << 10
+	// callerListeners is the number of listeners with Limits.Connections each.
+	callerListeners = 2
+	// reserveDivisor is the part of the memory that callers leave to operators.
+	reserveDivisor = 10
+)
+
+// newPool returns the limits of callers' and operators' connections together.
+func newPool(s *settings.Settings, logger *slog.Logger) *serving.Pool {
+	conns := callerListeners * s.Limits.Connections
+	return serving.NewPool(serving.PoolOptions{
+		MaxConns: conns, HardMaxConns: conns,
+		Memory: memory.NewBudget(int64(conns) * memoryPerConn),
+		Log:    telemetry.ComponentLogger(logger, "serving"),
+	})
+}
+
+func serverOptions(s *settings.Settings, pool *serving.Pool) serving.Options {
 	return serving.Options{
 		MaxConns:      s.Limits.Connections,
 		HeaderBytes:   gateway.MaxHeaderBytes,
 		HeaderTimeout: gateway.ReadHeaderTimeout,
 		MinIdleTime:   minIdleTime,
+		Pool:          pool,
 	}
 }
 
--- a/fleet/process/serving/pool.go
+++ b/fleet/process/serving/pool.go
@@ -77,6 +77,9 @@
 // Memory returns the bytes charged for all connections.
 func (p *Pool) Memory() int64 { return p.options.Memory.Used() }
 
+// Budget returns the bytes that may be charged.
+func (p *Pool) Budget() int64 { return p.options.Memory.Limit() }
+
 // add admits a new connection, and reports whether there is room for it.
 func (p *Pool) add(c *trackedConn) bool {
 	p.mu.Lock()
--- a/fleet/request/gateway/body.go
+++ b/fleet/request/gateway/body.go
@@ -73,7 +73,7 @@
 			_ = controller.SetReadDeadline(time.Now())
 		}
 	})
-	err := g.readInto(x, http.MaxBytesReader(x.w, x.r.Body, g.options.Limits.BodyBytes))
+	err := g.readInto(ctx, x, http.MaxBytesReader(x.w, x.r.Body, g.options.Limits.BodyBytes))
 	if !cancelRead() {
 		// A deadline set later would end the connection's next request.
 		<-ended
@@ -96,9 +96,20 @@
 
 // readInto reads r into x.body. It reserves memory only for received bytes, so
 // that a declared body that never arrives uses none.
-func (g *Gateway) readInto(x *exchange, r io.Reader) error {
+func (g *Gateway) readInto(ctx context.Context, x *exchange, r io.Reader) error {
 	chunk := make([]byte, min(bodyChunkBytes, bodySize(x.r)+1))
+	controller := http.NewResponseController(x.w)
+	endAt := time.Now().Add(BodyReadTimeout)
 	for {
+		pauseEnd := time.Now().Add(bodyPauseTimeout)
+		if pauseEnd.After(endAt) {
+			pauseEnd = endAt
+		}
+		_ = controller.SetReadDeadline(pauseEnd)
+		if errors.Is(context.Cause(ctx), ErrStopping) {
+			// The deadline that ends reads at a stop may have been set before this one.
+			return ErrStopping
+		}
 		n, err := r.Read(chunk)
 		if !g.bodies.reserve(x.account, int64(n)) {
 			return errBodyMemoryFull
--- a/fleet/request/gateway/gateway.go
+++ b/fleet/request/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"gentianhead/core/request/quarantine"
 	"gentianhead/fleet/connection/engine"
 	"gentianhead/fleet/process/control"
+	"gentianhead/fleet/process/memory"
 	"gentianhead/fleet/process/settings"
 	"gentianhead/fleet/process/telemetry"
 	"gentianhead/fleet/request/claims"
@@ -44,6 +45,8 @@
 	ReadHeaderTimeout = 5 * time.Second
 	// BodyReadTimeout bounds reading the body.
 	BodyReadTimeout = 30 * time.Second
+	// bodyPauseTimeout bounds a pause in the body.
+	bodyPauseTimeout = 5 * time.Second
 	// refusedReadTimeout bounds reading the body of a refused request.
 	refusedReadTimeout = 200 * time.Millisecond
 )
@@ -211,6 +214,7 @@
 		return notRun(http.StatusUnauthorized, outcome.CodeUnauthenticated, "no client account has this bearer token").Problem
 	}
 	x.account = account
+	memory.HolderOf(x.r.Context()).MarkKnown()
 	return nil
 }
 
