--- a/fleet/hostile/hostile_test.go
+++ b/fleet/hostile/hostile_test.go
@@ -13,10 +13,16 @@
 	"gotest.tools/v3/assert"
 )
 
-const (
-	// crowd is the number of connections of most tests, bodyCrowd of those that send bodies.
+// crowd is the number of connections of most tests, bodyCrowd of those that send bodies.
+var (
 	crowd     = 400
 	bodyCrowd = 200
+)
+
+// body is shared by all callers, since the tests have little memory too.
+var body = strings.Repeat("a", bodyBytes)
+
+const (
 	// writeTimeout is how long a caller waits for the router to read. Then it holds its connection.
 	writeTimeout = 3 * time.Second
 	// holdTime is how long the connections stay open after the last of them has written.
@@ -93,7 +99,7 @@
 	if err := sendText(w, head); err != nil {
 		return err
 	}
-	return sendText(w, strings.Repeat("a", bodyBytes-1))
+	return sendText(w, body[:bodyBytes-1])
 }
 
 // bodyStops declares a body of legal size and stops after the first bytes.
--- a/fleet/hostile/process_test.go
+++ b/fleet/hostile/process_test.go
@@ -24,10 +24,21 @@
 	"gentianhead/platform/platformtest"
 )
 
-const (
-	// memoryMb and maxFds are settings of the routers, low enough that a small crowd shows a fault.
+// memoryMb and maxFds are settings of the routers, low enough that a small crowd shows a fault.
+// With HOSTILE_CROWD=N, all crowds have N connections, and the settings are those of the smallest
+// machine.
+var (
 	memoryMb = 64
 	maxFds   = 1024
+)
+
+func init() {
+	if count, err := strconv.Atoi(os.Getenv("HOSTILE_CROWD")); err == nil {
+		crowd, bodyCrowd, memoryMb, maxFds = count, count, 184, 4100
+	}
+}
+
+const (
 	// bodyBytes is the limit in the configuration.
 	bodyBytes = 4 << 20
 	// waitTimeout is the time limit of each wait; a test that reaches it fails.
