--- a/fleet/soak/soak_test.go
+++ b/fleet/soak/soak_test.go
@@ -402,6 +402,7 @@
 	}
 	h.useConnections(&wg, stop)
 	h.sendAsStranger(&wg, stop)
+	h.sendOutsideLimits(&wg, stop)
 	var done []string
 	begun := time.Now()
 	for time.Since(begun) < faultDuration {
