Connection limits: ordinary requests find room beside a crowd that is still arriving

The listener waited for memory, up to 100 ms for each connection, so others waited behind; connections are now charged before their first read. What closed connections still hold counts as released soon, so that no second part is closed for it. Connections that hold more than an ordinary head leave a tenth of the budget to others. Between the two limits of connections, one that waits for less than 100 ms isn't closed. Callers leave a tenth of the connections to readiness and directory, which requests that run could use up.

--- a/core/connection/eviction/eviction.go
+++ b/core/connection/eviction/eviction.go
@@ -43,6 +43,8 @@
 type Need struct {
 	Bytes int64
 	Conns int
+	// MinAge is how long the phase of a connection must have lasted.
+	MinAge time.Duration
 }
 
 // movedUnit is the number of bytes at which moved bytes start to count in favour of a
@@ -55,7 +57,8 @@
 func Choose(conns []Connection, need Need) []int {
 	var order []int
 	for i, c := range conns {
-		if c.Phase != Busy {
+		// One that holds nothing doesn't help if only memory is short.
+		if c.Phase != Busy && (c.Held > 0 || need.Conns > 0) && c.For >= need.MinAge {
 			order = append(order, i)
 		}
 	}
@@ -88,5 +91,5 @@
 }
 
 func (c Connection) cost() float64 {
-	return float64(c.Held) * c.For.Seconds() / float64(c.Moved+movedUnit)
+	return float64(c.Held+movedUnit) * c.For.Seconds() / float64(c.Moved+movedUnit)
 }
--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -32,8 +32,8 @@
 	// callerShare is the share of the memory that may be held for callers: connections, heads
 	// and bodies. With what the router holds for itself it is less than heapShare.
 	callerShare = 0.3
-	// reserveDivisor is the part of that memory that callers' requests leave to readiness checks
-	// and router lookups.
+	// reserveDivisor is the part of that memory, and of the connections, that callers' requests
+	// leave to readiness checks and router lookups.
 	reserveDivisor = 10
 	// connectionShare is the share of the file descriptors that callers' connections at all
 	// listeners may use before some are closed, and maxConnectionShare the share that they never
@@ -114,8 +114,9 @@
 	r.readiness = serving.New(serving.WithoutBodies(http.HandlerFunc(r.serveReadiness)), options)
 	r.directory = serving.New(serving.WithoutBodies(http.HandlerFunc(r.serveAddresses)), options)
 	options.MemoryReserve = budget.Limit() / reserveDivisor
+	options.ConnReserve = int(maxConnectionShare*float64(settings.MaxOpenFiles)) / reserveDivisor
 	r.callers = serving.New(r.relay, options)
-	options.MaxConns, options.Pool, options.Limits, options.MemoryReserve = maxCopyConnections, nil, nil, 0
+	options = serving.Options{MaxConns: maxCopyConnections, HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, MinIdleTime: minIdleTime}
 	r.copies = serving.New(r.copyServer(), options)
 	return r, nil
 }
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -57,6 +57,7 @@
 	options := serverOptions(s, pool)
 	callerOptions := options
 	callerOptions.MemoryReserve = pool.Budget() / reserveDivisor
+	callerOptions.ConnReserve = s.Limits.Connections / reserveDivisor
 	n := &Node{
 		settings: s,
 		log:      telemetry.ComponentLogger(logger, "node"),
@@ -89,7 +90,7 @@
 	memoryPerConn = 32 << 10
 	// callerListeners is the number of listeners with Limits.Connections each.
 	callerListeners = 2
-	// reserveDivisor is the part of the memory that callers leave to operators.
+	// reserveDivisor is the part of the memory, and of their connections, that callers leave to operators.
 	reserveDivisor = 10
 )
 
--- a/fleet/process/serving/conn.go
+++ b/fleet/process/serving/conn.go
@@ -38,6 +38,8 @@
 	// itself are released, isEvicted once it is closed to make room.
 	held               atomic.Int64
 	hasLeft, isEvicted atomic.Bool
+	// isCharged is set once the memory of the connection itself is charged.
+	isCharged atomic.Bool
 	// isKnown is set once the caller presented the secret of a client account.
 	isKnown atomic.Bool
 	// moved are the bytes read and written in the current phase.
@@ -70,6 +72,10 @@
 	head          headScanner
 	// headBytes are the bytes charged for the head, or for the part read so far.
 	headBytes int64
+	// evictedBytes are those held when the connection was closed to make room, and hasReleased is
+	// set once they are released.
+	evictedBytes int64
+	hasReleased  bool
 }
 
 func newTrackedConn(accepted net.Conn, server *Server) *trackedConn {
@@ -78,6 +84,9 @@
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	if refused := c.chargeConn(); refused != nil {
+		return 0, refused
+	}
 	isReadingHead := c.isAtHead()
 	// While a handler runs, net/http reads a single byte to learn of a closed connection.
 	c.isReadingBody.Store(!isReadingHead && len(p) > 1)
@@ -101,6 +110,22 @@
 	return n, err
 }
 
+// chargeConn charges the memory of the connection itself before its first read. The listener
+// doesn't wait for memory, since others would wait behind.
+func (c *trackedConn) chargeConn() error {
+	if c.pool == nil || c.isCharged.Load() {
+		return nil
+	}
+	c.mu.Lock()
+	c.phaseAt = time.Now()
+	c.mu.Unlock()
+	if !c.Charge(connBytes) {
+		return c.refuseHead("memory", "503 Service Unavailable\r\nRetry-After: 1")
+	}
+	c.isCharged.Store(true)
+	return nil
+}
+
 func (c *trackedConn) isAtHead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/fleet/process/serving/pool.go
+++ b/fleet/process/serving/pool.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gentianhead/core/connection/eviction"
@@ -19,11 +20,19 @@
 	// buffer grows by doubling, and as a string. fieldCost is that of a field besides, as an entry of a map with its list of values.
 	headByteCost = 3
 	fieldCost    = 160
+	// smallHolder is the memory of a connection with an ordinary head. Connections that hold more
+	// leave a smallReserveDivisor-th of the budget to those that don't, so that a crowd of large
+	// heads or bodies doesn't take all memory that becomes available.
+	smallHolder         = connBytes + 16<<10
+	smallReserveDivisor = 10
 	// reliefDivisor is the part of a budget that is made available at once, so that a crowd
 	// doesn't cause a decision for each of its connections.
 	reliefDivisor = 10
 	// reliefInterval is the least time between two decisions on memory.
-	reliefInterval = 10 * time.Millisecond
+	reliefInterval = 25 * time.Millisecond
+	// minEvictionAge is how long a connection must wait for its caller before it is closed for the
+	// sake of another while there is room for more: a new one sends its request in a moment.
+	minEvictionAge = 100 * time.Millisecond
 	// reliefWait is how long a caller waits for memory that others release, and reliefPoll how
 	// often it looks.
 	reliefWait = 100 * time.Millisecond
@@ -55,6 +64,8 @@
 	conns map[*trackedConn]struct{}
 	// relievedAt is when connections were last closed for memory.
 	relievedAt time.Time
+	// releasing are the bytes held by connections that were closed to make room.
+	releasing atomic.Int64
 
 	notes  sync.Mutex
 	counts map[string]int
@@ -84,23 +95,21 @@
 func (p *Pool) add(c *trackedConn) bool {
 	p.mu.Lock()
 	if len(p.conns) >= p.options.MaxConns {
-		p.evict(eviction.Need{Conns: max(1, p.options.MaxConns/(2*reliefDivisor))}, "connections")
+		p.evict(eviction.Need{Conns: max(1, p.options.MaxConns/(2*reliefDivisor)), MinAge: minEvictionAge}, "connections")
 	}
-	isFull := len(p.conns) >= p.options.HardMaxConns
+	hardMax := p.options.HardMaxConns - c.server.options.ConnReserve
+	if len(p.conns) >= hardMax {
+		p.evict(eviction.Need{Conns: 1}, "connections")
+	}
+	isFull := len(p.conns) >= hardMax
 	if !isFull {
 		p.conns[c] = struct{}{}
 	}
 	p.mu.Unlock()
 	if isFull {
 		p.note("connections")
-		return false
-	}
-	if !c.Charge(connBytes) {
-		p.remove(c)
-		p.note("memory")
-		return false
 	}
-	return true
+	return !isFull
 }
 
 func (p *Pool) remove(c *trackedConn) {
@@ -111,12 +120,16 @@
 
 // charge charges n bytes for a connection, after others were closed if necessary.
 func (p *Pool) charge(c *trackedConn, n int64) bool {
-	if p.options.Memory.Charge(n, c.server.memoryReserve()) {
+	reserve := c.server.options.MemoryReserve
+	if c.held.Load()+n > smallHolder {
+		reserve += p.options.Memory.Limit() / smallReserveDivisor
+	}
+	if p.options.Memory.Charge(n, reserve) {
 		return true
 	}
 	for deadline := time.Now().Add(reliefWait); !c.isEvicted.Load() && time.Now().Before(deadline); {
 		p.relieve(n)
-		if p.options.Memory.Charge(n, c.server.memoryReserve()) {
+		if p.options.Memory.Charge(n, reserve) {
 			return true
 		}
 		<-time.After(reliefPoll)
@@ -133,7 +146,11 @@
 		return
 	}
 	p.relievedAt = now
-	p.evict(eviction.Need{Bytes: n + p.options.Memory.Limit()/reliefDivisor}, "memory")
+	// What closed connections hold is released once their goroutines end.
+	need := n + p.options.Memory.Limit()/reliefDivisor - p.releasing.Load()
+	if need > 0 {
+		p.evict(eviction.Need{Bytes: need}, "memory")
+	}
 }
 
 // evict closes connections. It is called with mu held.
@@ -201,7 +218,13 @@
 		return
 	}
 	c.releaseHead()
-	c.Release(connBytes)
+	if c.isCharged.Load() {
+		c.Release(connBytes)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hasReleased = true
+	c.pool.releasing.Add(-c.evictedBytes)
 }
 
 // state returns the state of the connection for a decision.
@@ -232,6 +255,12 @@
 	if c.isEvicted.Swap(true) {
 		return false
 	}
+	c.mu.Lock()
+	if !c.hasReleased {
+		c.evictedBytes = c.held.Load()
+		c.pool.releasing.Add(c.evictedBytes)
+	}
+	c.mu.Unlock()
 	c.isEnded.Store(true)
 	_ = c.Conn.Close()
 	return true
--- a/fleet/process/serving/pool_test.go
+++ b/fleet/process/serving/pool_test.go
@@ -122,3 +122,41 @@
 		assert.NilError(t, err, "the connection was not closed")
 	}
 }
+
+// Guards against readiness checks that find no room beside requests that run, and against a
+// listener that waits for memory.
+func TestPoolReserveBesideBusyConns(t *testing.T) {
+	for name, budget := range map[string]int64{"connections": 10 << 20, "memory": 10 * connBytes} {
+		t.Run(name, func(t *testing.T) {
+			pool := NewPool(PoolOptions{MaxConns: 16, HardMaxConns: 20, Memory: memory.NewBudget(budget), Log: slog.New(slog.DiscardHandler)})
+			options := Options{MaxConns: 100, HeaderBytes: 64 << 10, HeaderTimeout: 5 * time.Second, MinIdleTime: 50 * time.Millisecond, Pool: pool}
+			serve := func(options Options, handler http.HandlerFunc) string {
+				accepting, err := net.Listen("tcp", "127.0.0.1:0")
+				assert.NilError(t, err)
+				s := New(handler, options)
+				go func() { _ = s.Serve(accepting) }()
+				t.Cleanup(func() { _ = s.Close() })
+				return accepting.Addr().String()
+			}
+			release := make(chan struct{})
+			readiness := serve(options, func(http.ResponseWriter, *http.Request) {})
+			options.MemoryReserve, options.ConnReserve = 2*connBytes, 2
+			callers := serve(options, func(http.ResponseWriter, *http.Request) { <-release })
+			for range 40 {
+				_, _ = io.WriteString(dial(t, callers), testRequest)
+			}
+			// While the crowd arrives, its next connection may take the place of this one.
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				conn := dial(t, readiness)
+				defer conn.Close()
+				_, _ = io.WriteString(conn, testRequest)
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err == nil && response.StatusCode == http.StatusOK && pool.Conns() >= 8 {
+					return poll.Success()
+				}
+				return poll.Continue("readiness is not answered: %v", err)
+			})
+			close(release)
+		})
+	}
+}
--- a/fleet/process/serving/serving.go
+++ b/fleet/process/serving/serving.go
@@ -34,7 +34,7 @@
 	HeaderTimeout, IdleTimeout time.Duration
 }
 
-// Options sets the limits of a server. Pool, Limits and MemoryReserve are optional, all other
+// Options sets the limits of a server. Pool, Limits and the reserves are optional, all other
 // fields required.
 type Options struct {
 	// MaxConns is the maximum number of open connections. Connections opened in the
@@ -53,6 +53,8 @@
 	Limits func() Limits
 	// MemoryReserve is the part of the pool's memory, in bytes, that this server leaves to others.
 	MemoryReserve int64
+	// ConnReserve is the number of the pool's connections that this server leaves to others.
+	ConnReserve int
 }
 
 // Server is an HTTP server that tracks the idle time of its connections and can
@@ -107,8 +109,6 @@
 	return ctx
 }
 
-func (s *Server) memoryReserve() int64 { return s.options.MemoryReserve }
-
 // limits returns the limits in force.
 func (s *Server) limits() Limits {
 	limits := Limits{HeaderBytes: s.options.HeaderBytes, HeaderFields: DefaultHeaderFields, HeaderTimeout: s.options.HeaderTimeout, IdleTimeout: idleTimeout}
