--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -19,6 +19,7 @@
 	"gentianhead/fleet/connection/beacon"
 	"gentianhead/fleet/connection/upstream"
 	"gentianhead/fleet/process/boottime"
+	"gentianhead/fleet/process/memory"
 	"gentianhead/fleet/process/serving"
 	"gentianhead/fleet/process/telemetry"
 	"gentianhead/fleet/request/relay"
@@ -33,11 +34,18 @@
 	// live heap is a few megabytes and collections take little of a core, so less garbage than the
 	// default of 100 lowers the memory of each router by a sixth.
 	gcPercent = 25
-	// bodyShare is the share of the memory that request bodies may use.
-	bodyShare = 0.2
-	// connectionShare is the share of the file descriptors that one listener may
-	// use; connections to endpoints need the others.
-	connectionShare = 0.4
+	// callerShare is the share of the memory that may be held for callers: connections, heads
+	// and bodies. With what the router holds for itself it is less than heapShare.
+	callerShare = 0.3
+	// reserveDivisor is the part of that memory, and of the connections, that callers' requests
+	// leave to readiness checks and router lookups.
+	reserveDivisor = 10
+	// connectionShare is the share of the file descriptors that callers' connections at all
+	// listeners may use before some are closed, and maxConnectionShare the share that they never
+	// exceed. Each request in flight needs another for its endpoint, and the store and the other
+	// routers need some.
+	connectionShare    = 0.4
+	maxConnectionShare = 0.45
 	// maxHeaderBytes and headerTimeout limit request headers. They are above the
 	// limits that operators set.
 	maxHeaderBytes = 64 << 10
@@ -85,6 +93,14 @@
 	}
 	balancer := relay.NewBalancer(settings.LoadFactor, settings.PrefixReuseWindow, retryLimits(settings), telemetry.ComponentLogger(logger, "balance"))
 	balancer.SetOptions(balance.Options{IsPressured: settings.HasPressure})
+	budget := memory.NewBudget(int64(callerShare * float64(settings.MemoryBytes)))
+	pool := serving.NewPool(serving.PoolOptions{
+		MaxConns:     int(connectionShare * float64(settings.MaxOpenFiles)),
+		HardMaxConns: int(maxConnectionShare * float64(settings.MaxOpenFiles)),
+		Memory:       budget,
+		Log:          telemetry.ComponentLogger(logger, "serving"),
+	})
+	poolSource.Store(pool)
 	r.control = newControl(settings, balancer, beacons, r.store, telemetry.ComponentLogger(logger, "control"))
 	r.relay = relay.New(relay.Options{
 		State:      r.relayState,
@@ -92,22 +108,35 @@
 		Balancer:   balancer,
 		Upstream:   r.upstream,
 		Log:        telemetry.ComponentLogger(logger, "relay"),
-		BodyMemory: int64(bodyShare * float64(settings.MemoryBytes)),
+		BodyMemory: budget.Limit(),
 	})
 	options := serving.Options{
 		MaxConns:      int(connectionShare * float64(settings.MaxOpenFiles)),
 		HeaderBytes:   maxHeaderBytes,
 		HeaderTimeout: headerTimeout,
 		MinIdleTime:   minIdleTime,
+		Pool:          pool,
+		Limits:        r.callerLimits,
 	}
+	r.readiness = serving.New(serving.WithoutBodies(http.HandlerFunc(r.serveReadiness)), options)
+	r.directory = serving.New(serving.WithoutBodies(http.HandlerFunc(r.serveAddresses)), options)
+	options.MemoryReserve = budget.Limit() / reserveDivisor
+	options.ConnReserve = int(maxConnectionShare*float64(settings.MaxOpenFiles)) / reserveDivisor
 	r.callers = serving.New(r.relay, options)
-	r.readiness = serving.New(http.HandlerFunc(r.serveReadiness), options)
-	r.directory = serving.New(http.HandlerFunc(r.serveAddresses), options)
-	options.MaxConns = maxCopyConnections
+	options = serving.Options{MaxConns: maxCopyConnections, HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, MinIdleTime: minIdleTime}
 	r.copies = serving.New(r.copyServer(), options)
 	return r, nil
 }
 
+// callerLimits returns the limits of the configuration in force.
+func (r *Router) callerLimits() serving.Limits {
+	table := r.control.current.Load().table
+	if table == nil {
+		return serving.Limits{}
+	}
+	return serving.Limits{HeaderBytes: table.Limits.HeaderBytes, HeaderTimeout: table.Limits.HeaderTimeout, IdleTimeout: table.Limits.IdleTimeout}
+}
+
 func (r *Router) relayState() relay.State {
 	current := r.control.current.Load()
 	table := current.table
