--- a/fleet/process/hosted/caches.go
+++ b/fleet/process/hosted/caches.go
@@ -46,8 +46,8 @@
 	var share []endpoints.Entry
 	for _, e := range c.endpoints.View().All() {
 		service, known := c.state.table.Service(e.Service)
-		// A cold engine has started lately and has little cached, and a query is a request.
-		isCold := known && e.ColdUntil(service.ColdStart) > now
+		// A query is a request, and an engine whose service states a rate for cold ones may crash.
+		isCold := known && service.ColdPerSecond > 0 && e.ColdUntil(service.ColdStart) > now
 		isExcluded := isCold || evacuation.Contains(c.state.evacuated, e.Zone)
 		if known && !isExcluded && service.Engine != nil && c.handover.IsOwnEngine(e.ID, c.state.live) {
 			share = append(share, e)
