balancetest: engines with memory, ranks, events and lost work; baselines

Engines preempt the newest of the least urgent requests when their memory runs out. Four plain placements run on the same requests.

--- a/core/request/balance/balancetest/engine.go
+++ b/core/request/balance/balancetest/engine.go
@@ -2,8 +2,12 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
+	"gentianhead/core/request/breaker"
 	"gentianhead/core/request/exchange"
 )
 
@@ -24,14 +28,34 @@
 	// CopySetup and CopyPerToken are the time of a copy from another engine, which
 	// serves copies one after the other.
 	CopySetup, CopyPerToken time.Duration
+	// Memory is the number of tokens, of prompts and output, that running requests may hold;
+	// zero means no limit. If they hold more, the newest of the least urgent is preempted: it
+	// returns to the queue, and its own tokens are prefilled again.
+	Memory int
+	// TokensPerEvent is the number of output tokens in an event; zero means one.
+	TokensPerEvent int
+	// FirstToken is the time that the first event takes beside the steps.
+	FirstToken time.Duration
+	// LosesWork is set if an engine that is down loses its requests and its cache.
+	LosesWork bool
+	// IgnoresRank is set if requests are admitted in order of arrival only.
+	IgnoresRank bool
+	// StatesSlowness is set if responses state SlowFactor.
+	StatesSlowness bool
 }
 
 // run is one request at an engine.
 type run struct {
 	request         Request
-	begun, done     func()
+	begun           func()
+	done            func(breaker.Outcome)
 	unprefilled     int
 	remainingOutput int
+	// held is the number of tokens in memory, and lost that of those to prefill again.
+	held, lost int
+	// tokens is the output since the last event, at eventAt, and events the number of events.
+	tokens, events int
+	eventAt        time.Duration
 }
 
 type engine struct {
@@ -57,10 +81,21 @@
 }
 
 func (e *engine) load() exchange.Load {
-	return exchange.Load{Running: len(e.batch), Waiting: len(e.waiting), Slots: e.options.Slots}
+	load := exchange.Load{Running: len(e.batch), Waiting: len(e.waiting), Slots: e.options.Slots}
+	if e.options.StatesSlowness {
+		load.Slowness = int(100 * e.slowFactor())
+	}
+	return load
 }
 
-func (e *engine) offer(request Request, from server, begun, done func()) bool {
+func (e *engine) slowFactor() float64 {
+	if e.fleet.options.SlowFactor == nil {
+		return 1
+	}
+	return e.fleet.options.SlowFactor(e.id, e.fleet.now)
+}
+
+func (e *engine) offer(request Request, from server, begun func(), done func(breaker.Outcome)) bool {
 	if len(e.waiting) >= e.options.Queue {
 		return false
 	}
@@ -105,7 +140,7 @@
 	}
 }
 
-func (e *engine) admit(request Request, begun, done func()) {
+func (e *engine) admit(request Request, begun func(), done func(breaker.Outcome)) {
 	e.waiting = append(e.waiting, &run{request: request, begun: begun, done: done, remainingOutput: request.Output})
 	if !e.isWorking {
 		e.isWorking = true
@@ -115,10 +150,17 @@
 
 // step admits queued requests and runs one step.
 func (e *engine) step() {
+	if !e.options.IgnoresRank {
+		slices.SortStableFunc(e.waiting, func(a, b *run) int { return a.request.Rank - b.request.Rank })
+	}
 	for len(e.waiting) > 0 && len(e.batch) < e.options.Slots {
 		next := e.waiting[0]
+		next.held = next.lost + promptTokens(next.request.Prompt)
+		if e.options.Memory > 0 && len(e.batch) > 0 && e.held()+next.held > e.options.Memory {
+			break
+		}
 		e.waiting = e.waiting[1:]
-		next.unprefilled = e.prefill(next.request.Prompt)
+		next.unprefilled = e.prefill(next.request.Prompt) + next.lost
 		e.batch = append(e.batch, next)
 	}
 	if len(e.batch) == 0 {
@@ -133,32 +175,82 @@
 	}
 	took := e.options.Step + time.Duration(len(e.batch))*e.options.StepPerSlot +
 		time.Duration(float64(prefill)/e.options.PrefillPerMS*float64(time.Millisecond))
-	if slow := e.fleet.options.SlowFactor; slow != nil {
-		took = time.Duration(float64(took) * slow(e.id, e.fleet.now))
+	e.fleet.after(time.Duration(float64(took)*e.slowFactor()), e.finishStep)
+}
+
+func promptTokens(prompt *exchange.Prompt) int {
+	if prompt == nil {
+		return 0
 	}
-	e.fleet.after(took, e.finishStep)
+	return lo.SumBy(prompt.Parts, func(part exchange.Part) int { return part.Tokens })
 }
 
+func (e *engine) held() int { return lo.SumBy(e.batch, func(r *run) int { return r.held }) }
+
 // finishStep generates the tokens of a completed step.
 func (e *engine) finishStep() {
+	if down := e.fleet.options.IsDown; e.options.LosesWork && down != nil && down(e.id, e.fleet.now) {
+		for _, r := range append(e.batch, e.waiting...) {
+			r.done(breaker.Failed)
+		}
+		e.batch, e.waiting, e.cachedTokens = nil, nil, 0
+		clear(e.cached)
+		e.step()
+		return
+	}
 	rest := e.batch[:0]
 	for _, r := range e.batch {
 		if r.unprefilled == 0 {
-			if r.remainingOutput == r.request.Output {
-				r.begun()
-			}
 			r.remainingOutput--
+			r.held++
+			e.generate(r)
 		}
 		if r.remainingOutput > 0 {
 			rest = append(rest, r)
 		} else {
-			r.done()
+			r.done(breaker.Succeeded)
 		}
 	}
 	e.batch = rest
+	for e.options.Memory > 0 && len(e.batch) > 1 && e.held() > e.options.Memory {
+		e.preempt()
+	}
 	e.step()
 }
 
+// generate records an output token, and an event if it completes one.
+func (e *engine) generate(r *run) {
+	if r.tokens++; r.tokens < e.options.TokensPerEvent && r.remainingOutput > 0 {
+		return
+	}
+	r.tokens = 0
+	switch r.events++; {
+	case r.events > 1:
+		r.request.result.Pause = max(r.request.result.Pause, e.fleet.now-r.eventAt)
+	case e.options.FirstToken > 0:
+		e.fleet.after(e.options.FirstToken, r.begun)
+	default:
+		r.begun()
+	}
+	r.eventAt = e.fleet.now
+}
+
+// preempt returns the newest of the least urgent requests to the queue.
+func (e *engine) preempt() {
+	at := 0
+	for i, r := range e.batch {
+		if r.request.Rank >= e.batch[at].request.Rank {
+			at = i
+		}
+	}
+	r := e.batch[at]
+	parts := r.request.Prompt.Parts
+	r.lost = parts[len(parts)-1].Tokens + r.request.Output - r.remainingOutput
+	e.fleet.Preempted++
+	e.batch = slices.Delete(e.batch, at, at+1)
+	e.waiting = slices.Insert(e.waiting, 0, r)
+}
+
 // prefill returns the number of uncached tokens of a prompt, at least one, and caches
 // its parts.
 func (e *engine) prefill(prompt *exchange.Prompt) int {
--- a/core/request/balance/balancetest/fleet.go
+++ b/core/request/balance/balancetest/fleet.go
@@ -62,7 +62,9 @@
 	// RetryDelay returns the delay until the caller of a refused request retries; each
 	// caller retries once. Nil means no retries.
 	RetryDelay func(router int, now, left time.Duration) time.Duration
-	Seed       uint64
+	// Baseline replaces the placement core if it is set.
+	Baseline Baseline
+	Seed     uint64
 }
 
 // Request is one request of a replay.
@@ -81,6 +83,10 @@
 	Class    string
 	// Repeat is equal for repeats of one request; zero if that is not known.
 	Repeat uint64
+	// Rank is the priority; 0 is the most urgent.
+	Rank int
+
+	result *Result
 }
 
 // Result is a request with its outcome.
@@ -94,6 +100,8 @@
 	Latency time.Duration
 	// Retries is how often the caller retried.
 	Retries int
+	// Pause is the longest time between two events of an engine.
+	Pause time.Duration
 }
 
 // IsInTime reports whether the request was answered within its target latency.
@@ -103,7 +111,7 @@
 type server interface {
 	// offer reports whether the request is accepted. begun and done are called at the
 	// first event and at the end. from is the endpoint to copy the prompt from, or nil.
-	offer(request Request, from server, begun, done func()) bool
+	offer(request Request, from server, begun func(), done func(breaker.Outcome)) bool
 	load() exchange.Load
 }
 
@@ -126,6 +134,8 @@
 	// Prefilled counts the prompt tokens that engines prefilled, PrefilledAgain those
 	// of shared parts that some engine had prefilled before, and Copied those copied.
 	Prefilled, PrefilledAgain, Copied int
+	// Preempted counts the requests that engines preempted.
+	Preempted int
 	// SentWhileAway is the largest number of requests that one router sent to one endpoint
 	// between half a second after the endpoint asked it for distance and the end of that.
 	SentWhileAway int
@@ -133,6 +143,8 @@
 	// FailedConnections counts attempts at endpoints that were down.
 	FailedConnections int
 	prefilledParts    map[string]bool
+	// baselineLoads are the loads that endpoints reported to each router.
+	baselineLoads []map[string]int
 }
 
 func (f *Fleet) countPrefill(part exchange.Part, isShared bool) {
@@ -151,9 +163,11 @@
 		prefilledParts: make(map[string]bool), lastBeaconAt: make([]time.Duration, options.Routers),
 		away:         make(map[awayKey]*awaySpan),
 		groupReports: make([]map[int]groupReport, options.Routers), rounds: make([]int, options.Routers),
+		baselineLoads: make([]map[string]int, options.Routers),
 	}
 	for number := range options.Routers {
 		f.groupReports[number] = make(map[int]groupReport)
+		f.baselineLoads[number] = make(map[string]int)
 	}
 	view, table := f.buildEndpoints()
 	f.startRouters(view, table)
@@ -188,6 +202,9 @@
 		core := balance.New(f.options.LoadFactor, 10*time.Second, seed.Float64)
 		core.SetTable(table)
 		core.SetView(view)
+		if f.options.Baseline != "" {
+			core.SetView(endpoints.New().View())
+		}
 		core.Tick(f.clock())
 		f.routers = append(f.routers, core)
 	}
@@ -325,6 +342,7 @@
 
 func (f *Fleet) arrive(number int, request Request) {
 	result := &f.results[number]
+	request.result = result
 	result.Request = request
 	result.IsUnanswered = true
 	f.attempt(f.random.IntN(len(f.routers)), result, nil)
@@ -347,9 +365,9 @@
 	router := f.routers[number]
 	request := balance.PlacementRequest{
 		Service: Service, Prompt: result.Prompt, Target: result.Target, Excluded: excluded,
-		Flow: fairness.Flow{Account: result.Account}, Repeat: result.Repeat,
+		Flow: fairness.Flow{Account: result.Account, Rank: result.Rank}, Repeat: result.Repeat,
 	}
-	placement, refusal := router.Place(f.clock(), request)
+	placement, refusal := f.place(number, request)
 	if refusal != balance.Accepted {
 		result.IsUnanswered, result.IsRefused = false, true
 		f.refuse(number, result)
@@ -380,19 +398,25 @@
 	}
 	f.after(linkDelay, func() {
 		f.countAboveBound(target)
+		isLost := false
 		begun := func() {
 			load := target.load()
 			f.after(linkDelay, func() {
 				result.Latency = f.now - result.At
-				result.IsUnanswered = false
+				result.IsUnanswered = isLost
 				if f.options.Engine != nil {
+					f.recordBaselineLoad(number, id, load)
 					router.RecordLoad(f.clock(), id, load)
 				}
 				router.RecordFirstEvent(f.clock(), &placement)
 			})
 		}
-		done := func() {
-			f.after(linkDelay, func() { router.Done(f.clock(), &placement, breaker.Succeeded) })
+		done := func(outcome breaker.Outcome) {
+			f.after(linkDelay, func() {
+				isLost = outcome != breaker.Succeeded
+				result.IsUnanswered = result.IsUnanswered || isLost
+				router.Done(f.clock(), &placement, outcome)
+			})
 		}
 		if target.offer(result.Request, f.servers[placement.CopyFrom], begun, done) {
 			return
--- a/core/request/balance/balancetest/plain.go
+++ b/core/request/balance/balancetest/plain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gentianhead/core/request/breaker"
 	"gentianhead/core/request/exchange"
 )
 
@@ -23,13 +24,13 @@
 	return exchange.Load{Running: s.running, Waiting: len(s.waiting), Slots: s.options.Slots}
 }
 
-func (s *plainServer) offer(request Request, _ server, begun, done func()) bool {
+func (s *plainServer) offer(request Request, _ server, begun func(), done func(breaker.Outcome)) bool {
 	run := func() {
 		s.running++
 		s.fleet.after(request.Work, func() {
 			s.running--
 			begun()
-			done()
+			done(breaker.Succeeded)
 			s.next()
 		})
 	}
