Placement on engines by expected time, where endpoints state slowness or the settings ask for it

Placement counted tokens as if all engines were alike, gave an engine without a free slot nothing although it has a queue, and ignored memory. For a service whose endpoints state slowness, and for all with `pressure` in Contracts, the cost is now time: prefill over the measured rate, longer by the slowness with its age, the wait for a slot, and the time past the target. The choice is more random, since many routers filled the engines that looked idle in the same beacons. KvCapacity bounds the slots by the memory that requests were measured to hold. Beacons and digests carry slowness (S), each statement only from the router that got it: passed on, it seemed newer at each step.

--- a/core/process/presence/digest.go
+++ b/core/process/presence/digest.go
@@ -16,6 +16,8 @@
 	maxUnreachablePerRouter = 256
 	// maxStatedRates bounds the stated request rates in a digest.
 	maxStatedRates = 256
+	// maxSlowness bounds the endpoints whose slowness is in a digest.
+	maxSlowness = 128
 )
 
 // Load is what one router, or the sum of several, reports about its work.
@@ -26,6 +28,7 @@
 	Outcomes    []Outcomes
 	Evidence    CrashEvidence
 	Rates       []StatedRate
+	Slowness    []Slowness
 }
 
 // Digest is the sum of the beacons of a group, including the sender's own. A digest that a
@@ -41,7 +44,8 @@
 	Outcomes  []Outcomes `msgpack:"j,omitempty"`
 	Reporters []int      `msgpack:"k,omitempty"`
 	CrashEvidence
-	Rates []StatedRate `msgpack:"R,omitempty"`
+	Rates    []StatedRate `msgpack:"R,omitempty"`
+	Slowness []Slowness   `msgpack:"S,omitempty"`
 	// Age is the mean age of the summed beacons, and Routers their number.
 	Age     time.Duration `msgpack:"a"`
 	Routers int           `msgpack:"r"`
@@ -119,7 +123,7 @@
 
 func (d *Digest) setLoad(load Load) {
 	d.Work, d.Placed, d.Unreachable, d.Outcomes = load.Work, load.Placed, load.Unreachable, load.Outcomes
-	d.CrashEvidence, d.Rates = load.Evidence, load.Rates
+	d.CrashEvidence, d.Rates, d.Slowness = load.Evidence, load.Rates, load.Slowness
 	for _, outcomes := range load.Outcomes {
 		d.Reporters = append(d.Reporters, outcomes.Reporters)
 	}
@@ -127,7 +131,7 @@
 
 // Load returns the group's load.
 func (d *Digest) Load() Load {
-	load := Load{Work: d.Work, Placed: d.Placed, Unreachable: d.Unreachable, Outcomes: slices.Clone(d.Outcomes), Evidence: d.CrashEvidence, Rates: d.Rates}
+	load := Load{Work: d.Work, Placed: d.Placed, Unreachable: d.Unreachable, Outcomes: slices.Clone(d.Outcomes), Evidence: d.CrashEvidence, Rates: d.Rates, Slowness: d.Slowness}
 	for i := range min(len(load.Outcomes), len(d.Reporters)) {
 		load.Outcomes[i].Reporters = d.Reporters[i]
 	}
@@ -136,23 +140,24 @@
 
 // Load returns the load of the beacon's sender.
 func (b *Beacon) Load() Load {
-	return Load{Work: b.Work, Placed: b.Placed, Unreachable: b.Unreachable, Outcomes: b.Outcomes, Evidence: b.CrashEvidence, Rates: b.Rates}
+	return Load{Work: b.Work, Placed: b.Placed, Unreachable: b.Unreachable, Outcomes: b.Outcomes, Evidence: b.CrashEvidence, Rates: b.Rates, Slowness: b.Slowness}
 }
 
 // SetLoad sets the load of the beacon's sender.
 func (b *Beacon) SetLoad(load Load) {
 	b.Work, b.Placed, b.Unreachable, b.Outcomes = load.Work, load.Placed, load.Unreachable, load.Outcomes
-	b.CrashEvidence, b.Rates = load.Evidence, load.Rates
+	b.CrashEvidence, b.Rates, b.Slowness = load.Evidence, load.Rates, load.Slowness
 }
 
 // WithoutHints returns the beacon without what only improves placement. It is smaller by the
 // parts that grow with the number of requests and of failing endpoints. Verdicts stay.
 func (b Beacon) WithoutHints() Beacon {
 	b.Placed, b.Unreachable, b.Outcomes, b.Mentions, b.Crashes, b.Served, b.LastServed = nil, nil, nil, nil, nil, nil, nil
+	b.Slowness = nil
 	if b.Digest != nil {
 		digest := *b.Digest
 		digest.Placed, digest.Unreachable, digest.Outcomes, digest.Reporters = nil, nil, nil, nil
-		digest.Crashes, digest.Served, digest.LastServed = nil, nil, nil
+		digest.Crashes, digest.Served, digest.LastServed, digest.Slowness = nil, nil, nil, nil
 		b.Digest = &digest
 	}
 	return b
@@ -186,10 +191,14 @@
 	outcomes    map[Key]Outcomes
 	evidence    []CrashEvidence
 	rates       map[Key]StatedRate
+	slowness    map[Key]Slowness
 }
 
 func newSum() *sum {
-	return &sum{work: make(map[Key]Work), placed: make(map[Placed]bool), unreachable: make(map[Key]int), outcomes: make(map[Key]Outcomes), rates: make(map[Key]StatedRate)}
+	return &sum{
+		work: make(map[Key]Work), placed: make(map[Placed]bool), unreachable: make(map[Key]int), outcomes: make(map[Key]Outcomes),
+		rates: make(map[Key]StatedRate), slowness: make(map[Key]Slowness),
+	}
 }
 
 func (s *sum) add(load Load, age time.Duration) {
@@ -218,6 +227,12 @@
 			s.rates[stated.Process] = stated
 		}
 	}
+	for _, stated := range load.Slowness {
+		stated.Age += milliseconds(max(0, age))
+		if known, isKnown := s.slowness[stated.Endpoint]; !isKnown || stated.Age < known.Age {
+			s.slowness[stated.Endpoint] = stated
+		}
+	}
 	for _, outcomes := range load.Outcomes {
 		total := s.outcomes[outcomes.Endpoint]
 		total.Endpoint = outcomes.Endpoint
@@ -229,7 +244,7 @@
 }
 
 func (s *sum) result() Load {
-	load := Load{Work: s.work, Evidence: SumEvidence(s.evidence...), Rates: s.latestRates()}
+	load := Load{Work: s.work, Evidence: SumEvidence(s.evidence...), Rates: s.latestRates(), Slowness: LatestSlowness(slices.Collect(maps.Values(s.slowness)))}
 	for placed := range s.placed {
 		load.Placed = append(load.Placed, placed)
 	}
@@ -250,6 +265,14 @@
 	return latest[:min(len(latest), maxStatedRates)]
 }
 
+// LatestSlowness returns the latest statements, at most maxSlowness. It reorders its argument.
+func LatestSlowness(stated []Slowness) []Slowness {
+	slices.SortFunc(stated, func(a, b Slowness) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return stated[:min(len(stated), maxSlowness)]
+}
+
 // reporters returns how many routers saw failures.
 func (o Outcomes) reporters() int {
 	if o.Failed == 0 {
--- a/core/process/presence/presence.go
+++ b/core/process/presence/presence.go
@@ -98,6 +98,18 @@
 	Age uint32
 }
 
+// Slowness is how long work takes at an endpoint, as a response stated it.
+type Slowness struct {
+	//lint:ignore U1000 tells the codec to leave out names
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Endpoint Key
+	// Percent is relative to the usual time.
+	Percent uint32
+	// Age is the time in milliseconds since the response.
+	Age uint32
+}
+
 // Key is a short hash that identifies an endpoint or a prompt part in beacons. A
 // collision only distorts the view of load or caches.
 type Key uint32
@@ -155,6 +167,8 @@
 	CrashEvidence
 	// Rates are the request rates that endpoints stated lately.
 	Rates []StatedRate `msgpack:"R,omitempty"`
+	// Slowness covers endpoints that are slow or were lately.
+	Slowness []Slowness `msgpack:"S,omitempty"`
 	// Stamp is the sender's clock, for the receiver to echo.
 	Stamp time.Duration `msgpack:"t"`
 	// Echo forwards the sender's confirmation of Version to the router process
--- a/core/request/balance/balance.go
+++ b/core/request/balance/balance.go
@@ -87,6 +87,11 @@
 	// Running and Prefill are the estimated requests at the endpoint and the prompt
 	// tokens that it has yet to prefill, both without this request.
 	Running, Prefill int
+	// Expected is the expected time to the first event, which is estimated if placement is by
+	// time; otherwise it is zero.
+	Expected time.Duration
+	// memory is the mean number of tokens that the request holds at an engine.
+	memory int
 	// prefill is the number of tokens to prefill for this request, as in pick.
 	prefill           int
 	isPrefilling      bool
@@ -131,6 +136,7 @@
 	// unreachableBy is how many other routers report that they can't connect to it.
 	unreachableBy int
 	suspicion     suspicion
+	slowness      slowness
 	// succeededAt is when this router's last successful request ended; zero if none.
 	succeededAt time.Duration
 	// drainingSince is when the endpoint was first seen draining.
@@ -161,6 +167,9 @@
 	limits           *ratelimit.Core
 	rateChanges      []RateChange
 	random           func() float64
+	options          Options
+	// pressured are the services that TakePressured has not returned yet.
+	pressured []string
 }
 
 // New returns a core without endpoints. No engine should exceed loadFactor times
@@ -209,6 +218,7 @@
 	placed := Placement{
 		Endpoint: chosen.entry, CopyFrom: picked.copyFrom,
 		Running: chosen.running(now), Prefill: chosen.own.Prefill + chosen.peers.Prefill,
+		Expected: picked.expected, memory: memoryOf(request.Prompt),
 		prefill: picked.prefill, isPrefilling: picked.prefill > 0, endpointStartedAt: chosen.entry.StartedAt, placedAt: now,
 	}
 	if c.limits.IsLimited(chosen.process) {
@@ -380,6 +390,9 @@
 	state := c.stateOf(p)
 	if state != nil && !p.isAnswered {
 		state.suspicion.own.add(now, false)
+		if stats := c.statsFor(p.Endpoint.Service); p.Running < p.Endpoint.Slots {
+			stats.tokenTimes.add(p.Prefill+p.prefill, float64(now-p.placedAt)/state.slowness.expected(now, 1))
+		}
 	}
 	p.isAnswered = true
 	c.endPrefill(state, p)
@@ -406,6 +419,7 @@
 	case breaker.Succeeded:
 		state.succeededAt = now
 		c.recordServiceTime(now, p)
+		c.statsFor(p.Endpoint.Service).memoryUse.add(p.memory, now-p.placedAt)
 		if !p.isAnswered {
 			state.suspicion.own.add(now, false)
 		}
@@ -439,6 +453,7 @@
 func (c *Core) RecordLoad(now time.Duration, id string, load exchange.Load) {
 	if state, known := c.states[id]; known {
 		state.reportedLoad, state.reportedAt = load, now
+		c.recordSlowness(state, now, load.Slowness, true)
 	}
 }
 
--- a/core/request/balance/balancetest/fleet.go
+++ b/core/request/balance/balancetest/fleet.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gentianhead/core/process/endpoints"
@@ -62,6 +63,10 @@
 	// RetryDelay returns the delay until the caller of a refused request retries; each
 	// caller retries once. Nil means no retries.
 	RetryDelay func(router int, now, left time.Duration) time.Duration
+	// IsPressured is an option of the routers.
+	IsPressured bool
+	// Observe holds functions to call with the routers at a time of the replay.
+	Observe map[time.Duration]func(routers []*balance.Core, now time.Duration)
 	// Baseline replaces the placement core if it is set.
 	Baseline Baseline
 	Seed     uint64
@@ -180,6 +185,9 @@
 			f.reportCaches()
 		})
 	}
+	for at, observe := range options.Observe {
+		f.after(at, func() { observe(f.routers, f.clock()) })
+	}
 	for number, request := range requests {
 		f.after(request.At, func() { f.arrive(number, request) })
 	}
@@ -201,6 +209,7 @@
 		seed := rand.New(rand.NewPCG(f.options.Seed, uint64(number+100)))
 		core := balance.New(f.options.LoadFactor, 10*time.Second, seed.Float64)
 		core.SetTable(table)
+		core.SetOptions(balance.Options{IsPressured: f.options.IsPressured})
 		core.SetView(view)
 		if f.options.Baseline != "" {
 			core.SetView(endpoints.New().View())
@@ -232,7 +241,7 @@
 	service := routetable.Service{Name: Service}
 	if f.options.Engine != nil {
 		slots = f.options.Engine.Slots
-		service.Engine = &routetable.Engine{Slots: slots}
+		service.Engine = &routetable.Engine{Slots: slots, MemoryTokens: f.options.Engine.Memory}
 	}
 	var entries []endpoints.Entry
 	for number := range f.options.Endpoints {
@@ -313,7 +322,12 @@
 	loads := []presence.Load{own.Load}
 	var age time.Duration
 	for _, received := range f.groupReports[number] {
-		loads = append(loads, received.report.Load)
+		load := received.report.Load
+		load.Slowness = slices.Clone(load.Slowness)
+		for i := range load.Slowness {
+			load.Slowness[i].Age += uint32((f.now - received.at) / time.Millisecond)
+		}
+		loads = append(loads, load)
 		age += f.now - received.at
 	}
 	sum := balance.WorkReport{Load: presence.Sum(loads...), Routers: len(loads), Age: age / time.Duration(len(loads))}
--- a/core/request/balance/engine.go
+++ b/core/request/balance/engine.go
@@ -57,6 +57,8 @@
 	// copied tokens converted by copyTimeRatio.
 	prefill  int
 	copyFrom string
+	// expected is the expected time to the first event; zero if it was not estimated.
+	expected time.Duration
 }
 
 // pickEngine returns the engine with the lowest cost among those below the load
@@ -74,19 +76,26 @@
 	if slots < 1 {
 		slots = candidates[0].entry.Slots
 	}
+	isPressured := c.isPressured(request.Service)
+	if isPressured {
+		slots = c.statsFor(request.Service).memoryUse.slots(engine.MemoryTokens, slots)
+	}
 	if c.isEngineRefused(now, request, len(candidates), mean/float64(max(1, slots))) {
 		return pick{}
 	}
 	bound := c.loadFactor*boundFactor*(mean+1/float64(len(candidates))) + boundSlack
 	reuse := c.reuseOf(now, request, candidates, atLimit)
 	spread := spreadTokens * c.unreported(&c.statsFor(request.Service).serviceTime, mean)
+	if isPressured {
+		return c.pickByTime(now, request, candidates, reuse, slots, bound, spread)
+	}
 	best, bestCost, prefill := -1, 0.0, 0
 	for i, state := range candidates {
 		running := state.running(now)
 		if running >= slots || float64(running) >= bound && len(candidates) > 1 {
 			continue
 		}
-		extra, candidatePrefill := reuse.cost(i)
+		extra, candidatePrefill := reuse.cost(i, reuseWeight)
 		random := c.random() * (1 + spread)
 		if c.limits.IsLimited(state.process) {
 			random = 0
@@ -208,8 +217,9 @@
 }
 
 // cost returns the cost of the parts that a candidate lacks, and the time to prefill
-// and copy them in prefilled prompt tokens.
-func (r *reuse) cost(candidate int) (cost float64, prefill int) {
+// and copy them in prefilled prompt tokens. reuseWeight is the cost per shared token to
+// prefill.
+func (r *reuse) cost(candidate int, reuseWeight float64) (cost float64, prefill int) {
 	if len(r.parts) == 0 {
 		return 0, 0
 	}
--- a/core/request/balance/hardload_test.go
+++ b/core/request/balance/hardload_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"gentianhead/core/request/balance"
 	"gentianhead/core/request/balance/balancetest"
 	"gentianhead/core/request/exchange"
 )
@@ -60,7 +61,7 @@
 		CacheTokens: 409_730, Memory: 409_730, TokensPerEvent: 12, CopySetup: 8 * time.Millisecond, CopyPerToken: 1700 * time.Nanosecond, LosesWork: true,
 	}
 	return hardLoad{
-		options: balancetest.Options{Routers: 81, BeaconInterval: 250 * time.Millisecond, Groups: 9, Endpoints: 140, Engine: engine, LoadFactor: 2, Seed: seed, RetryDelay: thirdOfTimeLeft},
+		options: balancetest.Options{Routers: 81, BeaconInterval: 250 * time.Millisecond, Groups: 9, Endpoints: 140, Engine: engine, LoadFactor: 2, IsPressured: true, Seed: seed, RetryDelay: thirdOfTimeLeft},
 		classes: []hardClass{
 			{"drafts", 127, 2, 220, 10512, 1300, 384, 1200 * time.Millisecond, 2.4, 4 * time.Second, 11 * time.Second},
 			{"questions", 317, 0, 830, 699, 130, 288, 250 * time.Millisecond, 1.7, 6 * time.Second, 9 * time.Second},
@@ -163,6 +164,8 @@
 	// paused is the share of answered requests with a longer pause than the target.
 	paused float64
 	text   string
+	// again is the number of shared tokens prefilled again, in millions.
+	again float64
 }
 
 func (l hardLoad) replay(seed uint64, x float64) hardOutcome {
@@ -181,6 +184,7 @@
 		}
 	}
 	o.paused = float64(paused) / float64(max(1, answered))
+	o.again = float64(fleet.PrefilledAgain) / 1e6
 	var text strings.Builder
 	fmt.Fprintf(&text, "in time %.3f refused %.3f lost %.3f paused %.3f again %.2fM of %.0fM copied %.1fM preempted %d above %.3f |", o.inTime, o.refused, o.unanswered, o.paused,
 		float64(fleet.PrefilledAgain)/1e6, float64(tokens)/1e6, float64(fleet.Copied)/1e6, fleet.Preempted, float64(fleet.AboveBound)/float64(len(all)))
@@ -207,8 +211,11 @@
 	seeds, err := strconv.Atoi(os.Getenv("HARD_SEEDS"))
 	assert.NilError(t, err)
 	for seed := range uint64(seeds) {
-		for name, l := range map[string]hardLoad{"A": deploymentA(seed), "B": deploymentB(seed)} {
-			t.Logf("%s x%.1f seed %d: %s", name, x, seed, l.replay(seed, x).text)
+		for name, l := range map[string]hardLoad{"A": deploymentA(seed), "B": deploymentB(seed), "slow": slowStays(seed)} {
+			t.Logf("%s x%.1f seed %d by time: %s", name, x, seed, l.replay(seed, x).text)
+			byTokens, engine := l, *l.options.Engine
+			engine.StatesSlowness, byTokens.options.IsPressured, byTokens.options.Engine = false, false, &engine
+			t.Logf("%s x%.1f seed %d by tokens: %s", name, x, seed, byTokens.replay(seed, x).text)
 			if os.Getenv("HARD_BASELINES") == "" {
 				continue
 			}
@@ -225,3 +232,99 @@
 		}
 	}
 }
+
+// Guards against engines that fill up while others are idle, as all routers send to those that
+// look idle in views of the same age: deployment A at 1.5 times its load.
+func TestReplayBurstsByTime(t *testing.T) {
+	t.Parallel()
+	l := deploymentA(1)
+	l.options.IsPressured = false
+	before := l.replay(1, 1.5)
+	l.options.IsPressured = true
+	now := l.replay(1, 1.5)
+	t.Logf("by tokens: %s\nby time: %s", before.text, now.text)
+	assert.Check(t, now.inTime > before.inTime+0.01, "%.3f and %.3f", before.inTime, now.inTime)
+	assert.Check(t, now.again < before.again*1.1, "%.2f and %.2f million", before.again, now.again)
+}
+
+// slowStays returns deployment B with a sixth of the engines six times slower for five seconds.
+func slowStays(seed uint64) hardLoad {
+	l := deploymentB(seed)
+	l.options.IsDown = nil
+	l.options.SlowFactor = func(id string, at time.Duration) float64 {
+		if at > 5*time.Second && at < 10*time.Second && id < "endpoint-015" {
+			return 6
+		}
+		return 1
+	}
+	return l
+}
+
+// Guards against long prompts at engines that stay slow, where they miss their target and pause
+// the streams, and against routers that avoid an engine for dips of 600 ms that are over once
+// they know.
+func TestReplaySlownessByTime(t *testing.T) {
+	t.Parallel()
+	for name, l := range map[string]hardLoad{"stays": slowStays(1), "dips": deploymentB(1)} {
+		now := l.replay(1, 1)
+		engine := *l.options.Engine
+		engine.StatesSlowness = false
+		l.options.Engine = &engine
+		before := l.replay(1, 1)
+		t.Logf("%s, not stated: %s\nstated: %s", name, before.text, now.text)
+		if name == "stays" {
+			assert.Check(t, now.inTime > before.inTime+0.005, "%.3f and %.3f", before.inTime, now.inTime)
+			assert.Check(t, now.paused < 0.9*before.paused, "%.3f and %.3f", before.paused, now.paused)
+		} else {
+			assert.Check(t, now.inTime > before.inTime-0.01, "%.3f and %.3f", before.inTime, now.inTime)
+		}
+	}
+}
+
+// Guards against slowness that only the router knows that got the response: 1.5 s after engines
+// become slow, 95 in 100 pairs of a router and a slow engine must be known, and 1.5 s after they
+// recover, at most 10 in 100 may still count as slow.
+func TestReplaySlownessKnownFleetWide(t *testing.T) {
+	t.Parallel()
+	for _, fleet := range []struct{ routers, groups int }{{7, 0}, {81, 9}, {295, 17}} {
+		l := slowStays(1)
+		l.options.Routers, l.options.Groups = fleet.routers, fleet.groups
+		const slowEngines = 15
+		known := func(routers []*balance.Core, now time.Duration) float64 {
+			total := 0
+			for _, router := range routers {
+				total += router.SlowEndpoints(now)
+			}
+			return float64(total) / float64(len(routers)*slowEngines)
+		}
+		var during, after float64
+		l.options.Observe = map[time.Duration]func([]*balance.Core, time.Duration){
+			6500 * time.Millisecond:  func(routers []*balance.Core, now time.Duration) { during = known(routers, now) },
+			11500 * time.Millisecond: func(routers []*balance.Core, now time.Duration) { after = known(routers, now) },
+		}
+		l.replay(1, 1)
+		t.Logf("%d routers: known %.3f, still taken for slow %.3f", fleet.routers, during, after)
+		assert.Check(t, during > 0.95 && after < 0.1, "%d routers: %.3f and %.3f", fleet.routers, during, after)
+	}
+}
+
+// Guards against more prompts at an engine than fit into its memory, whose slots would allow
+// them: they wait in its queue, and it preempts some, whose prompts are prefilled again.
+func TestReplayMemoryByTime(t *testing.T) {
+	t.Parallel()
+	l := deploymentA(1)
+	l.options.Routers, l.options.Groups, l.options.Endpoints = 62, 8, 9
+	engine := l.options.Engine
+	engine.Slots, engine.Queue, engine.Memory, engine.CacheTokens = 64, 192, 389_454, 389_454
+	engine.Step, engine.PrefillPerMS = 3790*time.Microsecond, 56.6
+	l.classes = []hardClass{
+		{"drafts", 128, 2, 20, 6512, 1300, 380, time.Second, 1, 0, 0},
+		{"questions", 40, 0, 40, 699, 130, 290, 500 * time.Millisecond, 1, 0, 0},
+		{"labels", 32, 1, 40, 2041, 360, 21, 500 * time.Millisecond, 1, 0, 0},
+	}
+	now := l.replay(1, 1)
+	l.options.IsPressured = false
+	before := l.replay(1, 1)
+	t.Logf("by tokens: %s\nby time: %s", before.text, now.text)
+	assert.Check(t, now.inTime > before.inTime+0.03, "%.3f and %.3f", before.inTime, now.inTime)
+}
--- a/core/request/balance/reports.go
+++ b/core/request/balance/reports.go
@@ -61,6 +61,7 @@
 	c.addReport(r, 1)
 	c.reports[source] = r
 	c.recordReportedRates(now, received.Rates)
+	c.recordReportedSlowness(now, received.Slowness)
 	c.expireReports(now)
 }
 
@@ -116,7 +117,7 @@
 // can't connect to, that asked for no requests or where requests fail, and its
 // placements since a time.
 func (c *Core) Work(now, since time.Duration) WorkReport {
-	reported := WorkReport{Load: presence.Load{Work: make(map[presence.Key]presence.Work), Placed: c.recent.since(since), Rates: c.limits.Reports(now)}}
+	reported := WorkReport{Load: presence.Load{Work: make(map[presence.Key]presence.Work), Placed: c.recent.since(since), Rates: c.limits.Reports(now), Slowness: c.slownessReport(now)}}
 	for id, state := range c.states {
 		key := presence.KeyOf(id)
 		if state.own.Running > 0 {
--- a/core/request/balance/service.go
+++ b/core/request/balance/service.go
@@ -36,6 +36,11 @@
 	serviceTime movingAverage
 	// demand decides how refusals are divided among client accounts.
 	demand fairness.DemandTracker
+	// tokenTimes estimates the time to the first event at an engine.
+	tokenTimes tokenTimes
+	memoryUse  memoryUse
+	// statesSlowness is set once an endpoint of the service has stated its slowness.
+	statesSlowness bool
 }
 
 // statsFor returns the measurements of a service, creating them if needed.
--- a/core/request/exchange/exchange.go
+++ b/core/request/exchange/exchange.go
@@ -84,6 +84,8 @@
 	IsNotRun bool
 	// Load is nil when the endpoint did not report it.
 	Load *Load
+	// UnreadableLoad is the stated load if a part of it has no meaning.
+	UnreadableLoad string
 	// IsLeaving reports that the endpoint stated that it is about to stop.
 	IsLeaving bool
 	// StayAwaySeconds is how long the endpoint wants no requests from this router, as it
--- a/core/request/outcome/attempt.go
+++ b/core/request/outcome/attempt.go
@@ -14,6 +14,8 @@
 	Running  int    `json:"running"`
 	Prefill  int    `json:"prefill"`
 	CopyFrom string `json:"copyFrom,omitempty"`
+	// Expected is the expected time to the first event; zero if it was not estimated.
+	Expected time.Duration `json:"expected,omitempty"`
 	// Took is the duration of the attempt.
 	Took time.Duration `json:"took"`
 	// Head is the time until the head of the response, and Events the number of stream
--- a/core/version/routetable/routetable.go
+++ b/core/version/routetable/routetable.go
@@ -72,6 +72,9 @@
 	// Slots is the number of requests that an engine runs concurrently; zero means
 	// the number that the endpoint registers.
 	Slots int
+	// MemoryTokens is the number of tokens, of prompts and output, that the running requests
+	// of an engine may hold; zero if that is not known.
+	MemoryTokens int
 }
 
 // Account is a client account, which callers authenticate as with a secret.
--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gentianhead/core/request/balance"
 	"gentianhead/fleet/connection/beacon"
 	"gentianhead/fleet/connection/upstream"
 	"gentianhead/fleet/process/boottime"
@@ -78,6 +79,7 @@
 		beacons:  beacons,
 	}
 	balancer := relay.NewBalancer(settings.LoadFactor, settings.PrefixReuseWindow, retryLimits(settings), telemetry.ComponentLogger(logger, "balance"))
+	balancer.SetOptions(balance.Options{IsPressured: settings.HasPressure})
 	r.control = newControl(settings, balancer, beacons, r.store, telemetry.ComponentLogger(logger, "control"))
 	r.relay = relay.New(relay.Options{
 		State:      r.relayState,
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// SetOptions sets which optional behaviors apply to all services.
+func (b *Balancer) SetOptions(options balance.Options) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.SetOptions(options)
+}
+
 // SetView replaces the endpoints that accept new requests.
 func (b *Balancer) SetView(view *endpoints.View) {
 	b.mu.Lock()
@@ -106,6 +113,7 @@
 	limited, owned := b.core.LimitedEndpoints(now)
 	limitedEndpoints.Set(int64(limited))
 	ownedLimits.Set(int64(owned))
+	slowEndpoints.Set(int64(b.core.SlowEndpoints(now)))
 	b.quarantine.Step(now, b.core.HasEntry)
 	quarantined.Set(int64(b.quarantine.Size()))
 	changes := b.quarantine.TakeChanges()
@@ -123,8 +131,10 @@
 	b.core.Report(now, source, report)
 	b.quarantine.Report(now, source, report.Evidence)
 	changes := b.core.TakeRateChanges()
+	pressured := b.core.TakePressured()
 	isUrgent := b.quarantine.TakeUrgent()
 	b.mu.Unlock()
+	b.logPressured(pressured)
 	b.logRateChanges(changes, "")
 	b.signalNews(isUrgent)
 }
@@ -199,13 +209,29 @@
 	b.core.RecordFirstEvent(boottime.Now(), p)
 }
 
-func (b *Balancer) recordLoad(id string, load *exchange.Load) {
-	if load == nil {
+// recordLoad records the load that an endpoint's response stated.
+func (b *Balancer) recordLoad(id string, info exchange.ResponseInfo) {
+	if info.UnreadableLoad != "" {
+		unreadableLoads.Add(1)
+		if b.unreadableLogs.Allow() {
+			b.log.Warn("A part of an endpoint's load has no meaning.", "endpoint", id, "stated", info.UnreadableLoad, "attempt", info.AttemptID)
+		}
+	}
+	if info.Load == nil {
 		return
 	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.core.RecordLoad(boottime.Now(), id, *load)
+	b.core.RecordLoad(boottime.Now(), id, *info.Load)
+	pressured := b.core.TakePressured()
+	b.mu.Unlock()
+	b.logPressured(pressured)
+}
+
+// logPressured logs services whose endpoints have begun to state their slowness.
+func (b *Balancer) logPressured(services []string) {
+	for _, service := range services {
+		b.log.Info("Endpoints state their slowness; requests are placed by expected time.", "service", service)
+	}
 }
 
 // recordNotice records what an endpoint said of itself in a response.
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -228,7 +228,7 @@
 		return r.sendErrorResult(ctx, c, placement, err)
 	}
 	info := r.options.Dialect.ResponseInfo(response.StatusCode, response.Header)
-	r.options.Balancer.recordLoad(placement.Endpoint.ID, info.Load)
+	r.options.Balancer.recordLoad(placement.Endpoint.ID, info)
 	r.options.Balancer.recordNotice(placement, info)
 	isOwn := isOwnResponse(c, response, info)
 	if isOwn && (info.Signature != "" || info.IsNotRun) && response.StatusCode != http.StatusMisdirectedRequest {
--- a/fleet/request/relay/log.go
+++ b/fleet/request/relay/log.go
@@ -52,7 +52,10 @@
 func (c *call) recordAttempt(placement *balance.Placement, startedAt time.Duration, result result) {
 	a := outcome.Attempt{
 		Endpoint: placement.Endpoint.ID, At: startedAt - c.startedAt, Running: placement.Running, Prefill: placement.Prefill,
-		CopyFrom: placement.CopyFrom, Took: boottime.Now() - startedAt, Events: c.progress.events,
+		Expected: placement.Expected, CopyFrom: placement.CopyFrom, Took: boottime.Now() - startedAt, Events: c.progress.events,
+	}
+	if placement.Expected > 0 {
+		expectedTime.Record(placement.Expected)
 	}
 	if c.progress.headAt != 0 {
 		a.Head = c.progress.headAt - startedAt
--- a/fleet/request/relay/metrics.go
+++ b/fleet/request/relay/metrics.go
@@ -23,6 +23,12 @@
 	limitedEndpoints = expvar.NewInt("relay_limited_endpoints")
 	ownedLimits      = expvar.NewInt("relay_owned_limits")
 	unreadableRates  = expvar.NewInt("relay_unreadable_rates")
+	// slowEndpoints is the number of endpoints known to be slow now, and unreadableLoads counts
+	// stated loads of which a part has no meaning.
+	slowEndpoints   = expvar.NewInt("relay_slow_endpoints")
+	unreadableLoads = expvar.NewInt("relay_unreadable_loads")
+	// expectedTime is the expected time to the first event of requests placed by time.
+	expectedTime = telemetry.NewHistogram("relay_expected_first_event_seconds")
 	// quarantined is the number of prompt parts in quarantine.
 	quarantined = expvar.NewInt("relay_quarantined_parts")
 	// firstByteTime and requestTime cover successful requests only.
