--- a/core/request/balance/balancetest/fleet.go
+++ b/core/request/balance/balancetest/fleet.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gentianhead/core/process/endpoints"
@@ -68,7 +69,11 @@
 	// RetryDelay returns the delay until the caller of a refused request retries; each
 	// caller retries once. Nil means no retries.
 	RetryDelay func(router int, now, left time.Duration) time.Duration
-	Seed       uint64
+	// Observe holds functions to call with the routers at a time of the replay.
+	Observe map[time.Duration]func(routers []*balance.Core, now time.Duration)
+	// Baseline replaces the placement core if it is set.
+	Baseline Baseline
+	Seed     uint64
 }
 
 // Request is one request of a replay.
@@ -76,9 +81,8 @@
 	At time.Duration
 	// Work is the service time at a plain server.
 	Work time.Duration
-	// Account is the requesting client account, and Rank the request's rank.
+	// Account is the requesting client account.
 	Account string
-	Rank    int
 	// HastyRepeats is how often the caller repeats the request HastyDelay after a refusal,
 	// whatever the retry delay.
 	HastyRepeats int
@@ -91,6 +95,10 @@
 	Class    string
 	// Repeat is equal for repeats of one request; zero if that is not known.
 	Repeat uint64
+	// Rank is the priority; 0 is the most urgent.
+	Rank int
+
+	result *Result
 }
 
 // Result is a request with its outcome.
@@ -104,6 +112,8 @@
 	Latency time.Duration
 	// Retries is how often the caller retried.
 	Retries int
+	// Pause is the longest time between two events of an engine.
+	Pause time.Duration
 }
 
 // IsInTime reports whether the request was answered within its target latency.
@@ -113,7 +123,7 @@
 type server interface {
 	// offer reports whether the request is accepted. begun and done are called at the
 	// first event and at the end. from is the endpoint to copy the prompt from, or nil.
-	offer(request Request, from server, begun, done func()) bool
+	offer(request Request, from server, begun func(), done func(breaker.Outcome)) bool
 	load() exchange.Load
 }
 
@@ -136,6 +146,8 @@
 	// Prefilled counts the prompt tokens that engines prefilled, PrefilledAgain those
 	// of shared parts that some engine had prefilled before, and Copied those copied.
 	Prefilled, PrefilledAgain, Copied int
+	// Preempted counts the requests that engines preempted.
+	Preempted int
 	// SentWhileAway is the largest number of requests that one router sent to one endpoint
 	// between half a second after the endpoint asked it for distance and the end of that.
 	SentWhileAway int
@@ -146,6 +158,8 @@
 	// the endpoint did not accept.
 	Offered, Rejected int
 	prefilledParts    map[string]bool
+	// baselineLoads are the loads that endpoints reported to each router.
+	baselineLoads []map[string]int
 }
 
 func (f *Fleet) countPrefill(part exchange.Part, isShared bool) {
@@ -164,9 +178,11 @@
 		prefilledParts: make(map[string]bool), lastBeaconAt: make([]time.Duration, options.Routers),
 		away:         make(map[awayKey]*awaySpan),
 		groupReports: make([]map[int]groupReport, options.Routers), rounds: make([]int, options.Routers),
+		baselineLoads: make([]map[string]int, options.Routers),
 	}
 	for number := range options.Routers {
 		f.groupReports[number] = make(map[int]groupReport)
+		f.baselineLoads[number] = make(map[string]int)
 	}
 	view, table := f.buildEndpoints()
 	f.startRouters(view, table)
@@ -179,6 +195,9 @@
 			f.reportCaches()
 		})
 	}
+	for at, observe := range options.Observe {
+		f.after(at, func() { observe(f.routers, f.clock()) })
+	}
 	for number, request := range requests {
 		f.after(request.At, func() { f.arrive(number, request) })
 	}
@@ -202,6 +221,9 @@
 		core.SetOptions(balance.Options{IsPressured: f.options.IsPressured})
 		core.SetTable(table)
 		core.SetView(view)
+		if f.options.Baseline != "" {
+			core.SetView(endpoints.New().View())
+		}
 		core.Tick(f.clock())
 		f.routers = append(f.routers, core)
 	}
@@ -229,7 +251,7 @@
 	service := routetable.Service{Name: Service}
 	if f.options.Engine != nil {
 		slots = f.options.Engine.Slots
-		service.Engine = &routetable.Engine{Slots: slots}
+		service.Engine = &routetable.Engine{Slots: slots, MemoryTokens: f.options.Engine.Memory}
 	}
 	var entries []endpoints.Entry
 	for number := range f.options.Endpoints {
@@ -318,7 +340,12 @@
 	loads := []presence.Load{own.Load}
 	var age time.Duration
 	for _, received := range f.groupReports[number] {
-		loads = append(loads, received.report.Load)
+		load := received.report.Load
+		load.Slowness = slices.Clone(load.Slowness)
+		for i := range load.Slowness {
+			load.Slowness[i].Age += uint32((f.now - received.at) / time.Millisecond)
+		}
+		loads = append(loads, load)
 		age += f.now - received.at
 	}
 	sum := balance.WorkReport{Load: presence.Sum(loads...), Routers: len(loads), Age: age / time.Duration(len(loads))}
@@ -347,6 +374,7 @@
 
 func (f *Fleet) arrive(number int, request Request) {
 	result := &f.results[number]
+	request.result = result
 	result.Request = request
 	result.IsUnanswered = true
 	f.attempt(f.random.IntN(len(f.routers)), result, nil)
@@ -379,7 +407,7 @@
 		Service: Service, Prompt: result.Prompt, Target: result.Target, Excluded: excluded,
 		Flow: fairness.Flow{Account: result.Account, Rank: result.Rank}, Repeat: result.Repeat,
 	}
-	placement, refusal := router.Place(f.clock(), request)
+	placement, refusal := f.place(number, request)
 	if refusal != balance.Accepted {
 		result.IsUnanswered, result.IsRefused = false, true
 		f.refuse(number, result)
@@ -410,19 +438,25 @@
 	}
 	f.after(linkDelay, func() {
 		f.countAboveBound(target)
+		isLost := false
 		begun := func() {
 			load := target.load()
 			f.after(linkDelay, func() {
 				result.Latency = f.now - result.At
-				result.IsUnanswered = false
+				result.IsUnanswered = isLost
 				if f.options.Engine != nil || f.options.Plain.StatesLoad {
+					f.recordBaselineLoad(number, id, load)
 					router.RecordLoad(f.clock(), id, load)
 				}
 				router.RecordFirstEvent(f.clock(), &placement)
 			})
 		}
-		done := func() {
-			f.after(linkDelay, func() { router.Done(f.clock(), &placement, breaker.Succeeded) })
+		done := func(outcome breaker.Outcome) {
+			f.after(linkDelay, func() {
+				isLost = outcome != breaker.Succeeded
+				result.IsUnanswered = result.IsUnanswered || isLost
+				router.Done(f.clock(), &placement, outcome)
+			})
 		}
 		f.Offered++
 		if target.offer(result.Request, f.servers[placement.CopyFrom], begun, done) {
--- a/core/request/balance/balancetest/plain.go
+++ b/core/request/balance/balancetest/plain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gentianhead/core/request/breaker"
 	"gentianhead/core/request/exchange"
 )
 
@@ -31,14 +32,14 @@
 	return load
 }
 
-func (s *plainServer) offer(request Request, _ server, begun, done func()) bool {
+func (s *plainServer) offer(request Request, _ server, begun func(), done func(breaker.Outcome)) bool {
 	run := func() {
 		s.running++
 		work := time.Duration(float64(request.Work) * s.fleet.slowFactor(s.id))
 		s.fleet.after(work, func() {
 			s.running--
 			begun()
-			done()
+			done(breaker.Succeeded)
 			s.next()
 		})
 	}
--- a/core/request/balance/plainpressure.go
+++ b/core/request/balance/plainpressure.go
@@ -17,9 +17,6 @@
 	// with, as a multiple of the requests that are expected to have arrived since that was
 	// known. With 1 instead of 3, servers reject four times as many requests.
 	arrivalSpread = 3
-	// slownessTTL is how long a stated slowness counts. Other work on the endpoint's machine
-	// lasts about as long.
-	slownessTTL = 500 * time.Millisecond
 	// minTargetFactor times the service time is the shortest latency that requests are
 	// refused for: with a target below the service time, all are late, yet worth serving.
 	minTargetFactor = 1.5
@@ -82,14 +79,6 @@
 	return s.capacity.value
 }
 
-// slowness returns the factor by which work takes longer at an endpoint now, as it stated.
-func (s *endpointState) slowness(now time.Duration) float64 {
-	if s.reportedLoad.Slowness <= 0 || now-s.reportedAt > slownessTTL {
-		return 1
-	}
-	return float64(s.reportedLoad.Slowness) / 100
-}
-
 // plainLoadOf estimates the load of a server. arrivals is the expected rate of requests to a
 // server per second.
 //
@@ -98,7 +87,7 @@
 // so the younger of both is used, and older reports are extrapolated.
 func (c *Core) plainLoadOf(now time.Duration, state *endpointState, request PlacementRequest, serviceTime time.Duration, arrivals float64) plainLoad {
 	slots := float64(max(1, state.entry.Slots))
-	slowness := state.slowness(now)
+	slowness := state.slowness.expected(now, 1)
 	var load plainLoad
 	if len(c.reports) > 0 {
 		load.age = c.reportInterval.value / 2
@@ -169,7 +158,7 @@
 		if c.isLimited(now, state) {
 			spread = 0
 		}
-		cost := (loads[i].held + c.random()*spread) / slots * state.slowness(now)
+		cost := (loads[i].held + c.random()*spread) / slots * state.slowness.expected(now, 1)
 		if i == 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/core/request/balance/pressure.go
+++ b/core/request/balance/pressure.go
@@ -1,24 +1,32 @@
 package balance
 
-// Options are switches of a Core.
+// Options are the optional behaviors of a core.
 type Options struct {
-	// IsPressured applies the decisions for endpoints under pressure to all services.
+	// IsPressured applies the behavior under hard load to all services, also those whose
+	// endpoints state no slowness.
 	IsPressured bool
 }
 
 // SetOptions replaces the options.
 func (c *Core) SetOptions(options Options) { c.options = options }
 
-// IsPressured reports whether the decisions for endpoints under pressure apply to a service.
+// IsPressured reports whether the behavior under hard load applies to a service.
 func (c *Core) IsPressured(service string) bool { return c.isPressured(service) }
 
-// isPressured reports whether the decisions for endpoints under pressure apply to a service:
-// always with the option, and for a plain service once an endpoint of the deployment has
-// stated a slowness.
+// isPressured reports whether the behavior under hard load applies to a service: because of
+// the options, or since its endpoints state their slowness. For a plain service it suffices
+// that some endpoint of the deployment does.
 func (c *Core) isPressured(service string) bool {
-	if c.options.IsPressured || !c.isSlownessStated {
-		return c.options.IsPressured
+	if c.options.IsPressured || c.statsFor(service).statesSlowness {
+		return true
 	}
-	s, _ := c.table.Service(service)
-	return s == nil || s.Engine == nil
+	if s, _ := c.table.Service(service); s != nil && s.Engine != nil {
+		return false
+	}
+	for _, stats := range c.services {
+		if stats.statesSlowness {
+			return true
+		}
+	}
+	return false
 }
--- a/core/request/balance/service.go
+++ b/core/request/balance/service.go
@@ -40,6 +40,11 @@
 	coldMeasuredAt time.Duration
 	// demand decides how refusals are divided among client accounts.
 	demand fairness.DemandTracker
+	// tokenTimes estimates the time to the first event at an engine.
+	tokenTimes tokenTimes
+	memoryUse  memoryUse
+	// statesSlowness is set once an endpoint of the service has stated its slowness.
+	statesSlowness bool
 }
 
 // statsFor returns the measurements of a service, creating them if needed.
@@ -73,7 +78,7 @@
 	if service, known := c.services[p.Endpoint.Service]; known && p.Endpoint.Slots > 0 {
 		perSlot := max(1, float64(p.Running+1)/float64(p.Endpoint.Slots))
 		if state := c.stateOf(p); state != nil && c.isPressured(p.Endpoint.Service) {
-			perSlot *= state.slowness(now)
+			perSlot *= state.slowness.expected(now, 1)
 		}
 		service.serviceTime.Add(time.Duration(float64(now-p.placedAt) / perSlot))
 	}
--- a/fleet/request/relay/metrics.go
+++ b/fleet/request/relay/metrics.go
@@ -41,6 +41,12 @@
 	// changed.
 	homesRefused  = expvar.NewInt("relay_outside_regions")
 	homesWithheld = expvar.NewInt("relay_outside_regions_withheld")
+	// slowEndpoints is the number of endpoints known to be slow now, and unreadableLoads counts
+	// stated loads of which a part has no meaning.
+	slowEndpoints   = expvar.NewInt("relay_slow_endpoints")
+	unreadableLoads = expvar.NewInt("relay_unreadable_loads")
+	// expectedTime is the expected time to the first event of requests placed by time.
+	expectedTime = telemetry.NewHistogram("relay_expected_first_event_seconds")
 	// quarantined is the number of prompt parts in quarantine.
 	quarantined = expvar.NewInt("relay_quarantined_parts")
 	// firstByteTime and requestTime cover successful requests only.
