Connection limits: idle connections close as at a stop, so that a request that crosses is served

An idle connection that makes room is closed after its last read ended without bytes, and not within MinIdleTime of its last response. The limit of a write doesn't override a deadline that a stop sets at the same moment.

--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -104,7 +104,7 @@
 		BodyMemory: budget.Limit(),
 	})
 	options := serving.Options{
-		MaxConns:      int(connectionShare * float64(settings.MaxOpenFiles)),
+		MaxConns:      int(maxConnectionShare * float64(settings.MaxOpenFiles)),
 		HeaderBytes:   maxHeaderBytes,
 		HeaderTimeout: headerTimeout,
 		MinIdleTime:   minIdleTime,
--- a/fleet/process/serving/conn.go
+++ b/fleet/process/serving/conn.go
@@ -48,8 +48,6 @@
 	writingSince atomic.Int64
 	// isReadingBody is set while net/http reads the body.
 	isReadingBody atomic.Bool
-	// writeDeadline is the one that net/http or a handler set last, as Unix time; 0 without one.
-	writeDeadline atomic.Int64
 	// hasWritten is set once the server wrote to the connection, isEnded once nobody waits for
 	// what was written: the caller closed it, it failed or is to be reset.
 	hasWritten, isEnded atomic.Bool
@@ -63,6 +61,8 @@
 	isClosing bool
 	// readDeadline is the one that net/http set last.
 	readDeadline time.Time
+	// writeDeadline is the one that net/http or a handler set last.
+	writeDeadline time.Time
 	// isIdle is set while net/http waits for a further request, and hasIdleDeadline once it has
 	// set the deadline for that.
 	isIdle, hasIdleDeadline bool
@@ -223,10 +223,7 @@
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.hasWritten.Store(true)
 	now := time.Now()
-	limit := now.Add(maxWriteTime)
-	if set := c.writeDeadline.Load(); set == 0 || set > limit.UnixNano() {
-		_ = c.Conn.SetWriteDeadline(limit)
-	}
+	c.limitWrite(now.Add(maxWriteTime))
 	c.writingSince.Store(now.UnixNano())
 	n, err := c.Conn.Write(p)
 	c.writingSince.Store(0)
@@ -234,13 +231,20 @@
 	return n, err
 }
 
+// limitWrite sets the deadline of a write if none that is earlier is set.
+func (c *trackedConn) limitWrite(limit time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeDeadline.IsZero() || c.writeDeadline.After(limit) {
+		_ = c.Conn.SetWriteDeadline(limit)
+	}
+}
+
 // SetWriteDeadline implements net.Conn.
 func (c *trackedConn) SetWriteDeadline(t time.Time) error {
-	if t.IsZero() {
-		c.writeDeadline.Store(0)
-	} else {
-		c.writeDeadline.Store(t.UnixNano())
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
 	return c.Conn.SetWriteDeadline(t)
 }
 
--- a/fleet/process/serving/pool.go
+++ b/fleet/process/serving/pool.go
@@ -162,6 +162,12 @@
 		conns, states = append(conns, c), append(states, c.state(now))
 	}
 	for _, i := range eviction.Choose(states, need) {
+		if states[i].Phase == eviction.Idle {
+			// A request that arrives meanwhile is served.
+			conns[i].closeIfIdle()
+			p.note(reason)
+			continue
+		}
 		if conns[i].evict() {
 			delete(p.conns, conns[i])
 			p.note(reason)
@@ -236,6 +242,9 @@
 	switch {
 	case c.isLingering.Load():
 		s.Phase = eviction.Closing
+	case c.isIdle && (c.isClosing || s.For < c.server.options.MinIdleTime):
+		// It closes soon, or its next request may already have been sent.
+		s.Phase = eviction.Busy
 	case c.isIdle:
 		s.Phase = eviction.Idle
 	case c.isReadingHead:
