Refusals under pressure in logs, metrics and explain; ranks, accounts, routes and zones compared

Cause: a refusal said only that endpoints were at capacity, and nothing showed whether one rank or account was served worse than others.

Change: a refused request's line has its rank, the reason, the expected time, the capacity and the age of what they rest on; a line when a shortage begins and ends; metrics by reason and of served, late, refused and failed requests by rank, account, route and endpoint zone. A stated slowness is bounded, and stated loads are used without reports of other routers.

--- a/core/request/balance/plainpressure.go
+++ b/core/request/balance/plainpressure.go
@@ -22,6 +22,9 @@
 	// slownessTTL is how long a stated slowness counts. Other work on the endpoint's machine
 	// lasts about as long.
 	slownessTTL = 500 * time.Millisecond
+	// minSlowness and maxSlowness bound the stated factor, so that a wrong one doesn't draw all
+	// requests to an endpoint.
+	minSlowness, maxSlowness = 0.5, 20
 	// minTargetFactor times the service time is the shortest latency that requests are
 	// refused for: with a target below the service time, all are late, yet worth serving.
 	minTargetFactor = 1.5
@@ -89,7 +92,7 @@
 	if s.reportedLoad.Slowness <= 0 || now-s.reportedAt > slownessTTL {
 		return 1
 	}
-	return float64(s.reportedLoad.Slowness) / 100
+	return min(max(float64(s.reportedLoad.Slowness)/100, minSlowness), maxSlowness)
 }
 
 // plainLoadOf estimates the load of a server. arrivals is the expected rate of requests to a
@@ -102,7 +105,11 @@
 	slots := float64(max(1, state.entry.Slots))
 	slowness := state.slowness(now)
 	load := plainLoad{age: c.reportAge()}
-	if state.reportedAt != 0 && now-state.reportedAt <= load.age {
+	statedTTL := load.age
+	if len(c.reports) == 0 {
+		statedTTL = loadReportTTL
+	}
+	if state.reportedAt != 0 && now-state.reportedAt <= statedTTL {
 		load.age = now - state.reportedAt
 		load.held = float64(state.reportedLoad.Running + state.reportedLoad.Waiting)
 	} else {
--- a/core/request/outcome/attempt.go
+++ b/core/request/outcome/attempt.go
@@ -25,3 +25,19 @@
 	Ended string `json:"ended,omitempty"`
 	Cause string `json:"cause,omitempty"`
 }
+
+// Shed is the log record of why a request was refused while the capacity of its service was
+// short.
+type Shed struct {
+	// Reason is what put the request behind others, and Fraction the share of such requests
+	// that were refused.
+	Reason   string  `json:"reason"`
+	Fraction float64 `json:"fraction"`
+	Rank     int     `json:"rank"`
+	// Expected is the expected time to the answer, and Capacity that of the service in
+	// requests per second; each is zero if it was not known.
+	Expected time.Duration `json:"expected"`
+	Capacity float64       `json:"capacity"`
+	// Age is how old the reports of other routers were on which both rest.
+	Age time.Duration `json:"age"`
+}
--- a/fleet/explain/cause.go
+++ b/fleet/explain/cause.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"gentianhead/core/request/outcome"
 )
@@ -26,6 +27,9 @@
 // explanationByCode holds the explanations of failures by code.
 var explanationByCode = map[outcome.Code]func(*Report) string{
 	outcome.CodeLoadBound: func(s *Report) string {
+		if s.Shed != nil {
+			return s.shedExplanation()
+		}
 		return "Refused under load: no endpoint of " + s.Service + " was expected to serve it within its target latency" + s.attemptCount() + "."
 	},
 	outcome.CodeOverloaded: func(s *Report) string {
@@ -81,6 +85,18 @@
 	outcome.CodeBodyTooLarge: func(s *Report) string { return "Its body is larger than the configuration allows." },
 }
 
+// shedExplanation returns why a request was refused in the order of refusals.
+func (s *Report) shedExplanation() string {
+	text := fmt.Sprintf("Refused while capacity was short: %s. %.0f%% of such requests of rank %d were refused.", s.Detail, 100*s.Shed.Fraction, s.Shed.Rank)
+	if s.Shed.Expected > 0 {
+		text += fmt.Sprintf(" The expected time to the answer was %v.", s.Shed.Expected.Round(time.Millisecond))
+	}
+	if s.Shed.Capacity > 0 {
+		text += fmt.Sprintf(" The endpoints of %s were expected to serve %.1f requests a second.", s.Service, s.Shed.Capacity)
+	}
+	return text + fmt.Sprintf(" That rests on reports of other routers that were %v old.", s.Shed.Age.Round(time.Millisecond))
+}
+
 func (s *Report) lastAttempt() outcome.Attempt {
 	if len(s.Attempts) == 0 {
 		return outcome.Attempt{Endpoint: "(none)", Ended: s.Detail, Cause: s.Cause}
--- a/fleet/explain/explain_test.go
+++ b/fleet/explain/explain_test.go
@@ -23,6 +23,7 @@
 edge-1 {"time":"2026-06-22T05:52:47Z","msg":"relay: Request failed.","request":"r5","took":90000,"service":"slow","code":"endpoint-limit","outcome":"not-run","detail":"all endpoints of the service are at the request rates that they state","retryAfter":700000000}
 edge-1 {"time":"2026-06-22T05:52:48Z","msg":"relay: Request failed.","request":"r6","took":90000,"sinceStop":2100000000,"code":"stopping","outcome":"not-run","detail":"this router stops before the request could be answered","retryAfter":50000000}
 edge-1 {"time":"2026-06-22T05:52:49Z","msg":"relay: Request failed.","request":"r7","took":9000000000,"code":"stopping","outcome":"unknown","attempts":[{"endpoint":"e-3","ended":"this router stopped before the response was complete"}]}
+edge-1 {"time":"2026-06-22T05:52:50Z","msg":"relay: Request failed.","request":"r8","took":90000,"service":"plain","code":"load-bound","outcome":"not-run","detail":"the endpoints of the service have too little capacity for its rank","rank":2,"shed":{"reason":"rank","fraction":0.4,"rank":2,"expected":240000000,"capacity":455.5,"age":300000000},"retryAfter":70000000}
 edge-1 {"time":"2026-06-22T05:52:53Z","msg":"relay: Request answered.","request":"r2","took":10000000,"attempts":[{"endpoint":"e-1","ended":"the endpoint can't be reached"},{"endpoint":"e-2"}]}
 `
 
@@ -69,6 +70,15 @@
 	}
 }
 
+// Guards against a refusal under load that doesn't say what it rests on.
+func TestReportShedRequest(t *testing.T) {
+	reports, err := Find(read(t, log), "r8")
+	assert.NilError(t, err)
+	assert.Equal(t, reports[0].Explanation(), "Refused while capacity was short: the endpoints of the service have too little capacity for its rank. "+
+		"40% of such requests of rank 2 were refused. The expected time to the answer was 240ms. "+
+		"The endpoints of plain were expected to serve 455.5 requests a second. That rests on reports of other routers that were 300ms old.")
+}
+
 // Guards against a refusal whose cause, crashes seen by other routers, can't be found.
 func TestReportQuarantinedRequest(t *testing.T) {
 	reports, err := Find(read(t, log), "r4")
--- a/fleet/explain/report.go
+++ b/fleet/explain/report.go
@@ -43,6 +43,8 @@
 	RetryAfter      time.Duration     `json:"retryAfter"`
 	ForwardedStatus int               `json:"handedOn"`
 	Cause           string            `json:"cause"`
+	// Shed is set if the request was refused in the order of refusals.
+	Shed *outcome.Shed `json:"shed"`
 	// Events holds state changes of its router, and events of all routers that
 	// concern its endpoints or the parts of its prompt, until the request's end, oldest first.
 	// For a request refused for stated rates, they include those that its router knew.
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -37,6 +37,8 @@
 	log        *slog.Logger
 	// news is ready when other routers should be told of crashes at once.
 	news chan struct{}
+	// shortages are the services that refused requests for lack of capacity just now.
+	shortages map[string]*shortage
 	// unreadableLogs limits the log lines about rates without a meaning.
 	unreadableLogs *rate.Limiter
 }
@@ -50,6 +52,7 @@
 		limits:     limits,
 		budgets:    make(map[string]*retry.FleetBudget),
 		delays:     make(map[string]*retrydelay.Schedule),
+		shortages:  make(map[string]*shortage),
 		routers:    1,
 		log:        log,
 		news:       make(chan struct{}, 1),
@@ -110,7 +113,9 @@
 	quarantined.Set(int64(b.quarantine.Size()))
 	changes := b.quarantine.TakeChanges()
 	isUrgent := b.quarantine.TakeUrgent()
+	ended := b.takeEndedShortages(now)
 	b.mu.Unlock()
+	b.logEndedShortages(ended)
 	b.logQuarantine(changes)
 	b.signalNews(isUrgent)
 }
@@ -179,9 +184,14 @@
 
 func (b *Balancer) place(request balance.PlacementRequest) (balance.Placement, balance.Refusal) {
 	b.mu.Lock()
-	placement, refusal := b.core.Place(boottime.Now(), request)
+	now := boottime.Now()
+	placement, refusal := b.core.Place(now, request)
 	suspects := b.core.TakeSuspicionChanges()
+	isNew := b.recordShed(now, request.Service, placement.Shed)
 	b.mu.Unlock()
+	if isNew {
+		b.logShortage(request.Service, placement.Shed)
+	}
 	b.logSuspects(suspects)
 	return placement, refusal
 }
--- a/fleet/request/relay/log.go
+++ b/fleet/request/relay/log.go
@@ -64,6 +64,7 @@
 		}
 	}
 	c.attempts = append(c.attempts, a)
+	c.zone = placement.Endpoint.Zone
 }
 
 // partIDs returns the ids of a prompt's parts, at most maxLoggedParts.
@@ -103,6 +104,15 @@
 	}
 	attributes = append(attributes, slog.String("code", string(codes[f.kind].code)), slog.String("outcome", string(c.outcome())),
 		slog.String("detail", f.detail), slog.Duration("retryAfter", f.retryAfter))
+	if c.route != nil {
+		attributes = append(attributes, slog.Int("rank", c.priority()))
+	}
+	if f.shed != nil {
+		attributes = append(attributes, slog.Any("shed", outcome.Shed{
+			Reason: string(f.shed.Reason), Fraction: f.shed.Fraction, Rank: f.shed.Rank,
+			Expected: f.shed.Expected, Capacity: f.shed.Capacity, Age: f.shed.Age,
+		}))
+	}
 	if len(c.parts) > 0 {
 		whole := c.parts[len(c.parts)-1]
 		attributes = append(attributes, slog.String("repeatKey", fmt.Sprintf("%016x", uint64(whole.Key))))
--- a/fleet/request/relay/metrics.go
+++ b/fleet/request/relay/metrics.go
@@ -41,6 +41,7 @@
 
 func recordMetrics(c *call, f *failure) {
 	requestsBySends.Add(strconv.Itoa(c.sends), 1)
+	recordComparisons(c, f)
 	switch {
 	case f == nil:
 		requestsByResult.Add("answered", 1)
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -121,6 +121,8 @@
 	leaseAge time.Duration
 	// version is the configuration version the request was authorized with.
 	version int64
+	// zone is that of the latest endpoint.
+	zone string
 	// position is that in the stream written to the caller.
 	position streamPosition
 	// isCommitted is set once the response to the caller has begun.
