--- a/core/request/balance/service.go
+++ b/core/request/balance/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentianhead/core/request/fairness"
+	"gentianhead/core/request/shedding"
 )
 
 // smoothing is the weight of a new sample in a moving average: about the last twenty
@@ -45,6 +46,8 @@
 	memoryUse  memoryUse
 	// statesSlowness is set once an endpoint of the service has stated its slowness.
 	statesSlowness bool
+	// shedding orders refusals of a service under pressure.
+	shedding shedding.Core
 }
 
 // statsFor returns the measurements of a service, creating them if needed.
--- a/fleet/request/relay/balancer.go
+++ b/fleet/request/relay/balancer.go
@@ -38,6 +38,8 @@
 	log        *slog.Logger
 	// news is ready when other routers should be told of crashes at once.
 	news chan struct{}
+	// shortages are the services that refused requests for lack of capacity just now.
+	shortages map[string]*shortage
 	// unreadableLogs limits the log lines about rates without a meaning.
 	unreadableLogs *rate.Limiter
 	// isEmptying is set while requests of this router are in progress in evacuated zones.
@@ -53,6 +55,7 @@
 		limits:     limits,
 		budgets:    make(map[string]*retry.FleetBudget),
 		delays:     make(map[string]*retrydelay.Schedule),
+		shortages:  make(map[string]*shortage),
 		routers:    1,
 		log:        log,
 		news:       make(chan struct{}, 1),
@@ -152,11 +155,13 @@
 	quarantined.Set(int64(b.quarantine.Size()))
 	changes := b.quarantine.TakeChanges()
 	isUrgent := b.quarantine.TakeUrgent()
+	ended := b.takeEndedShortages(now)
 	b.mu.Unlock()
 	if wasEmptying && evacuatedWork == 0 {
 		b.log.Info("No request of this router is in progress in an evacuated zone any more.", "endpoints", evacuated)
 	}
 	b.logColdChanges(now, coldChanges)
+	b.logEndedShortages(ended)
 	b.logQuarantine(changes)
 	b.signalNews(isUrgent)
 }
@@ -227,9 +232,14 @@
 
 func (b *Balancer) place(request balance.PlacementRequest) (balance.Placement, balance.Refusal) {
 	b.mu.Lock()
-	placement, refusal := b.core.Place(boottime.Now(), request)
+	now := boottime.Now()
+	placement, refusal := b.core.Place(now, request)
 	suspects := b.core.TakeSuspicionChanges()
+	isNew := b.recordShed(now, request.Service, placement.Shed)
 	b.mu.Unlock()
+	if isNew {
+		b.logShortage(request.Service, placement.Shed)
+	}
 	b.logSuspects(suspects)
 	if placement.IsCold() {
 		coldPlaced.Add(1)
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -94,6 +94,8 @@
 	account   *routetable.Account
 	service   string
 	startedAt time.Duration
+	// endsAt is when its time limit passes.
+	endsAt time.Duration
 	// holder is what memory for the request is charged to.
 	holder memory.Holder
 	body   []byte
@@ -125,6 +127,8 @@
 	leaseAge time.Duration
 	// version is the configuration version the request was authorized with.
 	version int64
+	// zone is that of the latest endpoint.
+	zone string
 	// position is that in the stream written to the caller.
 	position streamPosition
 	// isCommitted is set once the response to the caller has begun.
@@ -210,7 +214,7 @@
 
 // finish records the end of a request and writes the error response if it failed.
 func (r *Relay) finish(c *call, failure *failure) {
-	if failure != nil && failure.retryAfter > 0 && failure.kind != kindQuarantined && failure.kind != kindStopping {
+	if failure != nil && failure.retryAfter > 0 && failure.shed == nil && failure.kind != kindQuarantined && failure.kind != kindStopping {
 		failure.retryAfter = r.options.Balancer.retryDelay(c.service, failure.retryAfter, c.retryTarget(failure), c.callerTimeLeft())
 	}
 	recordMetrics(c, failure)
