Faults of resources and routes are returned as lists

Validation stopped at the first fault, so that a configuration with several had to be sent as often. An unknown kind of a resource is now named as such. A value that may be a token instead of its digest is left out.

--- a/core/version/resource/validate.go
+++ b/core/version/resource/validate.go
@@ -7,14 +7,17 @@
 	"net/netip"
 	"net/url"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 )
 
-// ValidationError reports the invalid field of an object and its allowed values.
+// ValidationError reports the invalid field of an object, its value and its allowed values.
 type ValidationError struct {
-	Key     Key
-	Field   string
+	Key   Key
+	Field string
+	// Value is empty for fields that may hold a secret by mistake.
+	Value   string
 	Allowed string
 }
 
@@ -44,26 +47,45 @@
 
 // Validate returns a ValidationError for the first invalid field of o, or nil.
 func (o Object) Validate() error {
-	if len(o.Name) > MaxNameBytes || !namePattern.MatchString(o.Name) {
-		return o.invalid("name", "1 to 100 characters of a-z 0-9 . _ -, starting and ending with a letter or digit")
+	if faults := o.Faults(); len(faults) > 0 {
+		return faults[0]
 	}
-	if o.Deleted {
-		return nil
-	}
-	if !o.hasMatchingSpec() {
-		return o.invalid("spec", "exactly one field, the one that matches the kind")
-	}
-	switch o.Kind {
-	case KindEndpoint:
-		return o.validateEndpoint()
-	case KindAccount:
-		return o.validateAccount()
-	case KindModel:
-		return o.validateModel()
-	case KindService:
-		return o.validateService()
+	return nil
+}
+
+// Faults returns a ValidationError for each invalid field of o.
+func (o Object) Faults() []*ValidationError {
+	f := &faults{key: o.Key()}
+	f.check(len(o.Name) <= MaxNameBytes && namePattern.MatchString(o.Name),
+		"name", o.Name, "1 to 100 characters of a-z 0-9 . _ -, starting and ending with a letter or digit")
+	switch {
+	case o.Deleted:
+	case !slices.Contains(Kinds(), o.Kind):
+		f.check(false, "kind", o.Kind, "endpoint, client-account, model or service")
+	case !o.hasMatchingSpec():
+		f.check(false, "spec", "", "exactly one field, the one that matches the kind")
+	case o.Kind == KindEndpoint:
+		f.checkEndpoint(o.Endpoint)
+	case o.Kind == KindAccount:
+		f.checkAccount(o.Account)
+	case o.Kind == KindModel:
+		f.checkModel(o.Model)
+	case o.Kind == KindService:
+		f.checkService(o.Service)
+	}
+	return f.list
+}
+
+// faults collects the invalid fields of one object.
+type faults struct {
+	key  Key
+	list []*ValidationError
+}
+
+func (f *faults) check(isValid bool, field string, value any, allowed string) {
+	if !isValid {
+		f.list = append(f.list, &ValidationError{Key: f.key, Field: field, Value: fmt.Sprint(value), Allowed: allowed})
 	}
-	return o.invalid("kind", "endpoint, client-account, model or service")
 }
 
 func (o Object) hasMatchingSpec() bool {
@@ -82,28 +104,14 @@
 	return count == 1 && present[o.Kind]
 }
 
-func (o Object) invalid(field, allowed string) error {
-	return &ValidationError{Key: o.Key(), Field: field, Allowed: allowed}
-}
-
-func (o Object) validateEndpoint() error {
-	e := o.Endpoint
-	if !isEndpointURL(e.URL) {
-		return o.invalid("endpoint.url", "http://HOST:PORT or https://HOST:PORT")
-	}
-	if e.Zone == "" {
-		return o.invalid("endpoint.zone", "the name of an availability zone")
-	}
-	if len(e.Models)+len(e.Services) == 0 {
-		return o.invalid("endpoint.models", "at least one model or service")
-	}
-	if len(e.Models) > MaxListEntries || len(e.Services) > MaxListEntries {
-		return o.invalid("endpoint.models", "at most 256 models and 256 services")
-	}
-	if e.Fencing != "" && e.Fencing != FencingIgnored && e.Fencing != FencingChecked {
-		return o.invalid("endpoint.fencing", "ignored or checked")
-	}
-	return nil
+func (f *faults) checkEndpoint(e *Endpoint) {
+	f.check(isEndpointURL(e.URL), "endpoint.url", e.URL, "http://HOST:PORT or https://HOST:PORT")
+	f.check(e.Zone != "", "endpoint.zone", e.Zone, "the name of an availability zone")
+	f.check(len(e.Models)+len(e.Services) > 0, "endpoint.models", "", "at least one model or service")
+	f.check(len(e.Models) <= MaxListEntries && len(e.Services) <= MaxListEntries,
+		"endpoint.models", len(e.Models)+len(e.Services), "at most 256 models and 256 services")
+	f.check(e.Fencing == "" || e.Fencing == FencingIgnored || e.Fencing == FencingChecked,
+		"endpoint.fencing", e.Fencing, "ignored or checked")
 }
 
 // isEndpointURL reports whether a URL names one port of one machine, by default that of its
@@ -124,42 +132,23 @@
 	return port == "" || err == nil && number > 0
 }
 
-func (o Object) validateAccount() error {
-	a := o.Account
-	if !tokenPattern.MatchString(a.TokenSHA256) {
-		return o.invalid("clientAccount.tokenSha256", "64 lower-case hex digits")
-	}
-	if a.TokenSHA256 == emptyTokenSHA256 {
-		return o.invalid("clientAccount.tokenSha256", "the digest of a token that is not empty")
-	}
-	if !(a.RequestsPerSecond >= 0) {
-		return o.invalid("clientAccount.requestsPerSecond", "0 (no limit) or more")
-	}
-	if a.Weight < 0 || a.Weight > MaxWeight {
-		return o.invalid("clientAccount.weight", "0 to 1000")
-	}
-	return nil
+func (f *faults) checkAccount(a *Account) {
+	// The value may be a token instead of its digest.
+	f.check(tokenPattern.MatchString(a.TokenSHA256), "clientAccount.tokenSha256", "", "64 lower-case hex digits")
+	f.check(a.TokenSHA256 != emptyTokenSHA256, "clientAccount.tokenSha256", "", "the digest of a token that is not empty")
+	f.check(a.RequestsPerSecond >= 0, "clientAccount.requestsPerSecond", a.RequestsPerSecond, "0 (no limit) or more")
+	f.check(a.Weight >= 0 && a.Weight <= MaxWeight, "clientAccount.weight", a.Weight, "0 to 1000")
 }
 
-func (o Object) validateModel() error {
-	m := o.Model
-	if m.LoadBound != 0 && !(m.LoadBound >= 1 && m.LoadBound <= MaxLoadBound) {
-		return o.invalid("model.loadBound", "1 to 10, or 0 for the default of 1.25")
-	}
-	if !(m.ReuseWeight >= 0 && m.ReuseWeight <= 1) {
-		return o.invalid("model.reuseWeight", "0 to 1")
-	}
-	return nil
+func (f *faults) checkModel(m *Model) {
+	f.check(m.LoadBound == 0 || m.LoadBound >= 1 && m.LoadBound <= MaxLoadBound,
+		"model.loadBound", m.LoadBound, "1 to 10, or 0 for the default of 1.25")
+	f.check(m.ReuseWeight >= 0 && m.ReuseWeight <= 1, "model.reuseWeight", m.ReuseWeight, "0 to 1")
 }
 
-func (o Object) validateService() error {
-	if len(o.Service.NonIdempotent) > MaxListEntries {
-		return o.invalid("service.nonIdempotent", "at most 256 paths")
+func (f *faults) checkService(s *Service) {
+	f.check(len(s.NonIdempotent) <= MaxListEntries, "service.nonIdempotent", len(s.NonIdempotent), "at most 256 paths")
+	for _, path := range s.NonIdempotent {
+		f.check(strings.HasPrefix(path, "/"), "service.nonIdempotent", path, "paths that start with /")
 	}
-	for _, path := range o.Service.NonIdempotent {
-		if !strings.HasPrefix(path, "/") {
-			return o.invalid("service.nonIdempotent", "paths that start with /")
-		}
-	}
-	return nil
 }
--- a/core/version/resource/validate_test.go
+++ b/core/version/resource/validate_test.go
@@ -33,3 +33,14 @@
 	assert.ErrorContains(t, account("e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"), "not empty")
 	assert.NilError(t, account("e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b856"))
 }
+
+// Guards against a fault that hides another one, and against a token that is printed because it
+// stands where its digest belongs.
+func TestFaultsNameEveryField(t *testing.T) {
+	faults := Object{Kind: KindAccount, Name: "Mill", Account: &Account{TokenSHA256: "a-token", Weight: -1}}.Faults()
+	assert.Equal(t, len(faults), 3)
+	assert.Equal(t, faults[0].Value, "Mill")
+	assert.Equal(t, faults[1].Value, "")
+	assert.Equal(t, faults[2].Value, "-1")
+	assert.ErrorContains(t, Object{Kind: "route", Name: "r"}.Validate(), "kind")
+}
--- a/core/version/routetable/homes.go
+++ b/core/version/routetable/homes.go
@@ -39,7 +39,7 @@
 func (t *Table) HomesOf(host string) Homes {
 	regions := make(map[string]struct{})
 	isRestricted := false
-	for _, route := range t.byHost[normalizeHost(host)] {
+	for _, route := range t.byHost[NormalizeHost(host)] {
 		isRestricted = isRestricted || route.Homes.IsRestricted()
 		for _, region := range route.Homes {
 			regions[region] = struct{}{}
--- a/core/version/routetable/routetable.go
+++ b/core/version/routetable/routetable.go
@@ -163,22 +163,42 @@
 }
 
 func (t *Table) addRoute(route *Route) error {
-	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
-		return fmt.Errorf("route %q: prefix %q does not start and end with a slash", route.Name, route.Prefix)
+	if faults := route.Faults(); len(faults) > 0 {
+		return fmt.Errorf("route %q: %w", route.Name, faults[0])
+	}
+	host := NormalizeHost(route.Host)
+	t.byHost[host] = append(t.byHost[host], route)
+	return nil
+}
+
+// Fault is an invalid field of a route. It is an error, as New returns it.
+type Fault struct {
+	// Field is the name of the field of Route.
+	Field, Value, Allowed string
+}
+
+// Error implements error.
+func (f Fault) Error() string {
+	return fmt.Sprintf("%s %q: allowed: %s", f.Field, f.Value, f.Allowed)
+}
+
+// Faults returns the fields for which New refuses a route.
+func (r *Route) Faults() []Fault {
+	var faults []Fault
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		faults = append(faults, Fault{Field: "Prefix", Value: r.Prefix, Allowed: "a path that starts and ends with a slash"})
 	}
 	totalWeight := 0
-	for _, target := range route.Targets {
+	for _, target := range r.Targets {
 		if target.Weight < 0 {
-			return fmt.Errorf("route %q: negative weight for service %q", route.Name, target.Service)
+			faults = append(faults, Fault{Field: "Targets", Value: fmt.Sprintf("weight %d for service %q", target.Weight, target.Service), Allowed: "weights of 0 or more"})
 		}
 		totalWeight += target.Weight
 	}
 	if totalWeight == 0 {
-		return fmt.Errorf("route %q: no service with a positive weight", route.Name)
+		faults = append(faults, Fault{Field: "Targets", Value: "weights that sum to 0", Allowed: "at least one service with a positive weight"})
 	}
-	host := normalizeHost(route.Host)
-	t.byHost[host] = append(t.byHost[host], route)
-	return nil
+	return faults
 }
 
 // DecodePath returns the path of a request target, as it was sent, in the form that Match
@@ -198,7 +218,7 @@
 // Match returns the route of host with the longest matching prefix of path, which is in the
 // form of DecodePath.
 func (t *Table) Match(host, path string) (*Route, bool) {
-	for _, route := range t.byHost[normalizeHost(host)] {
+	for _, route := range t.byHost[NormalizeHost(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route, true
 		}
@@ -206,8 +226,8 @@
 	return nil, false
 }
 
-// normalizeHost strips the port and lower-cases the host name.
-func normalizeHost(host string) string {
+// NormalizeHost strips the port and lower-cases the host name.
+func NormalizeHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
--- a/core/version/routetable/routetable_test.go
+++ b/core/version/routetable/routetable_test.go
@@ -101,3 +101,11 @@
 		assert.Assert(t, err != nil, "%+v", route)
 	}
 }
+
+// Guards against a route whose first fault hides another one.
+func TestFaultsOfRoute(t *testing.T) {
+	route := Route{Prefix: "a", Targets: []Target{{Service: "s", Weight: -1}, {Service: "t", Weight: 1}}}
+	assert.Equal(t, len(route.Faults()), 3)
+	_, err := New(Spec{Routes: []Route{route}})
+	assert.ErrorContains(t, err, "starts and ends with a slash")
+}
