--- a/core/request/retry/fleet.go
+++ b/core/request/retry/fleet.go
@@ -10,6 +10,21 @@
 	Window time.Duration
 }
 
+// retries returns the number of retries that one of the routers may send within a window with
+// this number of its first attempts.
+func (l FleetLimits) retries(first, routers int) float64 {
+	return l.Ratio*ratioFraction*float64(first) + l.Slack*slackFraction/float64(max(routers, 1))
+}
+
+// MaxRetries returns the largest number of retries that a request can get if there is only one
+// router, so that none can get more, and whether there is such a number.
+func (l FleetLimits) MaxRetries() (most int, isLimited bool) {
+	if l.Ratio > 0 {
+		return 0, false
+	}
+	return int(l.retries(1, 1)), true
+}
+
 const (
 	// slackFraction is the fraction of the slack that routers divide among themselves.
 	// The rest covers routers that don't know of each other yet.
@@ -67,8 +82,7 @@
 			retries += b.retries
 		}
 	}
-	limit := f.limits.Ratio*ratioFraction*float64(first) + f.limits.Slack*slackFraction/float64(max(routers, 1))
-	if float64(retries+1) > limit || !hasPlace() {
+	if float64(retries+1) > f.limits.retries(first, routers) || !hasPlace() {
 		return false
 	}
 	current.retries++
--- a/core/request/retry/fleet_test.go
+++ b/core/request/retry/fleet_test.go
@@ -73,3 +73,12 @@
 	assert.Equal(t, allowed, 4)
 	assert.Assert(t, b.AllowRetry(time.Minute, 7), "retries of a past window are still counted")
 }
+
+// Guards against a check of configurations that takes a budget without a ratio for unlimited.
+func TestMaxRetries(t *testing.T) {
+	most, isLimited := FleetLimits{Slack: 5}.MaxRetries()
+	assert.Assert(t, isLimited)
+	assert.Equal(t, most, 3)
+	_, isLimited = FleetLimits{Ratio: 0.1}.MaxRetries()
+	assert.Assert(t, !isLimited)
+}
--- a/core/version/resource/resource.go
+++ b/core/version/resource/resource.go
@@ -3,6 +3,11 @@
 // in a Snapshot.
 package resource
 
+import (
+	"path"
+	"strings"
+)
+
 // Kind is the type of a resource.
 type Kind string
 
@@ -100,7 +105,14 @@
 
 // Service is a plain service, which is not a model engine.
 type Service struct {
-	// NonIdempotent lists the paths whose requests run at most once. A path ending
-	// in /* matches everything below it.
+	// NonIdempotent lists the paths whose requests run at most once, as MatchesPath
+	// compares them.
 	NonIdempotent []string `json:"nonIdempotent,omitempty" msgpack:"n,omitempty"`
 }
+
+// MatchesPath reports whether a pattern of a service's paths matches a path. A pattern
+// ending in * matches as a prefix; others ignore a trailing slash.
+func MatchesPath(pattern, servicePath string) bool {
+	prefix, isPrefix := strings.CutSuffix(pattern, "*")
+	return path.Clean(servicePath) == path.Clean(pattern) || isPrefix && strings.HasPrefix(servicePath, prefix)
+}
