--- a/core/version/check/changes.go
+++ b/core/version/check/changes.go
@@ -343,7 +343,7 @@
 			}
 		}
 		if added > 0 {
-			d.report(RuleAccess, accountPlace(account.Account.Name), "Secrets", "", fmt.Sprintf("callers with %d new secrets get access", added))
+			d.report(RuleAccess, accountPlace(account.Account.Name), "Secrets", "", fmt.Sprintf("callers with secrets added to it (%d) get access", added))
 		}
 	}
 }
@@ -390,7 +390,7 @@
 	case old.Withdrawn != next.Withdrawn:
 		effect := "gets requests for " + served(next) + " again"
 		if next.Withdrawn {
-			effect = "its requests for " + served(old) + " go to other endpoints"
+			effect = "gets no new request for " + served(old) + ", which go to other endpoints if there are any"
 		}
 		compare(d, RuleRouting, place, "endpoint.withdrawn", old.Withdrawn, next.Withdrawn, effect)
 	}
--- a/core/version/check/resources.go
+++ b/core/version/check/resources.go
@@ -24,7 +24,7 @@
 const minAccountRate = 1.0 / 60
 
 // Resources returns the findings about documents that are applied in order onto base, which may
-// be empty. Only the documents are judged; base is what they refer to.
+// be empty. Only the documents and what they change are judged; base is what they refer to.
 func Resources(base *resource.Snapshot, objects []resource.Object, environment Environment) []Finding {
 	c := &resourceCheck{environment: environment, after: withObjects(base, objects)}
 	declared := make(map[resource.Key]bool, len(objects))
@@ -43,7 +43,7 @@
 	}
 	c.checkAccounts(declared)
 	c.checkEndpoints(declared)
-	c.checkServed(declared)
+	c.checkServed(base, declared)
 	c.checkPaths(declared)
 	return c.findings
 }
@@ -114,10 +114,22 @@
 	}
 }
 
-// checkServed reports declared models and services without an endpoint that gets requests.
-func (c *resourceCheck) checkServed(declared map[resource.Key]bool) {
+// checkServed reports models and services without an endpoint that gets requests, if they are
+// declared or lose their last one.
+func (c *resourceCheck) checkServed(base *resource.Snapshot, declared map[resource.Key]bool) {
+	before, after := servedBy(base), servedBy(c.after)
+	for _, o := range c.after.List("") {
+		isServable := o.Kind == resource.KindModel || o.Kind == resource.KindService
+		if isServable && (declared[o.Key()] || before[o.Key()]) && !after[o.Key()] {
+			c.report(Warning, RuleNoEndpoint, objectPlace(o.Key()), "", "", "an endpoint that serves it and isn't withdrawn", "its requests are refused with 503")
+		}
+	}
+}
+
+// servedBy returns the models and services with an endpoint that isn't withdrawn.
+func servedBy(snapshot *resource.Snapshot) map[resource.Key]bool {
 	served := make(map[resource.Key]bool)
-	for _, o := range c.after.List(resource.KindEndpoint) {
+	for _, o := range snapshot.List(resource.KindEndpoint) {
 		if o.Endpoint == nil || o.Endpoint.Withdrawn {
 			continue
 		}
@@ -128,12 +140,7 @@
 			served[resource.Key{Kind: resource.KindService, Name: service}] = true
 		}
 	}
-	for _, o := range c.after.List("") {
-		isServable := o.Kind == resource.KindModel || o.Kind == resource.KindService
-		if isServable && declared[o.Key()] && !served[o.Key()] {
-			c.report(Warning, RuleNoEndpoint, objectPlace(o.Key()), "", "", "an endpoint that serves it and isn't withdrawn", "its requests are refused with 503")
-		}
-	}
+	return served
 }
 
 // checkPaths reports paths that another entry of the same service includes.
--- a/core/version/check/resources_test.go
+++ b/core/version/check/resources_test.go
@@ -76,9 +76,14 @@
 	added := validObjects()[3]
 	added.Name, added.Endpoint.URL = "e-3", "http://10.0.0.3:80"
 	assert.Equal(t, len(Resources(base, []resource.Object{added}, DefaultEnvironment())), 0)
+	withdrawn := validObjects()[4]
+	withdrawn.Endpoint.Withdrawn = true
+	findings := Resources(base, []resource.Object{withdrawn}, DefaultEnvironment())
+	assert.Equal(t, len(findings), 1, "a service loses its last endpoint")
+	assert.Equal(t, findings[0].Rule, RuleNoEndpoint)
 	taken := validObjects()[2]
 	taken.Name = "farm"
-	findings := Resources(base, []resource.Object{taken}, DefaultEnvironment())
+	findings = Resources(base, []resource.Object{taken}, DefaultEnvironment())
 	assert.Equal(t, len(findings), 1)
 	assert.Equal(t, findings[0].Rule, RuleSecretTwice)
 }
@@ -98,7 +103,7 @@
 		"no rate":   {RuleLimit, "no limit applies again", func(o []resource.Object) { o[2].Account.RequestsPerSecond = 0 }},
 		"weight":    {RuleLimit, "rises", func(o []resource.Object) { o[2].Account.Weight = 2 }},
 		"account":   {RuleAccess, "get access", func(o []resource.Object) { o[2].Name = "farm" }},
-		"withdrawn": {RuleRouting, "go to other endpoints", func(o []resource.Object) { o[3].Endpoint.Withdrawn = true }},
+		"withdrawn": {RuleRouting, "gets no new request for m", func(o []resource.Object) { o[3].Endpoint.Withdrawn = true }},
 		"url":       {RuleRouting, "another server", func(o []resource.Object) { o[3].Endpoint.URL = "http://10.0.0.9:80" }},
 		"endpoint":  {RuleRouting, "gets requests for m", func(o []resource.Object) { o[3].Name = "e-3" }},
 		"bound":     {RuleLimit, "highest load", func(o []resource.Object) { o[0].Model.LoadBound = 2 }},
--- a/core/version/check/table_test.go
+++ b/core/version/check/table_test.go
@@ -151,7 +151,7 @@
 		"cold rate":      {RuleLimit, `service "pool"`, "no limit applies again", func(s *routetable.Spec) { s.Services[1].ColdPerSecond = 0 }},
 		"secret removed": {RuleAccess, `account "mill"`, "1 of its 2 secrets lose access", func(s *routetable.Spec) { s.Accounts[0].Secrets = []string{"secret-2"} }},
 		"account gone":   {RuleAccess, `account "farm"`, "1 of its 1 secrets lose access", func(s *routetable.Spec) { s.Accounts = s.Accounts[:1] }},
-		"secret added":   {RuleAccess, `account "farm"`, "1 new secrets get access", func(s *routetable.Spec) { s.Accounts[1].Secrets = append(s.Accounts[1].Secrets, "secret-4") }},
+		"secret added":   {RuleAccess, `account "farm"`, "secrets added to it (1) get access", func(s *routetable.Spec) { s.Accounts[1].Secrets = append(s.Accounts[1].Secrets, "secret-4") }},
 		"secret moved":   {RuleAccess, `account "mill"`, `count as account "farm"`, func(s *routetable.Spec) { s.Accounts[1].Secrets = append(s.Accounts[1].Secrets, "secret-1") }},
 		"account's rank": {RuleOrder, `account "mill"`, "instead of their route's", func(s *routetable.Spec) { s.Accounts[0].Account.Priority = &priority }},
 		"limits":         {RuleLimit, "limits", "the size of a request's body falls", func(s *routetable.Spec) { s.Limits.BodyBytes = 1500 }},
--- a/fleet/cmd/gentianheadctl/commands.go
+++ b/fleet/cmd/gentianheadctl/commands.go
@@ -37,10 +37,11 @@
 		Name:      "gentianheadctl",
 		Usage:     "gentianheadctl [FLAGS] COMMAND ...",
 		ShortHelp: "declares resources, shows what is in force, and sends test calls",
-		LongHelp:  "Flags can be set as environment variables, such as GENTIANHEADCTL_TOKEN.\nExit codes: 0 success; 1 failure, the named resource was not changed; 2 invalid usage;\n3 accepted, but not in force on every router in time; 4 outcome of a write unknown.",
+		LongHelp:  "Flags can be set as environment variables, such as GENTIANHEADCTL_TOKEN.\nExit codes: 0 success; 1 failure, the named resource was not changed; 2 invalid usage;\n3 accepted, but not in force on every router in time; 4 outcome of a write unknown.\nThose of check: 0 clean; 1 findings of severity error; 2 invalid usage, or a source can't be read.",
 		Flags:     c.flags,
 		Subcommands: []*ff.Command{
 			c.applyCommand(),
+			c.checkCommand(),
 			c.getCommand(),
 			c.deleteCommand(),
 			c.watchCommand(),
--- a/fleet/cmd/gentianheadctl/main.go
+++ b/fleet/cmd/gentianheadctl/main.go
@@ -54,7 +54,7 @@
 	switch {
 	case err == nil:
 		return exitOK
-	case errors.Is(err, ff.ErrNoExec), errors.Is(err, errUsage):
+	case errors.Is(err, ff.ErrNoExec), errors.Is(err, errUsage), errors.Is(err, errNotChecked):
 		return exitUsage
 	case errors.Is(err, errNotInForce):
 		return exitNotInForce
--- a/fleet/cmd/gentianheadctl/resources.go
+++ b/fleet/cmd/gentianheadctl/resources.go
@@ -43,16 +43,7 @@
 
 // readObjects reads and validates all documents before any is sent.
 func (c *commands) readObjects(file string) ([]admin.ObjectBody, error) {
-	reader := c.stdin
-	if file != "-" {
-		f, err := os.Open(file)
-		if err != nil {
-			return nil, err
-		}
-		defer f.Close()
-		reader = f
-	}
-	data, err := io.ReadAll(reader)
+	data, err := c.readFile(file)
 	if err != nil {
 		return nil, err
 	}
@@ -67,17 +58,29 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "%s", file)
 		}
-		checked := resource.Object{
-			Kind: object.Kind, Name: object.Name,
-			Endpoint: object.Endpoint, Account: object.Account, Model: object.Model, Service: object.Service,
-		}
-		if err := checked.Validate(); err != nil {
+		if err := declaredObject(object).Validate(); err != nil {
 			return nil, errors.Wrapf(err, "%s: document %d", file, len(objects)+1)
 		}
 		objects = append(objects, object)
 	}
 }
 
+// readFile reads a file, or standard input if its name is -.
+func (c *commands) readFile(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(c.stdin)
+	}
+	return os.ReadFile(name)
+}
+
+// declaredObject returns the resource that a document declares.
+func declaredObject(body admin.ObjectBody) resource.Object {
+	return resource.Object{
+		Kind: body.Kind, Name: body.Name,
+		Endpoint: body.Endpoint, Account: body.Account, Model: body.Model, Service: body.Service,
+	}
+}
+
 func resourcePath(kind, name string) string {
 	return "/v1/resources/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
--- a/fleet/request/gateway/service.go
+++ b/fleet/request/gateway/service.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/url"
 	"path"
+	"slices"
 	"strings"
 
 	"gentianhead/core/request/outcome"
@@ -66,15 +67,9 @@
 	return nil
 }
 
-// isNonIdempotent reports whether calls to a path run at most once. A pattern
-// ending in * matches as a prefix; others ignore a trailing slash.
+// isNonIdempotent reports whether calls to a path run at most once.
 func isNonIdempotent(service *resource.Service, servicePath string) bool {
-	clean := path.Clean(servicePath)
-	for _, pattern := range service.NonIdempotent {
-		prefix, isPrefix := strings.CutSuffix(pattern, "*")
-		if clean == path.Clean(pattern) || (isPrefix && strings.HasPrefix(servicePath, prefix)) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(service.NonIdempotent, func(pattern string) bool {
+		return resource.MatchesPath(pattern, servicePath)
+	})
 }
