--- a/core/process/presence/digest_test.go
+++ b/core/process/presence/digest_test.go
@@ -1,7 +1,9 @@
 package presence
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -32,3 +34,25 @@
 	}
 	assert.DeepEqual(t, count, map[Key]int{7: maxRepeats, 9: 1})
 }
+
+// Guards against an older statement of an endpoint's slowness that hides a newer one, against
+// ages that leave out the time at the summing router, and against digests without a bound.
+func TestDigestSlowness(t *testing.T) {
+	s := newSum()
+	s.add(Load{Slowness: []Slowness{{Endpoint: 1, Percent: 250, Age: 100}, {Endpoint: 2, Percent: 300, Age: 5}}}, 300*time.Millisecond)
+	s.add(Load{Slowness: []Slowness{{Endpoint: 1, Percent: 100, Age: 350}}}, 0)
+	digest := &Digest{}
+	digest.setLoad(s.result())
+	stated := digest.Load().Slowness
+	assert.Assert(t, slices.Equal(stated, []Slowness{{Endpoint: 2, Percent: 300, Age: 305}, {Endpoint: 1, Percent: 100, Age: 350}}), "%v", stated)
+
+	many := make([]Slowness, 3*maxSlowness)
+	for i := range many {
+		many[i] = Slowness{Endpoint: Key(i), Percent: 250, Age: uint32(i)}
+	}
+	beacon := Beacon{Digest: digest}
+	beacon.SetLoad(Sum(Load{Slowness: many}))
+	assert.Equal(t, len(beacon.Load().Slowness), maxSlowness)
+	smaller := beacon.WithoutHints()
+	assert.Assert(t, smaller.Slowness == nil && smaller.Digest.Slowness == nil)
+}
