Limits of callers: no header within its size is refused for its fields; bodies may pause 15 s

The default of 256 fields and of pauses of 5 s could be met by a caller inside the limits of the configuration. The number of fields now follows from the size, so that memory is what bounds them: their cost is charged and the connections that hold most are closed under shortage. Bodies may pause for as long as callers wait for an answer, as a link may be down for seconds.

--- a/fleet/process/serving/serving.go
+++ b/fleet/process/serving/serving.go
@@ -20,9 +20,10 @@
 	// newConnGrace is how long a new connection is exempt from eviction: a process
 	// short of CPU time reads request headers late.
 	newConnGrace = 500 * time.Millisecond
-	// DefaultHeaderFields is the maximum number of fields of a request's header. Ordinary callers
-	// send fewer than a hundred.
-	DefaultHeaderFields = 256
+	// minFieldBytes is the size of the shortest field with its line end. The maximum number of
+	// fields follows from that of bytes, so that a header within its limit is never refused for
+	// its fields: the memory that they take is charged.
+	minFieldBytes = 4
 	// headerSlack is by how much a header may exceed its limit, as in net/http: the request line
 	// and bytes of the body that arrive with the header count too.
 	headerSlack = 4 << 10
@@ -111,13 +112,13 @@
 
 // limits returns the limits in force.
 func (s *Server) limits() Limits {
-	limits := Limits{HeaderBytes: s.options.HeaderBytes, HeaderFields: DefaultHeaderFields, HeaderTimeout: s.options.HeaderTimeout, IdleTimeout: idleTimeout}
-	if s.options.Limits == nil {
-		return limits
+	limits := Limits{HeaderBytes: s.options.HeaderBytes, HeaderTimeout: s.options.HeaderTimeout, IdleTimeout: idleTimeout}
+	var current Limits
+	if s.options.Limits != nil {
+		current = s.options.Limits()
 	}
-	current := s.options.Limits()
 	limits.HeaderBytes = lowerLimit(limits.HeaderBytes, current.HeaderBytes)
-	limits.HeaderFields = lowerLimit(limits.HeaderFields, current.HeaderFields)
+	limits.HeaderFields = lowerLimit((limits.HeaderBytes+headerSlack)/minFieldBytes, current.HeaderFields)
 	limits.HeaderTimeout = lowerLimit(limits.HeaderTimeout, current.HeaderTimeout)
 	limits.IdleTimeout = lowerLimit(limits.IdleTimeout, current.IdleTimeout)
 	return limits
--- a/fleet/request/gateway/gateway.go
+++ b/fleet/request/gateway/gateway.go
@@ -46,7 +46,7 @@
 	// BodyReadTimeout bounds reading the body.
 	BodyReadTimeout = 30 * time.Second
 	// bodyPauseTimeout bounds a pause in the body.
-	bodyPauseTimeout = 5 * time.Second
+	bodyPauseTimeout = 15 * time.Second
 	// refusedReadTimeout bounds reading the body of a refused request.
 	refusedReadTimeout = 200 * time.Millisecond
 )
--- a/fleet/request/relay/prepare.go
+++ b/fleet/request/relay/prepare.go
@@ -28,9 +28,10 @@
 	// defaultMaxBodyBytes is the body limit when the configuration sets none.
 	defaultMaxBodyBytes = 4 << 20
 	bodyReadTimeout     = 30 * time.Second
-	// bodyPauseTimeout is how long a body may pause. minBodyRate, in bytes per second, is the
-	// slowest rate of a body from then on. Slow mobile links have ten times that rate.
-	bodyPauseTimeout = 5 * time.Second
+	// bodyPauseTimeout is how long a body may pause: longer than callers wait for an answer, also
+	// where a link is down for seconds. minBodyRate, in bytes per second, is the slowest rate of a
+	// body from then on. Slow mobile links have ten times that rate.
+	bodyPauseTimeout = 15 * time.Second
 	minBodyRate      = 512
 	// firstBodyBytes is the memory for a body at first.
 	firstBodyBytes = 4 << 10
