Hostile: callers reset their connections, so that later tests find ports

TestHeadCutOffIsNoAnswer of the relay failed beside crowds of this package, once with "bind: address already in use": connections that callers close leave ports in TIME_WAIT. Ports weren't counted. What callers send, the crowds and the bounds are the same, and the peaks are those of the whole time.

--- a/fleet/hostile/hostile_test.go
+++ b/fleet/hostile/hostile_test.go
@@ -181,6 +181,8 @@
 	<-time.After(holdTime)
 	assert.Check(t, len(conns) > 0)
 	for _, conn := range conns {
+		// A reset leaves no port in TIME_WAIT, of which tests that follow may find too few.
+		_ = conn.(*net.TCPConn).SetLinger(0)
 		conn.Close()
 	}
 }
