Placement by time: copies by the time that they take; refusals ahead only where servers are short

Plain servers with a quarter of their slots in use looked full when reports were extrapolated by one router's estimate of the arrivals.

All replays of core/request/balance pass.

--- a/core/request/balance/balancetest/fleet.go
+++ b/core/request/balance/balancetest/fleet.go
@@ -251,7 +251,7 @@
 	service := routetable.Service{Name: Service}
 	if f.options.Engine != nil {
 		slots = f.options.Engine.Slots
-		service.Engine = &routetable.Engine{Slots: slots, MemoryTokens: f.options.Engine.Memory}
+		service.Engine = &routetable.Engine{CopyPerToken: f.options.Engine.CopyPerToken, Slots: slots, MemoryTokens: f.options.Engine.Memory}
 	}
 	var entries []endpoints.Entry
 	for number := range f.options.Endpoints {
--- a/core/request/balance/engine.go
+++ b/core/request/balance/engine.go
@@ -88,7 +88,7 @@
 	reuse := c.reuseOf(now, request, candidates, atLimit)
 	spread := spreadTokens * c.unreported(&c.statsFor(request.Service).serviceTime, mean)
 	if isPressured {
-		return c.pickByTime(now, request, candidates, reuse, slots, bound, spread)
+		return c.pickByTime(now, request, candidates, reuse, engine, slots, bound, spread)
 	}
 	best, bestCost, prefill := -1, 0.0, 0
 	for i, state := range candidates {
@@ -96,7 +96,7 @@
 		if running >= slots || float64(running) >= bound && len(candidates) > 1 {
 			continue
 		}
-		extra, candidatePrefill := reuse.cost(i, reuseWeight)
+		extra, candidatePrefill := reuse.cost(i, reuseWeights{copied: copyWeight, prefilled: reuseWeight, copyTime: copyTimeRatio})
 		random := c.random() * (1 + spread)
 		if c.isLimited(now, state) {
 			random = 0
@@ -223,9 +223,8 @@
 }
 
 // cost returns the cost of the parts that a candidate lacks, and the time to prefill
-// and copy them in prefilled prompt tokens. reuseWeight is the cost per shared token to
-// prefill.
-func (r *reuse) cost(candidate int, reuseWeight float64) (cost float64, prefill int) {
+// and copy them in prefilled prompt tokens.
+func (r *reuse) cost(candidate int, w reuseWeights) (cost float64, prefill int) {
 	if len(r.parts) == 0 {
 		return 0, 0
 	}
@@ -241,10 +240,14 @@
 	if from < shared {
 		sharedPrefill = r.missing[candidate] * float64(r.tokens[shared]-r.tokens[from])
 	}
-	cost = copyWeight*float64(copied) + reuseWeight*sharedPrefill + float64(own)
-	return cost, own + int(sharedPrefill) + int(copyTimeRatio*float64(copied))
+	cost = w.copied*float64(copied) + w.prefilled*sharedPrefill + float64(own)
+	return cost, own + int(sharedPrefill) + int(w.copyTime*float64(copied))
 }
 
+// reuseWeights are the costs per shared token to copy and to prefill, and the time to copy one,
+// each in tokens to prefill.
+type reuseWeights struct{ copied, prefilled, copyTime float64 }
+
 // copyFor returns the address of the engine from which a candidate should copy what
 // it lacks, in its own zone if possible; empty if it should not copy.
 func (r *reuse) copyFor(candidate int, state *endpointState) string {
--- a/core/request/balance/placebytime.go
+++ b/core/request/balance/placebytime.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentianhead/core/request/exchange"
+	"gentianhead/core/version/routetable"
 )
 
 const (
@@ -12,7 +13,9 @@
 	reuseWeightByTime = 12
 	// spreadByTime is the multiple of the random spread. With few slots, an engine that looks
 	// idle to all routers fills up between two reports.
-	spreadByTime = 5
+	spreadByTime = 2
+	// copyTimeWeight is the cost of the time of a copy: an engine's copies wait for each other.
+	copyTimeWeight = 4
 	// queueWeight is the weight of the expected wait for a slot. Part of the requests that
 	// wait are less urgent and let others pass.
 	queueWeight = 0.5
@@ -27,10 +30,11 @@
 // event is expected to be later than the target. An engine without a free slot remains a
 // candidate. Slowness does not apply to the running streams: a slow engine can hold as many as
 // the others, and many routers would leave it at once.
-func (c *Core) pickByTime(now time.Duration, request PlacementRequest, candidates []*endpointState, reuse *reuse, slots int, bound, spread float64) pick {
+func (c *Core) pickByTime(now time.Duration, request PlacementRequest, candidates []*endpointState, reuse *reuse, engine *routetable.Engine, slots int, bound, spread float64) pick {
 	stats := c.statsFor(request.Service)
 	perToken, base := stats.tokenTimes.estimate()
 	meanSlowness := meanSlowness(candidates)
+	weights := weightsByTime(engine, perToken)
 	best, bestCost, prefill, bestExpected := -1, 0.0, 0, 0.0
 	for i, state := range candidates {
 		running := state.running(now)
@@ -38,7 +42,7 @@
 			continue
 		}
 		slow := state.slowness.expected(now, meanSlowness)
-		missing, candidatePrefill := reuse.cost(i, reuseWeightByTime)
+		missing, candidatePrefill := reuse.cost(i, weights)
 		queued := float64(state.own.Prefill + state.peers.Prefill)
 		work := queued + float64(candidatePrefill)
 		wait := queueWeight * slow * float64(stats.serviceTime.value) * float64(max(0, running+1-slots)) / float64(max(1, slots))
@@ -61,6 +65,19 @@
 	return pick{state: candidates[best], prefill: prefill, copyFrom: reuse.copyFor(best, candidates[best]), expected: time.Duration(bestExpected)}
 }
 
+// weightsByTime returns the weights of reuse for engines that prefill a token in perToken.
+//
+// A copy takes as long as the state of its tokens is large: with large states, a document is
+// better served where it is cached, also if that engine has more to do.
+func weightsByTime(engine *routetable.Engine, perToken float64) reuseWeights {
+	w := reuseWeights{copied: copyWeight, prefilled: reuseWeightByTime, copyTime: copyTimeRatio}
+	if engine.CopyPerToken > 0 {
+		w.copyTime = min(1, copyTimeRatio/2+float64(engine.CopyPerToken)/perToken)
+		w.copied = max(copyWeight, copyTimeWeight*w.copyTime)
+	}
+	return w
+}
+
 // memoryUse is the mean number of tokens that a running request holds at an engine, weighted by
 // how long requests run.
 type memoryUse struct {
--- a/core/request/balance/plain.go
+++ b/core/request/balance/plain.go
@@ -38,9 +38,10 @@
 // reach a server between two beacons. Few can reach one with a limit, which has few owners
 // and whose tokens are lost if they are not used.
 func (c *Core) pickPlain(now time.Duration, request PlacementRequest, candidates []*endpointState) *endpointState {
-	if c.isPressured(request.Service) {
+	if c.refusesAhead(now, request.Service, candidates) {
 		return c.pickPressedPlain(now, request, candidates)
 	}
+	c.recordAsked(now, request)
 	service := c.statsFor(request.Service)
 	if len(request.Excluded) == 0 {
 		service.demand.Record(now, request.Flow)
--- a/core/request/balance/plainpressure.go
+++ b/core/request/balance/plainpressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"gentianhead/core/request/exchange"
@@ -22,6 +23,9 @@
 	// minTargetFactor times the service time is the shortest latency that requests are
 	// refused for: with a target below the service time, all are late, yet worth serving.
 	minTargetFactor = 1.5
+	// busyShare is the share of the servers' slots in use from which they are expected to have
+	// queues.
+	busyShare = 0.9
 	// capacityTTL is how long the capacity learned from a rejection counts. It may be too
 	// low, and a server below it rejects nothing from which a higher one could be learned.
 	capacityTTL = 30 * time.Second
@@ -81,13 +85,45 @@
 	return s.capacity.value
 }
 
+// refusesAhead reports whether requests for a plain service are refused before the servers'
+// queues are full: if endpoints of the deployment share machines with other work, or if a server
+// has rejected requests lately. Where queues hold what routers send, refusals ahead of that
+// would turn requests away that are served in time.
+func (c *Core) refusesAhead(now time.Duration, service string, candidates []*endpointState) bool {
+	return c.isPressured(service) && (c.isSlownessStated() || hasRejected(now, candidates))
+}
+
+// hasRejected reports whether some server has rejected requests lately since it held as many as
+// it can.
+func hasRejected(now time.Duration, candidates []*endpointState) bool {
+	return slices.ContainsFunc(candidates, func(s *endpointState) bool { return s.heldBy(now) > 0 })
+}
+
+// isBusyPlain reports whether servers have queues: most of their slots are taken, or one has
+// rejected requests lately.
+//
+// A router of a large fleet gets a few requests per second, so its estimate of the arrivals is
+// off by half at times. Extrapolated with it, servers with a quarter of their slots in use
+// looked full, and requests were refused.
+func isBusyPlain(now time.Duration, candidates []*endpointState) bool {
+	if hasRejected(now, candidates) {
+		return true
+	}
+	held, slots := 0, 0
+	for _, state := range candidates {
+		held += state.own.Running + state.peers.Running
+		slots += max(1, state.entry.Slots)
+	}
+	return float64(held) >= busyShare*float64(slots)
+}
+
 // plainLoadOf estimates the load of a server. arrivals is the expected rate of requests to a
 // server per second.
 //
 // The reports of other routers are some hundred milliseconds old, in which a busy server may
 // get as many requests as it holds. A load that the server stated with a response is exact,
-// so the younger of both is used, and older reports are extrapolated.
-func (c *Core) plainLoadOf(now time.Duration, state *endpointState, request PlacementRequest, serviceTime time.Duration, arrivals float64) plainLoad {
+// so the younger of both is used, and older reports of busy servers are extrapolated.
+func (c *Core) plainLoadOf(now time.Duration, state *endpointState, request PlacementRequest, serviceTime time.Duration, arrivals float64, isBusy bool) plainLoad {
 	slots := float64(max(1, state.entry.Slots))
 	slowness := state.slowness.expected(now, 1)
 	load := plainLoad{age: c.reportAge()}
@@ -100,7 +136,7 @@
 		load.held = float64(state.reportedLoad.Running + state.reportedLoad.Waiting)
 	} else {
 		load.held = float64(state.own.Running + state.peers.Running)
-		if serviceTime > 0 {
+		if serviceTime > 0 && isBusy {
 			departures := slots / (serviceTime.Seconds() * slowness)
 			load.held += (arrivals - departures) * load.age.Seconds()
 		}
@@ -144,11 +180,12 @@
 	}
 	serviceTime := service.serviceTime.value
 	arrivals := c.plainArrivals(service, len(candidates))
+	isBusy := isBusyPlain(now, candidates)
 	loads := make([]plainLoad, len(candidates))
 	var mean plainLoad
 	expected := time.Duration(math.MaxInt64)
 	for i, state := range candidates {
-		loads[i] = c.plainLoadOf(now, state, request, serviceTime, arrivals)
+		loads[i] = c.plainLoadOf(now, state, request, serviceTime, arrivals, isBusy)
 		mean.held += loads[i].held / float64(len(candidates))
 		expected = min(expected, loads[i].latency)
 		mean.pressure += loads[i].pressure / float64(len(candidates))
--- a/core/request/balance/pressure.go
+++ b/core/request/balance/pressure.go
@@ -23,6 +23,11 @@
 	if s, _ := c.table.Service(service); s != nil && s.Engine != nil {
 		return false
 	}
+	return c.isSlownessStated()
+}
+
+// isSlownessStated reports whether some endpoint of the deployment has stated its slowness.
+func (c *Core) isSlownessStated() bool {
 	for _, stats := range c.services {
 		if stats.statesSlowness {
 			return true
--- a/core/request/balance/shed.go
+++ b/core/request/balance/shed.go
@@ -30,14 +30,8 @@
 // Refused by fair shares of accounts alone, an urgent request is refused half as often as one
 // of the next rank, which is still often, and one that comes back at once as often as others.
 func (c *Core) isShed(now time.Duration, request PlacementRequest, room shedding.Room) bool {
-	service := c.statsFor(request.Service)
-	asked := shedding.Request{
-		Account: request.Flow.Account, Rank: request.Flow.Rank, Work: workOf(request),
-		Target: request.Target, Left: request.Left, Repeat: request.Repeat,
-	}
-	if len(request.Excluded) == 0 && !request.IsMove {
-		service.shedding.Record(now, asked)
-	}
+	c.recordAsked(now, request)
+	service, asked := c.statsFor(request.Service), askedOf(request)
 	decision := service.shedding.Decide(now, asked, room)
 	isShed := shedding.Draw(request.Repeat, request.Window) < decision.Fraction
 	if request.IsMove || request.Repeat == 0 {
@@ -54,6 +48,20 @@
 	return isShed
 }
 
+// recordAsked records a request for a service under pressure, whether it is served or not.
+func (c *Core) recordAsked(now time.Duration, request PlacementRequest) {
+	if c.isPressured(request.Service) && len(request.Excluded) == 0 && !request.IsMove {
+		c.statsFor(request.Service).shedding.Record(now, askedOf(request))
+	}
+}
+
+func askedOf(request PlacementRequest) shedding.Request {
+	return shedding.Request{
+		Account: request.Flow.Account, Rank: request.Flow.Rank, Work: workOf(request),
+		Target: request.Target, Left: request.Left, Repeat: request.Repeat,
+	}
+}
+
 // workOf returns the work of a request at an engine in prompt tokens, without shared parts,
 // which are usually cached; zero for plain services.
 func workOf(request PlacementRequest) float64 {
--- a/core/version/routetable/routetable.go
+++ b/core/version/routetable/routetable.go
@@ -80,6 +80,9 @@
 	// MemoryTokens is the number of tokens, of prompts and output, that the running requests
 	// of an engine may hold; zero if that is not known.
 	MemoryTokens int
+	// CopyPerToken is the time to copy the cached state of a token from another engine; zero if
+	// that is not known.
+	CopyPerToken time.Duration
 }
 
 // Account is a client account, which callers authenticate as with a secret.
