Events of a stream are read on while its caller is behind, and held within bounds

forwardStream read an endpoint's next event only once the caller had taken the last one, so that an endpoint saw its response unread and cut it off. The handler still reads and writes by itself while the caller keeps up.

The position of a stream advances when an event is read. What is held is written before a retry or resume is decided, so that it is the position of the caller then too.

--- a/fleet/connection/sse/sse.go
+++ b/fleet/connection/sse/sse.go
@@ -50,6 +50,18 @@
 	return &Reader{buffered: bufio.NewReaderSize(r, bufferBytes)}
 }
 
+// Reset makes the reader read the stream r from its beginning.
+func (r *Reader) Reset(stream io.Reader) {
+	r.buffered.Reset(stream)
+	r.raw, r.fillerBytes = r.raw[:0], 0
+	if cap(r.raw) > bufferBytes {
+		r.raw = nil
+	}
+}
+
+// Detach leaves the bytes of the latest event to the caller: they stay valid.
+func (r *Reader) Detach() { r.raw = nil }
+
 // HasBufferedEvent reports whether a complete event is buffered, so that Next does
 // not block.
 func (r *Reader) HasBufferedEvent() bool {
@@ -113,6 +125,10 @@
 // IsAfter reports whether the event id comes after the event id last.
 // Non-numeric ids are assumed to be in order.
 func IsAfter(last, id string) bool {
+	if last == "" {
+		// Parsing it would allocate an error.
+		return true
+	}
 	lastNumber, err := strconv.ParseInt(last, 10, 64)
 	if err != nil {
 		return true
--- a/fleet/process/memory/memory.go
+++ b/fleet/process/memory/memory.go
@@ -48,6 +48,9 @@
 	// MarkKnown records that the caller presented the secret of a client account. Known callers
 	// are the last to be refused.
 	MarkKnown()
+	// SetBehind records whether a response is held for the caller since it reads more slowly than
+	// the response arrives.
+	SetBehind(isBehind bool)
 }
 
 type holderKey struct{}
@@ -70,3 +73,4 @@
 func (unlimited) Charge(int64) bool { return true }
 func (unlimited) Release(int64)     {}
 func (unlimited) MarkKnown()        {}
+func (unlimited) SetBehind(bool)    {}
--- a/fleet/process/serving/conn.go
+++ b/fleet/process/serving/conn.go
@@ -46,6 +46,9 @@
 	moved atomic.Int64
 	// writingSince is when the write in progress began, in nanoseconds of Unix time; 0 without one.
 	writingSince atomic.Int64
+	// behindSince is since when the caller has been reading its response more slowly than that
+	// arrives, as Unix time in nanoseconds; 0 if it doesn't. movedBefore is moved at that time.
+	behindSince, movedBefore atomic.Int64
 	// isReadingBody is set while net/http reads the body.
 	isReadingBody atomic.Bool
 	// writeDeadline is the one that net/http or a handler set last, as Unix time; 0 without one.
--- a/fleet/process/serving/pool.go
+++ b/fleet/process/serving/pool.go
@@ -212,6 +212,16 @@
 // MarkKnown implements memory.Holder.
 func (c *trackedConn) MarkKnown() { c.isKnown.Store(true) }
 
+// SetBehind implements memory.Holder.
+func (c *trackedConn) SetBehind(isBehind bool) {
+	if !isBehind {
+		c.behindSince.Store(0)
+		return
+	}
+	c.movedBefore.Store(c.moved.Load())
+	c.behindSince.Store(time.Now().UnixNano())
+}
+
 // leave releases what is held for the connection itself. Bodies are released by their handlers.
 func (c *trackedConn) leave() {
 	if c.pool == nil || c.hasLeft.Swap(true) {
@@ -232,7 +242,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := eviction.Connection{Held: c.held.Load(), For: now.Sub(c.phaseAt), Moved: c.moved.Load(), IsKnown: c.isKnown.Load()}
-	writingSince := c.writingSince.Load()
+	writingSince, behindSince := c.writingSince.Load(), c.behindSince.Load()
 	switch {
 	case c.isLingering.Load():
 		s.Phase = eviction.Closing
@@ -242,6 +252,8 @@
 		s.Phase = eviction.Head
 	case writingSince > 0 && now.Sub(time.Unix(0, writingSince)) >= unreadAfter:
 		s.Phase, s.For, s.Moved = eviction.Unread, now.Sub(time.Unix(0, writingSince)), 0
+	case behindSince > 0:
+		s.Phase, s.For, s.Moved = eviction.Unread, now.Sub(time.Unix(0, behindSince)), max(0, s.Moved-c.movedBefore.Load())
 	case c.isReadingBody.Load():
 		s.Phase = eviction.Body
 	default:
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -83,7 +83,9 @@
 		c.progress = progress{}
 		result := r.attempt(ctx, c, &placement)
 		c.recordAttempt(&placement, startedAt, result)
-		r.options.Balancer.recordResult(&placement, result.breakerOutcome)
+		if !result.isRecorded {
+			r.options.Balancer.recordResult(&placement, result.breakerOutcome)
+		}
 		if result.failure == nil {
 			return nil
 		}
@@ -146,6 +148,8 @@
 	// isSilent is set when the endpoint gave no answer in time.
 	isSilent       bool
 	breakerOutcome breaker.Outcome
+	// isRecorded is set if the balancer knows the outcome.
+	isRecorded bool
 }
 
 // shouldRetry reports whether the request should be sent to another endpoint.
--- a/fleet/request/relay/failure.go
+++ b/fleet/request/relay/failure.go
@@ -45,6 +45,8 @@
 	kindStopping
 	// kindEvacuated: the endpoints are in evacuated zones.
 	kindEvacuated
+	// kindSlowReader: the caller read its response more slowly than the router may hold it.
+	kindSlowReader
 )
 
 // codes maps each kind to its code in responses, logs and metrics, and to its
@@ -72,6 +74,7 @@
 	kindStopping:        {outcome.CodeStopping, http.StatusServiceUnavailable},
 	kindAtLimit:         {outcome.CodeEndpointLimit, http.StatusServiceUnavailable},
 	kindEvacuated:       {outcome.CodeEvacuated, http.StatusServiceUnavailable},
+	kindSlowReader:      {outcome.CodeAbandoned, statusCallerGone},
 }
 
 // statusCallerGone is the non-standard status for a connection closed by the client.
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -58,7 +58,7 @@
 
 func (s State) requiresAccount() bool { return s.RequiresAccount || s.Table.RequiresAccount() }
 
-// Options configure a Relay. All fields are required.
+// Options configure a Relay. All fields but HeldMemory are required.
 type Options struct {
 	// State returns the current state. It must not block.
 	State    func() State
@@ -68,6 +68,9 @@
 	Log      *slog.Logger
 	// BodyMemory limits the total bytes of request bodies buffered at once.
 	BodyMemory int64
+	// HeldMemory limits the total bytes held for callers that read streams slowly; half of
+	// BodyMemory if it is zero.
+	HeldMemory int64
 }
 
 // Relay is an HTTP handler for callers. It is safe for concurrent use.
@@ -76,11 +79,18 @@
 	logLimiter        *requestLogLimiter
 	bufferedBodyBytes atomic.Int64
 	stop              stop
+	holding           *holding
 }
 
 // New returns a Relay with these options.
 func New(options Options) *Relay {
-	return &Relay{options: options, logLimiter: newRequestLogLimiter(), stop: stop{durations: drain.NewDurations()}}
+	if options.HeldMemory == 0 {
+		options.HeldMemory = options.BodyMemory / heldDivisor
+	}
+	return &Relay{
+		options: options, logLimiter: newRequestLogLimiter(), stop: stop{durations: drain.NewDurations()},
+		holding: newHolding(options.HeldMemory, options.Log),
+	}
 }
 
 // call is the state of one request.
--- a/fleet/request/relay/stream.go
+++ b/fleet/request/relay/stream.go
@@ -22,56 +22,67 @@
 
 // forwardStream forwards the events of a stream as they arrive, and only complete
 // ones. The response header is written with the first event, so that a request
-// whose stream fails before it can still be retried.
+// whose stream fails before it can still be retried. What is held for a slow caller is
+// written before a result is returned, so that the position is that of the caller.
 func (r *Relay) forwardStream(ctx context.Context, c *call, placement *balance.Placement, response *http.Response) result {
-	controller := http.NewResponseController(c.w)
-	events := sse.NewReader(response.Body)
-	isContinued := !c.isCommitted
+	stream := r.newEventStream(ctx, c, placement, response)
+	defer stream.close()
 	for {
-		event, err := events.Next()
-		if errors.Is(err, io.EOF) && isUnframed(response) && c.progress.events == 0 {
+		event, last := stream.handedOver, (*result)(nil)
+		stream.handedOver = sse.Event{}
+		if event.Raw == nil {
+			event, last = stream.next()
+		}
+		if last == nil || last.failure == nil {
+			r.writeStreamHeader(c, response)
+		}
+		if last == nil {
+			last = stream.forward(event)
+		}
+		if last != nil {
+			return *last
+		}
+	}
+}
+
+// next returns the next event for the caller, or the result if the response has ended. It
+// advances the position of the call: the event will be written before a retry is decided.
+func (s *eventStream) next() (sse.Event, *result) {
+	r, c := s.relay, s.c
+	for {
+		event, err := s.events.Next()
+		if errors.Is(err, io.EOF) && isUnframed(s.response) && c.progress.events == 0 {
 			// Only its events could show that it is complete.
 			err = errNoEvent
 		}
-		if errors.Is(err, io.EOF) && !isContinued {
+		if errors.Is(err, io.EOF) && !s.isContinued {
 			err = errNotContinued
 		}
 		if errors.Is(err, io.EOF) {
-			if !c.isCommitted {
-				r.writeStreamHeader(c, response)
-			}
-			return result{breakerOutcome: breaker.Succeeded}
+			return sse.Event{}, &result{breakerOutcome: breaker.Succeeded}
 		}
 		if err != nil {
-			return r.streamErrorResult(ctx, c, err)
+			return sse.Event{}, r.streamErrorResult(s.ctx, c, err)
 		}
-		if event.IsFiller && (!c.isCommitted || !isContinued) {
+		if event.IsFiller && (!c.isCommitted || !s.isContinued) {
 			// It says nothing of whether an answer will come.
 			continue
 		}
-		if !isContinued {
+		if !s.isContinued {
 			if !c.position.mayContinueWith(event) {
-				return r.streamErrorResult(ctx, c, errNotContinued)
+				return sse.Event{}, r.streamErrorResult(s.ctx, c, errNotContinued)
 			}
-			isContinued = sse.IsAfter(c.position.lastID, event.ID)
+			s.isContinued = sse.IsAfter(c.position.lastID, event.ID)
 		}
 		r.recordEvent(c, event)
+		if !s.hasEvent {
+			s.hasEvent = true
+			r.options.Balancer.recordFirstEvent(s.placement)
+		}
 		if sse.IsAfter(c.position.lastID, event.ID) {
-			if !c.isCommitted {
-				r.writeStreamHeader(c, response)
-			}
-			_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := c.w.Write(event.Raw); err != nil {
-				return result{failure: newFailure(kindCallerGone, "writing to the caller failed").withCause(err), mayHaveRun: true, isFinal: true, breakerOutcome: breaker.Neutral}
-			}
 			c.position.advance(event)
-			if !events.HasBufferedEvent() {
-				if err := controller.Flush(); err != nil {
-					return result{failure: newFailure(kindCallerGone, "writing to the caller failed").withCause(err), mayHaveRun: true, isFinal: true, breakerOutcome: breaker.Neutral}
-				}
-			}
+			return event, nil
 		}
-		r.options.Balancer.recordFirstEvent(placement)
 	}
 }
 
@@ -89,7 +100,7 @@
 	return err == nil && contentType == "text/event-stream" && response.StatusCode == http.StatusOK
 }
 
-// streamPosition is how far a stream has been written to the caller. The zero value is its
+// streamPosition is how far a stream has been written to the caller, or is held and will be. The zero value is its
 // beginning.
 type streamPosition struct {
 	// lastID is the ID of the last event with one, and last its number if it is numeric.
@@ -101,7 +112,7 @@
 	steps              int
 }
 
-// advance records that an event was written.
+// advance records that an event is written, or will be.
 func (p *streamPosition) advance(event sse.Event) {
 	if event.ID == "" {
 		return
@@ -150,6 +161,9 @@
 // writeStreamHeader writes the response header. A stream that is resumed at another
 // endpoint keeps the header of the first.
 func (r *Relay) writeStreamHeader(c *call, response *http.Response) {
+	if c.isCommitted {
+		return
+	}
 	r.markCommitted(c)
 	header := c.w.Header()
 	for name, values := range r.options.Dialect.ResponseHeader(response.Header) {
@@ -160,7 +174,7 @@
 
 // streamErrorResult returns the result for a stream that failed. A stream whose event IDs
 // are no numbers, or missing, can't be resumed once its response has begun.
-func (r *Relay) streamErrorResult(ctx context.Context, c *call, err error) result {
+func (r *Relay) streamErrorResult(ctx context.Context, c *call, err error) *result {
 	broken := readErrorResult(ctx, err)
 	if c.isCommitted && !c.position.isNumeric {
 		broken.isFinal = true
@@ -168,5 +182,5 @@
 	if errors.Is(err, errNotContinued) {
 		broken.isBroken = false
 	}
-	return broken
+	return &broken
 }
--- a/fleet/request/relay/stream_bench_test.go
+++ b/fleet/request/relay/stream_bench_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,11 @@
 	"gentianhead/platform"
 )
 
+var testEvent = "data: " + strings.Repeat("x", 100) + "\n\n"
+
+// inUse lets what a handler creates escape to the heap, as it does in ServeHTTP.
+var inUse sync.Map
+
 // eventSource returns one event from each read.
 type eventSource struct{ left int }
 
@@ -27,20 +33,24 @@
 		return 0, io.EOF
 	}
 	s.left--
-	return copy(p, "data: "+strings.Repeat("x", 100)+"\n\n"), nil
+	return copy(p, testEvent), nil
 }
 
 // BenchmarkForwardStream measures what a stream of 40 events costs whose caller keeps up.
 func BenchmarkForwardStream(b *testing.B) {
 	balancer := NewBalancer(2, 10*time.Second, retry.FleetLimits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, slog.New(slog.DiscardHandler))
-	r := New(Options{Dialect: platform.Dialect{}, Balancer: balancer, Log: slog.New(slog.DiscardHandler)})
+	r := New(Options{Dialect: platform.Dialect{}, Balancer: balancer, Log: slog.New(slog.DiscardHandler), HeldMemory: 1 << 20})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		response := &http.Response{
 			StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}},
 			Body: io.NopCloser(&eventSource{left: 40}), ContentLength: -1, TransferEncoding: []string{"chunked"},
 		}
 		c := &call{w: w, r: request, route: &routetable.Route{Kind: routetable.Stream}, holder: memory.HolderOf(request.Context())}
-		result := r.forwardStream(request.Context(), c, &balance.Placement{}, response)
+		placement := &balance.Placement{}
+		inUse.Store(0, c)
+		inUse.Store(1, placement)
+		inUse.Store(2, response)
+		result := r.forwardStream(request.Context(), c, placement, response)
 		assert.Check(b, result.failure == nil)
 	}))
 	defer server.Close()
