Tests of slow readers; a response ended for one is reset

Half-closing the connection of a caller that doesn't read left its bytes in the kernel, and in a test one of 20 such callers that read on was still waiting after 15 s. A reset frees the memory, and the caller sees the response truncated.

--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -232,7 +232,7 @@
 		return
 	}
 	if c.isCommitted {
-		r.abort(c)
+		r.abort(c, failure)
 	}
 	if failure.kind == kindCallerGone {
 		panic(http.ErrAbortHandler)
@@ -246,8 +246,9 @@
 
 // abort ends the connection so that the caller sees a truncated response. One of HTTP/1.0
 // has no chunks and ends with its connection, so only a reset tells it from a complete one.
-func (r *Relay) abort(c *call) {
-	if !c.r.ProtoAtLeast(1, 1) {
+// That of a slow reader is reset too: the kernel would hold what it doesn't read.
+func (r *Relay) abort(c *call, failure *failure) {
+	if !c.r.ProtoAtLeast(1, 1) || failure.kind == kindSlowReader {
 		conn, _, err := http.NewResponseController(c.w).Hijack()
 		if err == nil {
 			err = reset(conn)
--- a/fleet/request/relay/relay_test.go
+++ b/fleet/request/relay/relay_test.go
@@ -43,6 +43,7 @@
 	view      *endpoints.Core
 	// trustChanges counts the changes of trust in endpoints that the balancer logged.
 	trustChanges *atomic.Int64
+	limits       routetable.Limits
 }
 
 // trustCounter is a log handler that counts changes of trust in endpoints.
@@ -75,7 +76,7 @@
 
 func newFixture(t *testing.T, count int) *fixture {
 	t.Helper()
-	f := &fixture{t: t, view: endpoints.New(), trustChanges: new(atomic.Int64)}
+	f := &fixture{t: t, view: endpoints.New(), trustChanges: new(atomic.Int64), limits: routetable.Limits{BodyBytes: 1000}}
 	log := slog.New(trustCounter{Handler: slog.DiscardHandler, count: f.trustChanges})
 	f.balancer = relay.NewBalancer(2, 10*time.Second, retry.FleetLimits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, log)
 	var entries []endpoints.Entry
@@ -123,7 +124,7 @@
 		},
 		Services: []routetable.Service{{Name: "pool"}},
 		Accounts: []routetable.Credentials{{Account: routetable.Account{Name: "mill"}, Secrets: []string{secret}}},
-		Limits:   routetable.Limits{BodyBytes: 1000},
+		Limits:   f.limits,
 	})
 	assert.NilError(f.t, err)
 	f.state = relay.State{Table: table, Lease: freshness.NewLease(time.Hour).Confirm(boottime.Now())}
--- a/fleet/request/relay/slow.go
+++ b/fleet/request/relay/slow.go
@@ -31,7 +31,7 @@
 	// the options name no limit.
 	heldDivisor = 2
 	// chunkBytes is the unit in which memory for events is taken.
-	chunkBytes = 4 << 10
+	chunkBytes = 8 << 10
 	// roomPoll is how often a response at its limit asks again for room.
 	roomPoll = 50 * time.Millisecond
 	// deadlineSlack is by how much the deadline of a write may exceed writeTimeout, so that it is
