Whole responses are charged to the memory of their caller's connection

They were read with io.ReadAll, up to 256 KiB each and without a bound for the process. One for which there is no memory is forwarded as it arrives, and can't be retried then.

--- a/fleet/request/relay/buffered.go
+++ b/fleet/request/relay/buffered.go
@@ -22,18 +22,24 @@
 
 // forwardBuffered forwards a response that is not a stream. It buffers the
 // response, so that the request can be retried if the body is truncated; above
-// maxBufferedBytes it forwards the body as it arrives.
+// maxBufferedBytes, or without memory for it, it forwards the body as it arrives.
 func (r *Relay) forwardBuffered(ctx context.Context, c *call, response *http.Response) result {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	data, charged, isWhole, err := readWhole(c, response)
 	if err != nil {
+		c.holder.Release(charged)
 		return readErrorResult(ctx, err)
 	}
-	if len(data) > maxBufferedBytes {
+	c.responseBytes += charged
+	if !isWhole {
 		return r.forwardUnbuffered(ctx, c, response, data)
 	}
 	buffered := &bufferedResponse{status: response.StatusCode, header: r.options.Dialect.ResponseHeader(response.Header), body: data}
 	if response.StatusCode >= http.StatusInternalServerError {
 		if c.route.IsRetryable() {
+			if c.fallback != nil {
+				c.responseBytes -= int64(cap(c.fallback.body))
+				c.holder.Release(int64(cap(c.fallback.body)))
+			}
 			c.fallback = buffered
 			return result{failure: newFailure(kindFailed, "the endpoint answered "+strconv.Itoa(buffered.status)), mayHaveRun: true, breakerOutcome: breaker.Failed}
 		}
@@ -44,6 +50,46 @@
 	return result{breakerOutcome: breaker.Succeeded}
 }
 
+// readWhole reads the body of a response, into memory that it charges first. isWhole is false if
+// the body is too large to buffer or there is no memory for it; data is then its beginning.
+func readWhole(c *call, response *http.Response) (data []byte, charged int64, isWhole bool, err error) {
+	size := int64(minBufferedBytes)
+	if length := response.ContentLength; length >= 0 && length < maxBufferedBytes && c.r.Method != http.MethodHead {
+		// One byte more lets the end be read without growing.
+		size = min(length+1, largeBufferedBytes)
+	}
+	for {
+		if !c.holder.Charge(size) {
+			forwardedUnheld.Add(1)
+			return data, charged, false, nil
+		}
+		grown := make([]byte, len(data), size)
+		copy(grown, data)
+		c.holder.Release(charged)
+		data, charged = grown, size
+		for len(data) < cap(data) {
+			n, err := response.Body.Read(data[len(data):cap(data)])
+			data = data[:len(data)+n]
+			if errors.Is(err, io.EOF) {
+				return data, charged, true, nil
+			}
+			if err != nil {
+				return nil, charged, false, err
+			}
+		}
+		if len(data) > maxBufferedBytes {
+			return data, charged, false, nil
+		}
+		size = min(2*size, maxBufferedBytes+1)
+	}
+}
+
+// releaseResponses releases the memory charged for whole responses.
+func (c *call) releaseResponses() {
+	c.holder.Release(c.responseBytes)
+	c.responseBytes = 0
+}
+
 func readErrorResult(ctx context.Context, err error) result {
 	if ctx.Err() != nil {
 		return canceledResult(ctx)
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -43,6 +43,10 @@
 	minOverdueTarget = 100 * time.Millisecond
 	// maxBufferedBytes is the largest response that is buffered before it is forwarded.
 	maxBufferedBytes = 256 << 10
+	// minBufferedBytes is the memory with which a response of unknown length begins, and
+	// largeBufferedBytes the most that is taken for a stated length before bytes arrive.
+	minBufferedBytes   = 1 << 10
+	largeBufferedBytes = 64 << 10
 )
 
 // dispatch sends the request to an endpoint and forwards the response. It retries
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -109,6 +109,8 @@
 	body   []byte
 	// bodyBytes are the bytes charged for body.
 	bodyBytes int64
+	// responseBytes are the bytes charged for whole responses.
+	responseBytes int64
 	// sends counts the endpoints that may have received part of the request.
 	sends int
 	// mayHaveRun is set when an endpoint may have run the request.
@@ -162,6 +164,7 @@
 	defer inFlight.Add(-1)
 	c := &call{w: w, r: request, startedAt: boottime.Now(), holder: memory.HolderOf(request.Context())}
 	defer r.releaseBody(c)
+	defer c.releaseResponses()
 	defer unblockAtStop(c)()
 	if hasAmbiguousLength(request) {
 		w.Header().Set("Connection", "close")
--- a/fleet/request/relay/slow_test.go
+++ b/fleet/request/relay/slow_test.go
@@ -56,6 +56,7 @@
 	*fixture
 	address string
 	pool    *serving.Pool
+	budget  *memory.Budget
 	server  *serving.Server
 }
 
@@ -85,7 +86,8 @@
 		State: func() relay.State { return f.state }, Dialect: platform.Dialect{}, Balancer: f.balancer,
 		Upstream: client, Log: slog.New(slog.DiscardHandler), BodyMemory: 4 << 20, HeldMemory: held,
 	})
-	f.pool = serving.NewPool(serving.PoolOptions{MaxConns: 100, HardMaxConns: 120, Memory: memory.NewBudget(8 << 20), Log: slog.New(slog.DiscardHandler)})
+	f.budget = memory.NewBudget(8 << 20)
+	f.pool = serving.NewPool(serving.PoolOptions{MaxConns: 100, HardMaxConns: 120, Memory: f.budget, Log: slog.New(slog.DiscardHandler)})
 	f.server = serving.New(f.relay, serving.Options{MaxConns: 100, HeaderBytes: 64 << 10, HeaderTimeout: 5 * time.Second, Pool: f.pool})
 	listening, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -367,3 +369,34 @@
 	got := await(t, large)
 	assert.Equal(t, got.status, http.StatusOK)
 }
+
+// Guards against whole responses whose memory isn't counted, or isn't released, and against a
+// response that fails for lack of memory or arrives changed.
+func TestWholeResponsesDrawOnMemory(t *testing.T) {
+	for name, test := range map[string]struct {
+		bytes     int
+		isChunked bool
+	}{"empty": {}, "small": {bytes: 100}, "large": {bytes: 200 << 10}, "chunked": {200 << 10, true}, "too large to hold": {600 << 10, true}} {
+		t.Run(name, func(t *testing.T) {
+			body := strings.Repeat("0123456789", test.bytes/10)
+			f := newSlowFixture(t, 1<<20, func(w http.ResponseWriter, _ *http.Request) {
+				if !test.isChunked {
+					w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+				}
+				_, _ = io.WriteString(w, body)
+			})
+			f.url = "http://" + f.address
+			got := f.sendRequest(http.MethodPost, pathSafe+"x", "b")
+			assert.NilError(t, got.err)
+			assert.Assert(t, got.body == body)
+			// The budget is used up by others.
+			left := f.pool.Budget() - f.pool.Memory()
+			assert.Assert(t, f.budget.Charge(left-120<<10, 0))
+			got = f.sendRequest(http.MethodPost, pathSafe+"x", "b")
+			assert.NilError(t, got.err)
+			assert.Assert(t, got.body == body)
+			f.budget.Release(left - 120<<10)
+			f.awaitReleased()
+		})
+	}
+}
