A connection closed to make room is reset if its caller doesn't read

Closed without a reset, the kernel kept what the caller hadn't read, and a caller that read on was still waiting after 30 s in the new case of the test (20 stopped readers beside a budget that others use up), which failed before and passes now.

--- a/fleet/process/serving/pool.go
+++ b/fleet/process/serving/pool.go
@@ -273,6 +273,10 @@
 		c.pool.releasing.Add(c.evictedBytes)
 	}
 	c.mu.Unlock()
+	if c.behindSince.Load() > 0 || c.writingSince.Load() > 0 {
+		// The kernel would hold what the caller doesn't read.
+		_ = c.SetLinger(0)
+	}
 	c.isEnded.Store(true)
 	_ = c.Conn.Close()
 	return true
--- a/fleet/request/relay/slow_test.go
+++ b/fleet/request/relay/slow_test.go
@@ -252,7 +252,9 @@
 	for name, test := range map[string]struct {
 		stopped int
 		held    int64
-	}{"one": {1, 4 << 20}, "many": {20, 800 << 10}} {
+		// others is the memory that others hold.
+		others int64
+	}{"one": {1, 4 << 20, 0}, "many": {20, 800 << 10, 0}, "many, little memory": {20, 32 << 20, 6 << 20}} {
 		t.Run(name, func(t *testing.T) {
 			ended := make(chan struct{}, 100)
 			f := newSlowFixture(t, test.held, func(w http.ResponseWriter, r *http.Request) {
@@ -263,6 +265,7 @@
 				}
 				_ = sendPieces(w, 1, 300, 5*time.Millisecond)
 			})
+			assert.Assert(t, f.budget.Charge(test.others, 0))
 			var stopped []*caller
 			for range test.stopped {
 				stopped = append(stopped, f.start(pathStream+"endless"))
@@ -273,7 +276,7 @@
 			assert.Equal(t, events, 300)
 			for range stopped {
 				await(t, ended)
-				assert.Assert(t, f.pool.Memory() < test.held+2<<20)
+				assert.Assert(t, f.pool.Memory() < test.others+test.held+2<<20 && f.pool.Memory() <= f.pool.Budget())
 			}
 			for _, c := range stopped {
 				_, err := c.read()
@@ -281,6 +284,7 @@
 				c.Close()
 			}
 			reading.Close()
+			f.budget.Release(test.others)
 			f.awaitReleased()
 		})
 	}
