--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -47,6 +47,10 @@
 	repeatWindowSeconds = 2
 	// maxBufferedBytes is the largest response that is buffered before it is forwarded.
 	maxBufferedBytes = 256 << 10
+	// minBufferedBytes is the memory with which a response of unknown length begins, and
+	// largeBufferedBytes the most that is taken for a stated length before bytes arrive.
+	minBufferedBytes   = 1 << 10
+	largeBufferedBytes = 64 << 10
 )
 
 // dispatch sends the request to an endpoint and forwards the response. It retries
@@ -87,7 +91,9 @@
 		c.progress = progress{}
 		result := r.attempt(ctx, c, &placement)
 		c.recordAttempt(&placement, startedAt, result)
-		r.options.Balancer.recordResult(&placement, result.breakerOutcome)
+		if !result.isRecorded {
+			r.options.Balancer.recordResult(&placement, result.breakerOutcome)
+		}
 		if result.failure == nil {
 			return nil
 		}
@@ -167,6 +173,8 @@
 	// isSilent is set when the endpoint gave no answer in time.
 	isSilent       bool
 	breakerOutcome breaker.Outcome
+	// isRecorded is set if the balancer knows the outcome.
+	isRecorded bool
 }
 
 // shouldRetry reports whether the request should be sent to another endpoint.
--- a/fleet/request/relay/relay.go
+++ b/fleet/request/relay/relay.go
@@ -58,7 +58,7 @@
 
 func (s State) requiresAccount() bool { return s.RequiresAccount || s.Table.RequiresAccount() }
 
-// Options configure a Relay. All fields are required.
+// Options configure a Relay. All fields but HeldMemory are required.
 type Options struct {
 	// State returns the current state. It must not block.
 	State    func() State
@@ -68,6 +68,9 @@
 	Log      *slog.Logger
 	// BodyMemory limits the total bytes of request bodies buffered at once.
 	BodyMemory int64
+	// HeldMemory limits the total bytes held for callers that read streams slowly; half of
+	// BodyMemory if it is zero.
+	HeldMemory int64
 }
 
 // Relay is an HTTP handler for callers. It is safe for concurrent use.
@@ -76,11 +79,18 @@
 	logLimiter        *requestLogLimiter
 	bufferedBodyBytes atomic.Int64
 	stop              stop
+	holding           *holding
 }
 
 // New returns a Relay with these options.
 func New(options Options) *Relay {
-	return &Relay{options: options, logLimiter: newRequestLogLimiter(), stop: stop{durations: drain.NewDurations()}}
+	if options.HeldMemory == 0 {
+		options.HeldMemory = options.BodyMemory / heldDivisor
+	}
+	return &Relay{
+		options: options, logLimiter: newRequestLogLimiter(), stop: stop{durations: drain.NewDurations()},
+		holding: newHolding(options.HeldMemory, options.Log),
+	}
 }
 
 // call is the state of one request.
@@ -101,6 +111,8 @@
 	body   []byte
 	// bodyBytes are the bytes charged for body.
 	bodyBytes int64
+	// responseBytes are the bytes charged for whole responses.
+	responseBytes int64
 	// sends counts the endpoints that may have received part of the request.
 	sends int
 	// mayHaveRun is set when an endpoint may have run the request.
@@ -156,6 +168,7 @@
 	defer inFlight.Add(-1)
 	c := &call{w: w, r: request, startedAt: boottime.Now(), holder: memory.HolderOf(request.Context())}
 	defer r.releaseBody(c)
+	defer c.releaseResponses()
 	defer unblockAtStop(c)()
 	if hasAmbiguousLength(request) {
 		w.Header().Set("Connection", "close")
@@ -226,7 +239,7 @@
 		return
 	}
 	if c.isCommitted {
-		r.abort(c)
+		r.abort(c, failure)
 	}
 	if failure.kind == kindCallerGone {
 		panic(http.ErrAbortHandler)
@@ -240,8 +253,9 @@
 
 // abort ends the connection so that the caller sees a truncated response. One of HTTP/1.0
 // has no chunks and ends with its connection, so only a reset tells it from a complete one.
-func (r *Relay) abort(c *call) {
-	if !c.r.ProtoAtLeast(1, 1) {
+// That of a slow reader is reset too: the kernel would hold what it doesn't read.
+func (r *Relay) abort(c *call, failure *failure) {
+	if !c.r.ProtoAtLeast(1, 1) || failure.kind == kindSlowReader {
 		conn, _, err := http.NewResponseController(c.w).Hijack()
 		if err == nil {
 			err = reset(conn)
