Test of refusals under pressure: endpoints state their slowness

Refusals ahead of full queues apply where endpoints state slowness or a server has rejected requests; the test relied on the settings alone. Its checks are unchanged.

--- a/fleet/request/relay/shed_test.go
+++ b/fleet/request/relay/shed_test.go
@@ -19,8 +19,9 @@
 func TestRefusalUnderPressureSaysWhy(t *testing.T) {
 	f := newFixture(t, 1)
 	f.balancer.SetOptions(balance.Options{IsPressured: true})
+	stated := []presence.Slowness{{Endpoint: presence.KeyOf("e-0"), Percent: 150}}
 	work := map[presence.Key]presence.Work{presence.KeyOf("e-0"): {Running: 100}}
-	f.balancer.Report("other", balance.WorkReport{Load: presence.Load{Work: work}})
+	f.balancer.Report("other", balance.WorkReport{Load: presence.Load{Work: work, Slowness: stated}})
 	request, err := http.NewRequest(http.MethodGet, f.url+pathSafe+"x", http.NoBody)
 	assert.NilError(t, err)
 	request.Host = "a.example"
