--- a/core/request/balance/speed.go
+++ b/core/request/balance/speed.go
@@ -18,6 +18,9 @@
 	// slownessNews is how long after an endpoint was last known to be slow its statements are
 	// reported to other routers, so that they learn of its recovery.
 	slownessNews = 2 * time.Second
+	// minSlowness and maxSlowness bound what counts of a statement, so that a wrong one neither
+	// draws all requests to an endpoint nor keeps all away.
+	minSlowness, maxSlowness = 50, 2000
 	// minReportedSlowness is the slowness from which an endpoint counts as slow in reports.
 	minReportedSlowness = 110
 	// defaultTokenTime is the time per prefilled token until it is measured.
@@ -45,7 +48,7 @@
 	if percent <= 0 || s.at != 0 && at <= s.at {
 		return
 	}
-	s.percent, s.at, s.isOwn = percent, at, isOwn
+	s.percent, s.at, s.isOwn = min(max(percent, minSlowness), maxSlowness), at, isOwn
 	if percent >= minReportedSlowness {
 		s.slowAt = at
 	}
--- a/core/request/balance/speed_test.go
+++ b/core/request/balance/speed_test.go
@@ -23,6 +23,15 @@
 	assert.Equal(t, s.expected(time.Minute+time.Second, 1), 1.0)
 }
 
+// Guards against an absurd statement that draws all requests to an endpoint or keeps all away.
+func TestSlownessBounded(t *testing.T) {
+	for percent, want := range map[int]float64{1: 0.5, 60: 0.6, 100_000: 20} {
+		var s slowness
+		s.record(time.Minute, percent, true)
+		assert.Equal(t, s.expected(time.Minute, 1), want, percent)
+	}
+}
+
 // Guards against placement by time where no endpoint states its slowness, and against reports
 // that a router passes on as its own news forever.
 func TestSlownessSwitchAndReport(t *testing.T) {
