Product front end: at most 256 fields in a head again

Cause: since the number of fields follows from the size of a head, 24 heads of thousands of fields were charged up to 0.8 MB each before they exceeded their size, more than the 8 MiB of this front end, and connections were closed to make room, ordinary ones too.

--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -88,6 +88,9 @@
 	// memoryPerConn is the memory for each connection that the settings allow, on average: that of
 	// the connection and of an ordinary request's header. Bodies have a limit of their own.
 	memoryPerConn = 32 << 10
+	// maxHeaderFields is the maximum number of fields of a request's header. Ordinary callers send
+	// fewer than a hundred; heads of thousands would use up the memory for callers.
+	maxHeaderFields = 256
 	// callerListeners is the number of listeners with Limits.Connections each.
 	callerListeners = 2
 	// reserveDivisor is the part of the memory, and of their connections, that callers leave to operators.
@@ -108,6 +111,7 @@
 	return serving.Options{
 		MaxConns:      s.Limits.Connections,
 		HeaderBytes:   gateway.MaxHeaderBytes,
+		Limits:        func() serving.Limits { return serving.Limits{HeaderFields: maxHeaderFields} },
 		HeaderTimeout: gateway.ReadHeaderTimeout,
 		MinIdleTime:   minIdleTime,
 		Pool:          pool,
