Product front end: memory for callers of 64 KiB a connection

192 connections that send oversized heads and heads of many fields are charged up to 7.6 MB, of 7.2 MB that callers had: ordinary connections could be closed for room. fleet/hostile (heads of many fields, without an end, requests ahead) passes.

--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -86,8 +86,9 @@
 
 const (
 	// memoryPerConn is the memory for each connection that the settings allow, on average: that of
-	// the connection and of an ordinary request's header. Bodies have a limit of their own.
-	memoryPerConn = 32 << 10
+	// the connection and of a header near its limit of size. Bodies have a limit of their own. With
+	// half as much, 192 misbehaving connections of 256 leave no room for an ordinary one.
+	memoryPerConn = 64 << 10
 	// maxHeaderFields is the maximum number of fields of a request's header. Ordinary callers send
 	// fewer than a hundred; heads of thousands would use up the memory for callers.
 	maxHeaderFields = 256
