--- a/review/second/cmd/second-lab/endless.go
+++ b/review/second/cmd/second-lab/endless.go
@@ -17,9 +17,9 @@
 	// troubledShare is the share of the model servers' answers that are spoilt in an episode, as
 	// with srv_grey on all servers in the site file.
 	troubledShare = 0.45
-	episodes      = 8
-	episodeLength = 6500 * time.Millisecond
-	episodePause  = 4 * time.Second
+	episodes      = 12
+	episodeLength = 4 * time.Second
+	episodePause  = 3 * time.Second
 	// junkHeadBytes and junkEventBytes are what a spoilt answer sends at once; then it goes on, a
 	// byte at a time, until the caller closes.
 	junkHeadBytes  = 62 << 10
@@ -37,25 +37,22 @@
 	return b.String()
 }
 
-// siteKinds are the requests of the sheet of zhanibek-rebate, at the rates of its day scale-1:
-// 106.8 a second where the sheet has 89.1.
-func siteKinds() []Kind {
+// siteKinds are the requests of the sheets, at their rates: 89.1 a second. The deadline of plain
+// requests is a second on that of zhanibek-rebate and three on that of ferraris-quote.
+func siteKinds(plainDeadline time.Duration) []Kind {
 	const patience = 3200 * time.Millisecond
-	kinds := []Kind{
+	return []Kind{
 		{Name: "dossier", Method: http.MethodPost, PerSecond: 20.4, Deadline: 15 * time.Second, Patience: patience, Bytes: 12000, Tokens: "11812,380", Shared: "5c1e07a2:10512"},
 		{Name: "question", Method: http.MethodPost, PerSecond: 18.5, Deadline: 15 * time.Second, Patience: patience, Bytes: 830, Tokens: "829,290", Shared: "91bd3f06:699"},
 		{Name: "tag", Method: http.MethodPost, PerSecond: 26, Deadline: 3 * time.Second, Patience: patience, Bytes: 2400, Tokens: "2401,25", Shared: "e4402b7d:2041"},
-		{Name: "filing", Method: http.MethodPost, PerSecond: 16.2, Deadline: time.Second, Bytes: 600},
-		{Name: "status", Method: http.MethodGet, PerSecond: 8, Deadline: time.Second},
+		{Name: "filing", Method: http.MethodPost, PerSecond: 16.2, Deadline: plainDeadline, Bytes: 600},
+		{Name: "status", Method: http.MethodGet, PerSecond: 8, Deadline: plainDeadline},
 	}
-	for i := range kinds {
-		kinds[i].PerSecond *= 106.8 / 89.1
-	}
-	return kinds
 }
 
-// startSite starts the servers of the sheet of zhanibek-rebate.
-func (l *Lab) startSite(answer func(s *Server, conn net.Conn, r *http.Request, body string) (done, keep bool)) error {
+// startSite starts the model servers of the sheets, and plain servers with the time that they
+// work on a request.
+func (l *Lab) startSite(plainServers int, work time.Duration, answer func(s *Server, conn net.Conn, r *http.Request, body string) (done, keep bool)) error {
 	for i := range 12 {
 		s, err := l.StartServer(fmt.Sprintf("pool-%d", i+1), "pool", 64, 76, 30*time.Millisecond)
 		if err != nil {
@@ -63,8 +60,8 @@
 		}
 		s.Answer = answer
 	}
-	for i := range 4 {
-		if _, err := l.StartServer(fmt.Sprintf("desk-%d", i+1), "desk", 6, 0, 30*time.Millisecond); err != nil {
+	for i := range plainServers {
+		if _, err := l.StartServer(fmt.Sprintf("desk-%d", i+1), "desk", 6, 0, work); err != nil {
 			return err
 		}
 	}
@@ -76,7 +73,7 @@
 	junk := junkHead()
 	var isTroubled atomic.Bool
 	var spoilt atomic.Int64
-	err := l.startSite(func(s *Server, conn net.Conn, r *http.Request, body string) (done, keep bool) {
+	err := l.startSite(3, 60*time.Millisecond, func(s *Server, conn net.Conn, r *http.Request, body string) (done, keep bool) {
 		if !isTroubled.Load() || rand.Float64() >= troubledShare {
 			return false, false
 		}
@@ -95,16 +92,16 @@
 	if err != nil {
 		return couldnot, err
 	}
-	if err := l.StartRouters(2, memoryMb, nil); err != nil {
+	if err := l.StartRouters(1, memoryMb, nil); err != nil {
 		return couldnot, err
 	}
 	if err := l.AwaitReady(20 * time.Second); err != nil {
 		return couldnot, err
 	}
-	l.Logf("two of the seven machines are left; 12 model servers, 4 servers of the desk")
+	l.Logf("one of the seven machines is left; 12 model servers, 3 plain servers")
 	clients := l.NewClients(52)
 	stop := make(chan struct{})
-	clients.Send(siteKinds(), stop)
+	clients.Send(siteKinds(3*time.Second), stop)
 	time.Sleep(8 * time.Second)
 	for i := range episodes {
 		isTroubled.Store(l.Trouble)
--- a/review/second/cmd/second-lab/trailers.go
+++ b/review/second/cmd/second-lab/trailers.go
@@ -59,7 +59,7 @@
 
 // caseTrailers: a crowd of clients outside the limits.
 func caseTrailers(l *Lab) (int, error) {
-	if err := l.startSite(nil); err != nil {
+	if err := l.startSite(4, 30*time.Millisecond, nil); err != nil {
 		return couldnot, err
 	}
 	if err := l.StartRouters(3, memoryMb, nil); err != nil {
@@ -70,7 +70,7 @@
 	}
 	clients := l.NewClients(52)
 	stop := make(chan struct{})
-	clients.Send(siteKinds(), stop)
+	clients.Send(siteKinds(time.Second), stop)
 	time.Sleep(8 * time.Second)
 	request := crowdRequest()
 	var opened atomic.Int64
