Let the crowd of case 6 have a key

Done: the crowd has a customer's key and its bodies stop short on a route; CROWD=nokey is the former one.

--- a/review/second/cmd/second-lab/trailers.go
+++ b/review/second/cmd/second-lab/trailers.go
@@ -44,14 +44,20 @@
 	return strings.TrimSuffix(b.String(), ",")
 }
 
-// crowdRequest is a request without a key, at a path without a route: a head of legal size whose
-// list of trailers has very many short names, and a body in chunks that stops short of its end.
-// With CROWD=plain the same bytes are one long value of another field.
+// crowdRequest is a request with a customer's key: a head of legal size whose list of trailers has
+// very many short names, and a body in chunks that stops short of its end. With CROWD=nokey it has
+// no key and goes to a path without a route; with CROWD=plain the same bytes are one long value of
+// another field.
 func crowdRequest() string {
-	head := "POST /none/x HTTP/1.1\r\nHost: a.example\r\n" + wire["attempt"] + ": c\r\nTransfer-Encoding: chunked\r\n"
+	crowd := os.Getenv("CROWD")
+	head := "POST /filing/x HTTP/1.1\r\nHost: a.example\r\n" + wire["authorization"] + ": " + wire["scheme"] + "key-one-of-tenant-2\r\n"
+	if crowd == "nokey" {
+		head = "POST /none/x HTTP/1.1\r\nHost: a.example\r\n"
+	}
+	head += wire["attempt"] + ": c\r\nTransfer-Encoding: chunked\r\n"
 	const field = "Trailer: "
 	list := shortNames(crowdHeadBytes - len(head) - len(field) - len("\r\n\r\n"))
-	if os.Getenv("CROWD") == "plain" {
+	if crowd == "plain" {
 		return head + "X-Other: " + list + "\r\n\r\n5\r\n01234\r\n"
 	}
 	return head + field + list + "\r\n\r\n5\r\n01234\r\n"
