Take an answer whose status is none for a cut one

What callers saw. An endpoint answered with status 000. Callers of both front ends got 502, outcome unknown, so no such answer reached them. But the router believed what its head said of the endpoint (leaving, load, rate, cold time): the next request was refused with 503 load-bound. The breaker counted it as neutral, and the log line said that another request was answered, or that the endpoint switched to another protocol. gentianheadctl call printed the body and exited 0; a write of gentianheadctl was reported as not made.

Cause. net/http accepts any three characters that strconv.Atoi takes and that aren't negative: 000 to 099, +20, -00. Each reader compared the status for purposes of its own, or not at all.

Change. transport.Guard decides for every client what is an answer: it returns ErrBroken for a status below 100, closes the connection and counts it in transport_broken_answers. The error is ErrNoAnswer for requests, so that it is retried, resumed and counted by the breaker as a cut answer is. Log lines name the cause, also in the product's front end, which named none.

--- a/fleet/cmd/gentianheadctl/call.go
+++ b/fleet/cmd/gentianheadctl/call.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return answer, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := c.http.Do(request)
 	if err != nil {
 		return answer, err
 	}
@@ -148,7 +148,7 @@
 }
 
 func (c *commands) sendCall(request *http.Request) error {
-	response, err := http.DefaultClient.Do(request)
+	response, err := c.http.Do(request)
 	if err != nil {
 		return err
 	}
--- a/fleet/cmd/gentianheadctl/client.go
+++ b/fleet/cmd/gentianheadctl/client.go
@@ -88,7 +88,7 @@
 	request.Header = header
 	request.Header.Set("Authorization", "Bearer "+*c.token)
 	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
+	response, err := c.http.Do(request)
 	if err != nil {
 		return err
 	}
--- a/fleet/cmd/gentianheadctl/commands.go
+++ b/fleet/cmd/gentianheadctl/commands.go
@@ -2,14 +2,18 @@
 
 import (
 	"io"
+	"net/http"
 
 	"github.com/peterbourgon/ff/v4"
+
+	"gentianhead/fleet/connection/transport"
 )
 
 // commands holds the streams and flags that all commands share.
 type commands struct {
 	stdin          io.Reader
 	stdout, stderr io.Writer
+	http           *http.Client
 
 	flags   *ff.FlagSet
 	router  *string
@@ -24,6 +28,7 @@
 		stdin:   stdin,
 		stdout:  stdout,
 		stderr:  stderr,
+		http:    transport.NewClient(),
 		flags:   flags,
 		router:  flags.StringLong("router", "http://127.0.0.1:8201", "a router's address for operators"),
 		callers: flags.StringLong("callers", "http://127.0.0.1:8101", "a router's address for callers"),
--- /dev/null
+++ b/fleet/connection/engine/broken_test.go
@@ -0,0 +1,137 @@
+package engine
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"gentianhead/fleet/connection/transport"
+	"gentianhead/platform/platformtest"
+)
+
+// headFaults are the broken heads of the tests of this package.
+var headFaults = platformtest.StatusFaults
+
+// Guards against an answer with a broken head that is forwarded, taken for the endpoint's word that
+// the request did not run, or whose connection is used again.
+func TestBrokenHeadIsNoAnswer(t *testing.T) {
+	for _, fault := range headFaults {
+		for _, status := range []string{"200 OK", "410 Gone", "412 Precondition Failed", "503 Service Unavailable"} {
+			for _, body := range []string{"foreign", ""} {
+				for _, before := range []int64{0, 1} {
+					server := startRaw(t, func(number int64, r *http.Request) (string, bool) {
+						if number != before+1 {
+							return httpText("200 OK", idOf(r), "own"), true
+						}
+						return fault.Apply(httpText(status, idOf(r), body)), true
+					})
+					what := fmt.Sprintf("%s, %s, %q, after %d", fault.Name, status, body, before)
+					client := NewClient()
+					for range before {
+						_, err := doRead(t, client, server.url)
+						assert.NilError(t, err, what)
+					}
+					_, err := doRead(t, client, server.url)
+					assert.ErrorIs(t, err, ErrNoAnswer, what)
+					assert.Check(t, errors.Is(err, transport.ErrBroken) || strings.Contains(err.Error(), "malformed"), "%s: %v", what, err)
+					assert.Assert(t, !errors.IsAny(err, ErrNotSent, ErrWithdrawn), what)
+					got, err := doRead(t, client, server.url)
+					assert.NilError(t, err, what)
+					assert.Equal(t, got, "own", what)
+					assert.Equal(t, server.conns.Load(), int64(2), what)
+					client.Close()
+				}
+			}
+		}
+	}
+}
+
+// fakeRates records stated rates.
+type fakeRates struct{ stated []string }
+
+func (f *fakeRates) Take(string) (time.Duration, bool) { return 0, true }
+
+func (f *fakeRates) Stated(_ string, _ time.Duration, values []string) {
+	f.stated = append(f.stated, values...)
+}
+
+// Guards against a request rate that is believed though the answer that states it is broken.
+func TestRateInBrokenHeadIgnored(t *testing.T) {
+	for _, fault := range headFaults {
+		server := startRaw(t, func(_ int64, r *http.Request) (string, bool) {
+			return fault.Apply(strings.Replace(httpText("200 OK", idOf(r), "own"), "\r\n", "\r\n"+HeaderRequestRate+": 0.1\r\n", 1)), true
+		})
+		client, rates := NewClient(), new(fakeRates)
+		client.SetRates(rates)
+		_, err := doRead(t, client, server.url)
+		assert.ErrorIs(t, err, ErrNoAnswer, fault.Name)
+		assert.Equal(t, len(rates.stated), 0, fault.Name)
+		client.Close()
+	}
+}
+
+// Guards against a chat whose answer, or the rest of it, is taken from an answer with a broken head,
+// and against one that is not requested again.
+func TestBrokenHeadOfChatResumed(t *testing.T) {
+	events := func(id string, from int) string {
+		var text strings.Builder
+		for number := from; number <= 3; number++ {
+			fmt.Fprintf(&text, "id: %d\ndata: {\"id\":%q,\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n", number, id)
+		}
+		return text.String() + "id: 4\ndata: [DONE]\n\n"
+	}
+	for _, fault := range headFaults {
+		for _, isStream := range []bool{true, false} {
+			for _, brokenAt := range []int64{1, 2} {
+				server := startRaw(t, func(number int64, r *http.Request) (string, bool) {
+					id := idOf(r)
+					answer := httpText("200 OK", id, fmt.Sprintf("{\"id\":%q}", id))
+					from := 1
+					if isStream && number > 1 && brokenAt > 1 {
+						from = 2
+					}
+					if isStream {
+						answer = httpText("200 OK", id, events(id, from))
+					}
+					switch {
+					case number == brokenAt:
+						return fault.Apply(answer), true
+					case number < brokenAt && isStream:
+						return answer[:strings.Index(answer, "id: 2")], false
+					case number < brokenAt:
+						return answer[:len(answer)-1], false
+					}
+					return answer, true
+				})
+				what := fmt.Sprintf("%s, stream %t, broken at %d", fault.Name, isStream, brokenAt)
+				client := NewClient()
+				response, err := client.Do(t.Context(), Request{Method: http.MethodPost, URL: server.url + ChatPath, ID: "same", Resumable: true})
+				assert.NilError(t, err, what)
+				if !isStream {
+					body, _, err := client.ReadChat(t.Context(), response)
+					assert.NilError(t, err, what)
+					assert.Assert(t, strings.HasPrefix(string(body), `{"id":"same~`), "%s: %s", what, body)
+					client.Close()
+					continue
+				}
+				stream := client.NewStream(response)
+				count := 0
+				for err == nil {
+					if _, err = stream.Next(t.Context()); err == nil {
+						count++
+					}
+				}
+				assert.Assert(t, errors.Is(err, io.EOF), "%s: %v", what, err)
+				assert.Equal(t, count, 4, what)
+				stream.Close(t.Context())
+				client.Close()
+			}
+		}
+	}
+}
--- a/fleet/connection/engine/engine.go
+++ b/fleet/connection/engine/engine.go
@@ -136,7 +136,8 @@
 	}
 	c.cancel(ctx, target)
 	if decision.Action == answer.ActionCancel {
-		err = reasonError(decision.Reason)
+		// The first error is for the log only.
+		err = fmt.Errorf("%w: %v", reasonError(decision.Reason), err)
 	}
 	return nil, err
 }
--- a/fleet/connection/engine/gate.go
+++ b/fleet/connection/engine/gate.go
@@ -4,11 +4,11 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 
 	"github.com/cockroachdb/errors"
 
 	"gentianhead/core/process/withdrawal"
+	"gentianhead/fleet/connection/transport"
 )
 
 // ErrIsolated means that this router has lost contact with the rest of the
@@ -29,9 +29,9 @@
 // a connection for it. It must be called before the first request.
 func (c *Client) SetGate(gate Gate) {
 	c.gate = gate
-	transport := c.http.Transport.(*http.Transport)
-	dial := transport.DialContext
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+	base := c.http.Transport.(*transport.Transport)
+	dial := base.DialContext
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
--- a/fleet/connection/transport/conn.go
+++ b/fleet/connection/transport/conn.go
@@ -48,16 +48,6 @@
 	return isWritten
 }
 
-func dialSealable(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &sealableConn{Conn: conn}, nil
-	}
-}
-
 // ConnTracker tracks the connection that a single request uses. The zero value is
 // ready to use.
 type ConnTracker struct {
@@ -74,15 +64,10 @@
 // Trace returns ctx with a hook that records the request's connection in t.
 func (t *ConnTracker) Trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn := info.Conn
-		// A TLS connection wraps the dialed one.
-		if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
-			conn = wrapped.NetConn()
-		}
-		sealable := conn.(*sealableConn)
+		conn := sealable(info.Conn)
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.conn, t.writeOffset, t.isReused = sealable, sealable.writeOffset(), info.Reused
+		t.conn, t.writeOffset, t.isReused = conn, conn.writeOffset(), info.Reused
 		if t.MayWrite != nil && !t.MayWrite() {
 			t.conn.seal(t.writeOffset)
 		}
--- a/fleet/connection/transport/transport.go
+++ b/fleet/connection/transport/transport.go
@@ -38,12 +38,10 @@
 // New returns a transport for HTTP/1.1. It adds no Accept-Encoding header, uses no
 // proxy, and sends one request at a time on a connection, so that closing the
 // connection of a mismatched answer interrupts no other request.
-func New(options Options) *http.Transport {
+func New(options Options) *Transport {
+	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAliveConfig: options.KeepAlive}
 	transport := &http.Transport{
-		DialContext: dialSealable(&net.Dialer{
-			Timeout:         options.DialTimeout,
-			KeepAliveConfig: options.KeepAlive,
-		}),
+		DialContext:            dialer.DialContext,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
@@ -51,5 +49,5 @@
 		Protocols:              new(http.Protocols),
 	}
 	transport.Protocols.SetHTTP1(true)
-	return transport
+	return guard(transport)
 }
--- a/fleet/connection/upstream/upstream.go
+++ b/fleet/connection/upstream/upstream.go
@@ -65,7 +65,7 @@
 
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
-	reused, singleUse *http.Transport
+	reused, singleUse *transport.Transport
 }
 
 // New returns a client without open connections.
@@ -97,7 +97,7 @@
 	return nil, fmt.Errorf("%w: %w", transport.ErrNotSent, err)
 }
 
-func (c *Client) transport(request Request) *http.Transport {
+func (c *Client) transport(request Request) *transport.Transport {
 	if request.IsSingleUse {
 		return c.singleUse
 	}
--- a/fleet/process/control/load.go
+++ b/fleet/process/control/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gentianhead/core/version/resource"
+	"gentianhead/fleet/connection/transport"
 )
 
 // This file reads the load reports of the engines that this router observes.
@@ -33,7 +34,8 @@
 // readLoads polls load reports until ctx ends. Only the router that observes an
 // engine polls it, so the number of reads doesn't grow with the fleet.
 func (r *Routing) readLoads(ctx context.Context) {
-	client := &http.Client{Timeout: loadTimeout}
+	client := transport.NewClient()
+	client.Timeout = loadTimeout
 	defer client.CloseIdleConnections()
 	tick := time.NewTicker(loadInterval)
 	defer tick.Stop()
--- a/fleet/process/hosted/control.go
+++ b/fleet/process/hosted/control.go
@@ -157,7 +157,7 @@
 		catchup:       catchup.New(settings.Zone, uint64(start)),
 		staleness:     staleness.New(startedAt),
 		copier:        newCopier(),
-		engines:       platform.NewEngineClient(),
+		engines:       newEngineClient(),
 		start:         start,
 		startedAt:     startedAt,
 		sharedAt:      make(map[string]time.Duration),
--- a/fleet/process/hosted/copy.go
+++ b/fleet/process/hosted/copy.go
@@ -15,6 +15,7 @@
 
 	"gentianhead/core/process/presence"
 	"gentianhead/core/version/catchup"
+	"gentianhead/fleet/connection/transport"
 	"gentianhead/fleet/process/boottime"
 )
 
@@ -123,12 +124,12 @@
 
 func newCopier() copier {
 	dialer := &net.Dialer{Timeout: copyDialTimeout}
-	return copier{&http.Client{Timeout: copyTimeout, Transport: &http.Transport{
+	return copier{&http.Client{Timeout: copyTimeout, Transport: transport.Guard(&http.Transport{
 		DialContext:            dialWithReadTimeout(dialer, copyReadTimeout),
 		DisableCompression:     true,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}}
+	})}}
 }
 
 // copyFrom copies the configuration of the router at address if that is newer than after.
--- a/fleet/process/hosted/hosted.go
+++ b/fleet/process/hosted/hosted.go
@@ -88,7 +88,7 @@
 		settings: settings,
 		log:      telemetry.ComponentLogger(logger, "hosted"),
 		upstream: upstream.New(),
-		store:    platform.NewStore("http://" + settings.Store),
+		store:    newStore(settings.Store),
 		beacons:  beacons,
 	}
 	balancer := relay.NewBalancer(settings.LoadFactor, settings.PrefixReuseWindow, retryLimits(settings), telemetry.ComponentLogger(logger, "balance"))
--- a/fleet/process/node/inject.go
+++ b/fleet/process/node/inject.go
@@ -11,6 +11,7 @@
 	"gentianhead/fleet/connection/engine"
 	"gentianhead/fleet/connection/instances"
 	"gentianhead/fleet/connection/peer"
+	"gentianhead/fleet/connection/transport"
 	"gentianhead/fleet/process/control"
 	"gentianhead/fleet/process/settings"
 	"gentianhead/fleet/process/telemetry"
@@ -47,7 +48,7 @@
 	injector := do.New()
 	do.ProvideValue(injector, s)
 	do.Provide(injector, func(do.Injector) (*platform.Store, error) {
-		return platform.NewStore(s.Platform.URL, telemetry.TraceTransport), nil
+		return platform.NewStore(s.Platform.URL, transport.Guard, telemetry.TraceTransport), nil
 	})
 	do.Provide(injector, func(i do.Injector) (*engine.Client, error) {
 		client := engine.NewClient()
--- a/fleet/request/claims/endpoint.go
+++ b/fleet/request/claims/endpoint.go
@@ -63,6 +63,9 @@
 	r.request.Body = nil
 	if err != nil {
 		span.RecordError(err)
+		if !errors.IsAny(err, engine.ErrNotSent, engine.ErrWithdrawn) {
+			r.manager.options.Log.Warn("An endpoint gave no answer.", "request", r.request.RequestID, "endpoint", r.request.Endpoint, "error", err)
+		}
 		return sendErrorEvent(err)
 	}
 	body, err := engine.ReadBody(response)
--- a/fleet/request/gateway/crashes.go
+++ b/fleet/request/gateway/crashes.go
@@ -189,6 +189,9 @@
 	}
 	if err != nil {
 		problem = problemFromError(err)
+		if problem.Code != outcome.CodeAbandoned && problem.Code != outcome.CodeDeadline {
+			g.options.Log.Warn("An endpoint gave no answer.", "request", x.id, "endpoint", name, "error", err)
+		}
 	}
 	switch {
 	case problem == nil:
--- /dev/null
+++ b/fleet/request/relay/broken_test.go
@@ -0,0 +1,112 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"gentianhead/core/process/endpoints"
+	"gentianhead/platform/platformtest"
+)
+
+// rawAnswer returns a sound answer to a request of the fixture: that of a plain service, or a
+// stream if the request's path has one.
+func rawAnswer(r *http.Request, fields string) string {
+	body := "whole"
+	if strings.HasPrefix(r.URL.Path, pathStream) || strings.HasPrefix(r.URL.Path, pathResume) {
+		fields, body = "Content-Type: text/event-stream\r\n"+fields, streamEvents(1, 3)
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nGentianhead-Attempt-Id: %s\r\nGentianhead-Server-Signature: signed\r\n%sContent-Length: %d\r\n\r\n%s",
+		r.Header.Get("Gentianhead-Attempt-Id"), fields, len(body), body)
+}
+
+// serveRaw adds a raw server to the fixture's endpoints, in their place.
+func (f *fixture) serveRaw(answer platformtest.RawAnswer) *platformtest.RawServer {
+	f.t.Helper()
+	server := platformtest.NewRawServer(answer)
+	f.t.Cleanup(server.Close)
+	f.view.Apply(0, []endpoints.Entry{{ID: "raw", Service: "pool", Address: server.Address, Slots: 8}}, nil)
+	f.balancer.SetView(f.view.View())
+	return server
+}
+
+func (f *fixture) post(path string, headers ...string) answer {
+	f.t.Helper()
+	if strings.HasPrefix(path, pathStream) || strings.HasPrefix(path, pathResume) {
+		return f.postStream(path, headers...)
+	}
+	return f.sendRequest(http.MethodPost, path, "body", headers...)
+}
+
+var kindsOfRoute = []string{pathSafe, pathUnsafe, pathStream, pathResume}
+
+// testHeadFaults checks that no caller gets an answer with a broken head, that the router does not
+// say that the request did not run, and that neither its connection nor its figures are used.
+func testHeadFaults(t *testing.T, faults []platformtest.HeadFault, defect string) {
+	t.Helper()
+	for _, fault := range faults {
+		for _, path := range kindsOfRoute {
+			t.Run(fault.Name+path, func(t *testing.T) {
+				t.Parallel()
+				for _, fields := range []string{"", "Gentianhead-Not-Executed: 1\r\nRetry-After: 60\r\n", "Server-Leaving: 1\r\nServer-Limit: 0.001\r\nGentianhead-Server-Load: 8,90,8\r\nGentianhead-Cold-Ms: 60000\r\n"} {
+					for _, before := range []int{0, 1} {
+						f := newFixture(t, 0)
+						number := new(atomic.Int64)
+						server := f.serveRaw(func(r *http.Request) (string, bool) {
+							if number.Add(1) != int64(before)+1 {
+								return rawAnswer(r, ""), true
+							}
+							return fault.Apply(rawAnswer(r, fields)), true
+						})
+						what := fmt.Sprintf("%q, after %d", fields, before)
+						for range before {
+							assert.Equal(t, f.post(path+"1").status, http.StatusOK, what)
+						}
+						got := f.post(path + "1")
+						assert.Equal(t, got.status, http.StatusBadGateway, "%s: %s", what, got.body)
+						assert.Assert(t, strings.Contains(got.body, `"outcome":"unknown"`), "%s: %s", what, got.body)
+						assert.Equal(t, server.Requests.Load(), int64(before+1), what)
+						assert.Check(t, strings.Contains(f.logged.String(), "broken answer: "+defect) || strings.Contains(f.logged.String(), "malformed "), "%s: %s", what, f.logged)
+						conns := server.Conns.Load()
+						// Neither its connection is used again nor what it says of the endpoint.
+						got = f.post(path + "1")
+						assert.Equal(t, got.status, http.StatusOK, "%s: %s", what, got.body)
+						assert.Equal(t, server.Conns.Load(), conns+1, what)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against an answer whose status is none.
+func TestAnswerWithoutStatusIsNoAnswer(t *testing.T) {
+	testHeadFaults(t, platformtest.StatusFaults, "status")
+}
+
+// Guards against an endpoint with broken answers that is trusted longer than one whose answers
+// are cut off, and against a request that is not sent elsewhere though it may be.
+func TestBrokenAnswerTakenLikeCutOne(t *testing.T) {
+	cut := func(answer string) string { return answer[:len(answer)-2] }
+	status := platformtest.StatusFaults[0].Apply
+	for name, apply := range map[string]func(string) string{"cut": cut, "status": status} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			server := platformtest.NewRawServer(func(r *http.Request) (string, bool) { return apply(rawAnswer(r, "")), false })
+			t.Cleanup(server.Close)
+			f.view.Apply(0, []endpoints.Entry{{ID: "raw", Service: "pool", Address: server.Address, Slots: 8}}, nil)
+			f.balancer.SetView(f.view.View())
+			for number := range 40 {
+				got := f.sendRequest(http.MethodPost, pathSafe+fmt.Sprint(number), "body")
+				assert.Equal(t, got.status, http.StatusOK, got.body)
+			}
+			assert.Assert(t, server.Requests.Load() > 0)
+			assert.Assert(t, f.trustChanges.Load() > 0)
+			t.Logf("%d requests until the endpoint lost trust", server.Requests.Load())
+		})
+	}
+}
--- a/fleet/request/relay/dispatch.go
+++ b/fleet/request/relay/dispatch.go
@@ -328,7 +328,11 @@
 	case isUnsent:
 		return result{failure: newFailure(kindFailed, "the endpoint can't be reached").withCause(err).withRetryAfter(retryOverloaded), isUnsent: true, breakerOutcome: breaker.Unreachable}
 	}
-	return result{failure: newFailure(kindFailed, "the endpoint sent no response").withCause(err), mayHaveRun: true, isBroken: true, breakerOutcome: breaker.Failed}
+	detail := "the endpoint sent no response"
+	if errors.Is(err, transport.ErrBroken) {
+		detail = "the endpoint sent a broken response"
+	}
+	return result{failure: newFailure(kindFailed, detail).withCause(err), mayHaveRun: true, isBroken: true, breakerOutcome: breaker.Failed}
 }
 
 // notRunResult returns the result for a response stating that the request did not run.
--- a/fleet/request/relay/relay_test.go
+++ b/fleet/request/relay/relay_test.go
@@ -43,7 +43,28 @@
 	view      *endpoints.Core
 	// trustChanges counts the changes of trust in endpoints that the balancer logged.
 	trustChanges *atomic.Int64
-	limits       routetable.Limits
+	// logged are the log lines of the relay.
+	logged *logBuffer
+	limits routetable.Limits
+}
+
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines strings.Builder
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.String()
 }
 
 // trustCounter is a log handler that counts changes of trust in endpoints.
@@ -76,7 +97,7 @@
 
 func newFixture(t *testing.T, count int) *fixture {
 	t.Helper()
-	f := &fixture{t: t, view: endpoints.New(), trustChanges: new(atomic.Int64), limits: routetable.Limits{BodyBytes: 1000}}
+	f := &fixture{t: t, view: endpoints.New(), trustChanges: new(atomic.Int64), logged: new(logBuffer), limits: routetable.Limits{BodyBytes: 1000}}
 	log := slog.New(trustCounter{Handler: slog.DiscardHandler, count: f.trustChanges})
 	f.balancer = relay.NewBalancer(2, 10*time.Second, retry.FleetLimits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, log)
 	var entries []endpoints.Entry
@@ -94,7 +115,7 @@
 	t.Cleanup(client.Close)
 	f.relay = relay.New(relay.Options{
 		State: func() relay.State { return f.state }, Dialect: platform.Dialect{}, Balancer: f.balancer,
-		Upstream: client, Log: slog.New(slog.DiscardHandler), BodyMemory: 1 << 20,
+		Upstream: client, Log: slog.New(slog.NewJSONHandler(f.logged, nil)), BodyMemory: 1 << 20,
 	})
 	server := httptest.NewServer(f.relay)
 	t.Cleanup(server.Close)
