Take an answer with a blank in a field's name for a cut one

What callers saw. An endpoint sent a head with a field such as "X Broken: 1", "Content-Length : 5" or "Transfer-Encoding : chunked". Callers of both front ends got it as an answer: without the field, or with a body that wasn't the endpoint's (the text of the chunks, or all bytes up to the end of the connection), or with 504 where the endpoint kept the connection open. A refusal in such a head was believed: not run. A line " Content-Length: 5" was forwarded as part of the field before, and had the same effect on the body.

Cause. net/http refuses control bytes in names, but accepts blanks and skips such a field, even one that states the length. A line that begins with a blank is joined to the field before; RFC 9112 lets a gateway answer 502 instead. All readers of answers use net/http.

Change. transport.Guard also returns ErrBroken for a name that is no token, and for a folded line. What net/http joined can't be seen afterwards, so the connection looks for lines that begin with a blank while a head is read; it parses nothing else. TLS connections are not looked into. Trailers are not checked: no reader forwards or uses them.

--- a/fleet/cmd/gentianheadctl/broken_test.go
+++ b/fleet/cmd/gentianheadctl/broken_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -16,7 +17,7 @@
 )
 
 // headFaults are the broken heads of the tests of this package.
-var headFaults = platformtest.StatusFaults
+var headFaults = slices.Concat(platformtest.StatusFaults, platformtest.FieldFaults, platformtest.FoldedFaults)
 
 func formatAnswer(body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
--- a/fleet/connection/engine/broken_test.go
+++ b/fleet/connection/engine/broken_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -16,7 +17,7 @@
 )
 
 // headFaults are the broken heads of the tests of this package.
-var headFaults = platformtest.StatusFaults
+var headFaults = slices.Concat(platformtest.StatusFaults, platformtest.FieldFaults, platformtest.FoldedFaults)
 
 // Guards against an answer with a broken head that is forwarded, taken for the endpoint's word that
 // the request did not run, or whose connection is used again.
--- a/fleet/connection/transport/answer.go
+++ b/fleet/connection/transport/answer.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -29,16 +30,43 @@
 	quote string
 }
 
-const defectStatus = "status"
+// Kinds of defects.
+const (
+	defectStatus = "status"
+	defectField  = "field name"
+	defectFold   = "folded line"
+)
 
-// headDefect returns what is broken in the head of a response that net/http accepted.
-func headDefect(response *http.Response) defect {
+// headDefect returns what is broken in the head of a response that net/http accepted, which
+// arrived on conn.
+func headDefect(response *http.Response, conn *sealableConn) defect {
 	if response.StatusCode < minStatus {
 		return defect{defectStatus, response.Status}
 	}
+	// net/http accepts blanks in names and forwards such a field as one of its own, even if it
+	// states the length of the body.
+	for name := range response.Header {
+		if !isFieldName(name) {
+			return defect{defectField, name}
+		}
+	}
+	if folded := conn.foldedLine(); folded != nil {
+		return defect{defectFold, string(folded)}
+	}
 	return defect{}
 }
 
+// isFieldName reports whether a name is a token of HTTP.
+func isFieldName(name string) bool {
+	for _, b := range []byte(name) {
+		isAlphanumeric := b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z'
+		if !isAlphanumeric && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(b)) {
+			return false
+		}
+	}
+	return name != ""
+}
+
 // record counts the defect and returns its error.
 func (d defect) record() error {
 	brokenAnswers.Add(d.kind, 1)
--- a/fleet/connection/transport/answer_test.go
+++ b/fleet/connection/transport/answer_test.go
@@ -22,7 +22,9 @@
 
 // headFaults are the broken heads of the tests of this package, by the metric's label for those
 // that net/http accepts.
-var headFaults = map[string][]platformtest.HeadFault{"status": platformtest.StatusFaults}
+var headFaults = map[string][]platformtest.HeadFault{
+	"status": platformtest.StatusFaults, "field name": platformtest.FieldFaults, "folded line": platformtest.FoldedFaults,
+}
 
 // brokenAnswers returns the metric's value for a label.
 func brokenAnswers(label string) int64 {
--- a/fleet/connection/transport/conn.go
+++ b/fleet/connection/transport/conn.go
@@ -9,13 +9,38 @@
 
 // sealableConn counts the bytes written to a connection and can be sealed, which
 // prevents further writes. After that the count shows whether a request was sent,
-// even if net/http still tries to write it.
+// even if net/http still tries to write it. It also finds folded lines in responses.
 type sealableConn struct {
 	net.Conn
 
 	mu             sync.Mutex
 	submittedBytes int64
 	isSealed       bool
+	folds          foldScanner
+}
+
+// Read implements net.Conn.
+func (c *sealableConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.folds.scan(p[:n])
+	return n, err
+}
+
+// startHead is called before a request is written.
+func (c *sealableConn) startHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.folds.start()
+}
+
+// foldedLine returns the beginning of the first folded line in the head of the latest response, or
+// nil.
+func (c *sealableConn) foldedLine() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.folds.folded
 }
 
 // Write implements net.Conn.
--- a/fleet/connection/transport/guard.go
+++ b/fleet/connection/transport/guard.go
@@ -34,6 +34,9 @@
 		}
 		return &sealableConn{Conn: conn}, nil
 	}
+	// Closing the connection of a broken answer must not interrupt other requests.
+	base.Protocols = new(http.Protocols)
+	base.Protocols.SetHTTP1(true)
 	return &Transport{base}
 }
 
@@ -47,17 +50,21 @@
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var conn *sealableConn
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn = sealable(info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = sealable(info.Conn)
+			if conn == info.Conn {
+				// Folded lines can't be seen through TLS.
+				conn.startHead()
+			}
+		},
 	})
 	response, err := t.Transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if broken := headDefect(response); broken.kind != "" {
+	if broken := headDefect(response, conn); broken.kind != "" {
 		// A response without a body has already returned its connection to the idle ones.
-		if conn != nil {
-			_ = conn.Close()
-		}
+		_ = conn.Close()
 		_ = response.Body.Close()
 		return nil, broken.record()
 	}
--- a/fleet/connection/transport/transport.go
+++ b/fleet/connection/transport/transport.go
@@ -46,8 +46,6 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        options.IdleTimeout,
-		Protocols:              new(http.Protocols),
 	}
-	transport.Protocols.SetHTTP1(true)
 	return guard(transport)
 }
--- a/fleet/process/hosted/clients_test.go
+++ b/fleet/process/hosted/clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -29,4 +30,4 @@
 }
 
 // headFaults are broken heads that net/http accepts.
-var headFaults = platformtest.StatusFaults[:5]
+var headFaults = slices.Concat(platformtest.StatusFaults[:5], platformtest.FieldFaults[:2], platformtest.FoldedFaults)
--- a/fleet/request/claims/broken_test.go
+++ b/fleet/request/claims/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 
@@ -15,7 +16,7 @@
 )
 
 // headFaults are the broken heads of the tests of this package.
-var headFaults = platformtest.StatusFaults
+var headFaults = slices.Concat(platformtest.StatusFaults, platformtest.FieldFaults, platformtest.FoldedFaults)
 
 // Guards against an at-most-once request that is recorded as answered or not run because of an
 // answer with a broken head, and against a fence that is believed because of one.
--- a/fleet/request/relay/broken_test.go
+++ b/fleet/request/relay/broken_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -110,3 +112,52 @@
 		})
 	}
 }
+
+// Guards against an answer with a field whose name holds a blank or a control byte: it may hide the
+// length of the body.
+func TestAnswerWithBrokenFieldIsNoAnswer(t *testing.T) {
+	testHeadFaults(t, platformtest.FieldFaults, "field name")
+}
+
+// Guards against an answer with a line that begins with a blank.
+func TestAnswerWithFoldedLineIsNoAnswer(t *testing.T) {
+	testHeadFaults(t, platformtest.FoldedFaults, "folded line")
+}
+
+// Guards against the rest of a stream that is taken from an answer with a broken head, and against a
+// stream that isn't completed where the next endpoint's answer is sound.
+func TestRestOfStreamWithBrokenHead(t *testing.T) {
+	for _, fault := range slices.Concat(platformtest.StatusFaults, platformtest.FieldFaults, platformtest.FoldedFaults) {
+		for _, isCompleted := range []bool{true, false} {
+			f := newFixture(t, 0)
+			number := new(atomic.Int64)
+			var entries []endpoints.Entry
+			for _, id := range []string{"raw-1", "raw-2", "raw-3"} {
+				server := platformtest.NewRawServer(func(r *http.Request) (string, bool) {
+					answer := rawAnswer(r, "")
+					switch count := number.Add(1); {
+					case count == 1:
+						return answer[:strings.Index(answer, "id: 3")], false
+					case count == 2 || !isCompleted:
+						return fault.Apply(answer), true
+					}
+					return answer, true
+				})
+				t.Cleanup(server.Close)
+				entries = append(entries, endpoints.Entry{ID: id, Service: "pool", Address: server.Address, Slots: 8})
+			}
+			f.view.Apply(0, entries, nil)
+			f.balancer.SetView(f.view.View())
+			got := f.postStream(pathResume + "1")
+			assert.Equal(t, got.status, http.StatusOK, fault.Name)
+			assert.Equal(t, number.Load(), int64(3), fault.Name)
+			if isCompleted {
+				assert.NilError(t, got.err, fault.Name)
+				assert.Equal(t, got.body, streamEvents(1, 3), fault.Name)
+				continue
+			}
+			assert.ErrorIs(t, got.err, io.ErrUnexpectedEOF, fault.Name)
+			assert.Equal(t, got.body, streamEvents(1, 2), fault.Name)
+		}
+	}
+}
