Take an answer that a reset ends for a cut one while a request is written

What callers saw. An endpoint answered a long upload at once, with a 200 that had no length, sent a part of its body and reset the connection. Callers of the platform's front end got the part as a whole answer, on all kinds of route: 200 with a Content-Length, or a stream that ended orderly. A write of a large object was taken for made. Callers of the product's front end got 502: it refuses answers without a length. In the same situation, sound answers with a length or chunks were lost if the reset followed them at once: 502, and a safe request was sent elsewhere.

The kernel reports a reset once, to the first call that sees it. If that is the write of the request, the read returns an end, as after an orderly close. net/http then closes the connection because of the failed write, but whoever reads the answer at that moment takes the end for its own. With the write's error first, net/http drops an answer that has arrived and isn't read yet.

The connection tells an end from a reset: if it is closed on both sides and a write got the report, a read returns ErrBroken instead of the end. An end that arrived before a reset stays one: writes get EPIPE then. A write that finds the connection reset returns only once nothing more can be read, so that an answer is read to its end.

--- a/fleet/connection/engine/broken_test.go
+++ b/fleet/connection/engine/broken_test.go
@@ -136,3 +136,47 @@
 		}
 	}
 }
+
+// Guards against the part of an answer that is forwarded as a whole one, or a whole one that is lost:
+// the endpoint answers while the request is being written, and ends the connection.
+func TestEarlyAnswer(t *testing.T) {
+	upload := make([]byte, 8<<20)
+	for _, example := range []struct {
+		framing, body string
+		isWhole       bool
+	}{
+		{"Content-Length: 5\r\n", "whole", true},
+		{"Transfer-Encoding: chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n", true},
+		{"Content-Length: 9\r\n", "part", false},
+		{"Transfer-Encoding: chunked\r\n", "4\r\npart\r\n", false},
+		// What ends with its connection is never known to be whole.
+		{"Connection: close\r\n", "part", false},
+	} {
+		for _, end := range []platformtest.EarlyEnd{platformtest.EndReset, platformtest.EndClose, platformtest.EndHalf, platformtest.EndHalfReset} {
+			for _, pause := range []time.Duration{0, time.Millisecond} {
+				server := platformtest.NewEarlyServer(platformtest.EarlyAnswer{
+					Text: func(r *http.Request) string {
+						return "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": " + idOf(r) + "\r\n" + example.framing + "\r\n" + example.body
+					},
+					ReadFirst: 64 << 10, End: end, Pause: pause,
+				})
+				client := NewClient()
+				for range 4 {
+					what := fmt.Sprintf("%s%s, %v", example.framing, end, pause)
+					var body []byte
+					response, err := client.Do(t.Context(), Request{Method: http.MethodPost, URL: "http://" + server.Address, Body: upload, ID: "same"})
+					if err == nil {
+						body, err = ReadBody(response)
+					}
+					if example.isWhole {
+						assert.Check(t, err == nil && string(body) == "whole", "%s: %q, %v", what, body, err)
+						continue
+					}
+					assert.Check(t, errors.IsAny(err, ErrNoAnswer, ErrTruncated) && !errors.Is(err, ErrNotSent), "%s: %q, %v", what, body, err)
+				}
+				client.Close()
+				server.Close()
+			}
+		}
+	}
+}
--- a/fleet/connection/transport/answer.go
+++ b/fleet/connection/transport/answer.go
@@ -35,6 +35,8 @@
 	defectStatus = "status"
 	defectField  = "field name"
 	defectFold   = "folded line"
+	// defectEnd is an end without a length that a reset brought about.
+	defectEnd = "end"
 )
 
 // headDefect returns what is broken in the head of a response that net/http accepted, which
--- a/fleet/connection/transport/answer_test.go
+++ b/fleet/connection/transport/answer_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
@@ -162,3 +163,23 @@
 		}
 	}
 }
+
+// Guards against a write that is taken for made because the store answered while it was being sent
+// and then reset the connection, and against an answer that is lost then.
+func TestEarlyAnswerOfStore(t *testing.T) {
+	for framing, isWhole := range map[string]bool{"Connection: close\r\n": false, "Content-Length: 9\r\n": false, "Content-Length: 0\r\n": true} {
+		for _, pause := range []time.Duration{0, time.Millisecond} {
+			server := platformtest.NewEarlyServer(platformtest.EarlyAnswer{
+				Text: func(*http.Request) string { return "HTTP/1.1 200 OK\r\n" + framing + "\r\n" },
+				End:  platformtest.EndReset, Pause: pause,
+			})
+			store := platform.NewStore("http://"+server.Address, transport.Guard)
+			for range 8 {
+				err := store.PutObject(t.Context(), "o", make([]byte, 8<<20))
+				assert.Check(t, isWhole == (err == nil), "%s%v: %v", framing, pause, err)
+				assert.Check(t, isWhole || errors.Is(err, table.ErrIndeterminate), "%s%v: %v", framing, pause, err)
+			}
+			server.Close()
+		}
+	}
+}
--- a/fleet/connection/transport/conn.go
+++ b/fleet/connection/transport/conn.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // sealableConn counts the bytes written to a connection and can be sealed, which
@@ -16,23 +21,91 @@
 	mu             sync.Mutex
 	submittedBytes int64
 	isSealed       bool
-	folds          foldScanner
+	// isAnswerBegun is set once a byte of the latest response has arrived.
+	isAnswerBegun bool
+	folds         foldScanner
+
+	// writing is held during a write to the connection.
+	writing sync.Mutex
+	// isResetOnWrite is set once a write has failed since the peer reset the connection. It is
+	// guarded by writing.
+	isResetOnWrite bool
+	// readEnded is closed once nothing more can be read.
+	readEnded chan struct{}
+	endRead   func()
+}
+
+func newSealableConn(conn net.Conn) *sealableConn {
+	readEnded := make(chan struct{})
+	return &sealableConn{Conn: conn, readEnded: readEnded, endRead: sync.OnceFunc(func() { close(readEnded) })}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. An end that a reset brought about is an error.
 func (c *sealableConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	isReset := errors.Is(err, io.EOF) && c.isReset()
+	if err != nil {
+		c.endRead()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.isAnswerBegun = c.isAnswerBegun || n > 0
 	c.folds.scan(p[:n])
+	switch {
+	case isReset && c.isAnswerBegun:
+		err = defect{defectEnd, syscall.ECONNRESET.Error()}.record()
+	case isReset:
+		err = syscall.ECONNRESET
+	}
 	return n, err
 }
 
+// isReset reports whether the connection, whose reads have come to an end, was reset before the
+// peer's end of it arrived. The kernel reports a reset once: if a write gets the report, reads see
+// an end as after an orderly one.
+func (c *sealableConn) isReset() bool {
+	state, isKnown := tcpState(c.Conn)
+	switch {
+	case isKnown && state != tcpClosed:
+		return false
+	case isKnown:
+		// No write blocks on a closed connection, so one in progress is about to get the report.
+		c.writing.Lock()
+	case !c.writing.TryLock():
+		// The write in progress may get it.
+		return true
+	}
+	defer c.writing.Unlock()
+	return c.isResetOnWrite
+}
+
+// tcpClosed is the state of a TCP connection that was reset, or closed by both sides.
+const tcpClosed = unix.BPF_TCP_CLOSE
+
+// tcpState returns the state of a TCP connection, or false if it can't be read.
+func tcpState(conn net.Conn) (state uint8, isKnown bool) {
+	source, isSource := conn.(syscall.Conn)
+	if !isSource {
+		return 0, false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if controlErr != nil || err != nil {
+		return 0, false
+	}
+	return info.State, true
+}
+
 // startHead is called before a request is written.
 func (c *sealableConn) startHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.folds.start()
+	c.isAnswerBegun = false
 }
 
 // foldedLine returns the beginning of the first folded line in the head of the latest response, or
@@ -52,7 +125,27 @@
 	}
 	c.submittedBytes += int64(len(p))
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.write(p)
+	if errors.IsAny(err, syscall.ECONNRESET, syscall.EPIPE) {
+		// net/http closes the connection once a write has failed, with what has arrived of an
+		// answer unread.
+		<-c.readEnded
+	}
+	return n, err
+}
+
+func (c *sealableConn) write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.isResetOnWrite = c.isResetOnWrite || errors.Is(err, syscall.ECONNRESET)
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *sealableConn) Close() error {
+	c.endRead()
+	return c.Conn.Close()
 }
 
 // writeOffset returns the number of bytes passed to the connection so far.
--- a/fleet/connection/transport/conn_test.go
+++ b/fleet/connection/transport/conn_test.go
@@ -10,7 +10,7 @@
 func TestSealableConnWriteAfterSeal(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	conn := &sealableConn{Conn: near}
+	conn := newSealableConn(near)
 	assert.Assert(t, !conn.seal(conn.writeOffset()), "no byte was written")
 	n, err := conn.Write([]byte("late"))
 	assert.Equal(t, n, 0)
--- a/fleet/connection/transport/guard.go
+++ b/fleet/connection/transport/guard.go
@@ -32,7 +32,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &sealableConn{Conn: conn}, nil
+		return newSealableConn(conn), nil
 	}
 	// Closing the connection of a broken answer must not interrupt other requests.
 	base.Protocols = new(http.Protocols)
--- a/fleet/request/relay/relay_test.go
+++ b/fleet/request/relay/relay_test.go
@@ -96,6 +96,12 @@
 )
 
 func newFixture(t *testing.T, count int) *fixture {
+	t.Helper()
+	return newFixtureWithMemory(t, count, 1<<20)
+}
+
+// newFixtureWithMemory returns a fixture that buffers bodies up to the number of bytes.
+func newFixtureWithMemory(t *testing.T, count int, bodyMemory int64) *fixture {
 	t.Helper()
 	f := &fixture{t: t, view: endpoints.New(), trustChanges: new(atomic.Int64), logged: new(logBuffer), limits: routetable.Limits{BodyBytes: 1000}}
 	log := slog.New(trustCounter{Handler: slog.DiscardHandler, count: f.trustChanges})
@@ -115,7 +121,7 @@
 	t.Cleanup(client.Close)
 	f.relay = relay.New(relay.Options{
 		State: func() relay.State { return f.state }, Dialect: platform.Dialect{}, Balancer: f.balancer,
-		Upstream: client, Log: slog.New(slog.NewJSONHandler(f.logged, nil)), BodyMemory: 1 << 20,
+		Upstream: client, Log: slog.New(slog.NewJSONHandler(f.logged, nil)), BodyMemory: bodyMemory,
 	})
 	server := httptest.NewServer(f.relay)
 	t.Cleanup(server.Close)
