Wait until the connection of a broken answer has left the pool

A broken answer without a body has returned its connection to the idle ones before its head is checked. The guard closed it, but a request that came at once could still get it: "request not sent: use of closed network connection". That is true, but the endpoint then counts as unreachable. TestBrokenHeadIsNoAnswer (engine) showed it once, beside other tests with the race detector.

--- a/fleet/connection/transport/conn.go
+++ b/fleet/connection/transport/conn.go
@@ -33,11 +33,18 @@
 	// readEnded is closed once nothing more can be read.
 	readEnded chan struct{}
 	endRead   func()
+	// closed is closed once net/http has closed the connection.
+	closed     chan struct{}
+	markClosed func()
 }
 
 func newSealableConn(conn net.Conn) *sealableConn {
-	readEnded := make(chan struct{})
-	return &sealableConn{Conn: conn, readEnded: readEnded, endRead: sync.OnceFunc(func() { close(readEnded) })}
+	readEnded, closed := make(chan struct{}), make(chan struct{})
+	return &sealableConn{
+		Conn:      conn,
+		readEnded: readEnded, endRead: sync.OnceFunc(func() { close(readEnded) }),
+		closed: closed, markClosed: sync.OnceFunc(func() { close(closed) }),
+	}
 }
 
 // Read implements net.Conn. An end that a reset brought about is an error.
@@ -145,9 +152,20 @@
 // Close implements net.Conn.
 func (c *sealableConn) Close() error {
 	c.endRead()
+	defer c.markClosed()
 	return c.Conn.Close()
 }
 
+// discard closes the connection and waits until net/http, which may already keep it for the next
+// request, has noticed that, or until ctx ends.
+func (c *sealableConn) discard(ctx context.Context) {
+	_ = c.Conn.Close()
+	select {
+	case <-c.closed:
+	case <-ctx.Done():
+	}
+}
+
 // writeOffset returns the number of bytes passed to the connection so far.
 func (c *sealableConn) writeOffset() int64 {
 	c.mu.Lock()
--- a/fleet/connection/transport/guard.go
+++ b/fleet/connection/transport/guard.go
@@ -63,9 +63,8 @@
 		return nil, err
 	}
 	if broken := headDefect(response, conn); broken.kind != "" {
-		// A response without a body has already returned its connection to the idle ones.
-		_ = conn.Close()
 		_ = response.Body.Close()
+		conn.discard(ctx)
 		return nil, broken.record()
 	}
 	return response, nil
