Believe no refusal that is cut off at the product's front end

An endpoint's 503 with problem details that say "not-run" was believed as soon as the JSON value was read, although the connection broke off before the end of the answer. The request was then sent to another endpoint, or its caller told that it had not run. A cut answer may have run, so the refusal is now read to its end, as other answers are; one without a length or chunks can't be known to be whole and counts as unknown, as design/answers.md says of all answers.

Load reports need no change: the value is complete once it is decoded.

--- a/fleet/connection/engine/engine.go
+++ b/fleet/connection/engine/engine.go
@@ -243,16 +243,21 @@
 // if the connection ends before the Content-Length or the last chunk, and for
 // an answer with neither, whose completeness can't be verified.
 func ReadBody(response *http.Response) ([]byte, error) {
+	return ReadBodyWithin(response, MaxAnswerBytes)
+}
+
+// ReadBodyWithin is ReadBody for bodies of at most limit bytes.
+func ReadBodyWithin(response *http.Response, limit int64) ([]byte, error) {
 	defer response.Body.Close()
 	if response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return nil, errors.Wrap(ErrTruncated, "answer has neither a Content-Length nor chunks")
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
-	if len(body) > MaxAnswerBytes {
-		return nil, errors.Wrapf(ErrTruncated, "answer exceeds %d bytes", MaxAnswerBytes)
+	if int64(len(body)) > limit {
+		return nil, errors.Wrapf(ErrTruncated, "answer exceeds %d bytes", limit)
 	}
 	return body, nil
 }
--- a/fleet/request/gateway/dispatch.go
+++ b/fleet/request/gateway/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"mime"
 	"net/http"
 	"slices"
@@ -24,7 +23,7 @@
 
 const (
 	retryAfterNoEndpoint = 2 * time.Second
-	// maxRefusalBytes is how much of an endpoint's refusal is read.
+	// maxRefusalBytes is the largest refusal of an endpoint that is read.
 	maxRefusalBytes = 4 << 10
 	problemType     = "application/problem+json"
 )
@@ -222,8 +221,8 @@
 var errEndpointRefused = errors.New("gateway: endpoint refused the request as not run")
 
 // refusedByEndpoint returns errEndpointRefused for a 503 whose problem details
-// have the outcome not-run, and engine.ErrNoAnswer for other problem details with
-// status 503, since that request may have run. It returns nil for all other answers,
+// are complete and have the outcome not-run, and engine.ErrNoAnswer for other problem
+// details with status 503, since that request may have run. It returns nil for all other answers,
 // which are forwarded, including a 503 without problem details.
 func refusedByEndpoint(response *http.Response) error {
 	if response.StatusCode != http.StatusServiceUnavailable {
@@ -232,11 +231,10 @@
 	if contentType, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type")); contentType != problemType {
 		return nil
 	}
-	defer response.Body.Close()
 	var problem problemBody
-	err := json.NewDecoder(io.LimitReader(response.Body, maxRefusalBytes)).Decode(&problem)
-	if err == nil && problem.Outcome == outcome.NotRun {
+	body, err := engine.ReadBodyWithin(response, maxRefusalBytes)
+	if err == nil && json.Unmarshal(body, &problem) == nil && problem.Outcome == outcome.NotRun {
 		return errEndpointRefused
 	}
-	return errors.Mark(errors.New("gateway: endpoint unavailable"), engine.ErrNoAnswer)
+	return errors.Mark(errors.CombineErrors(errors.New("gateway: endpoint unavailable"), err), engine.ErrNoAnswer)
 }
