--- a/fleet/connection/transport/answer.go
+++ b/fleet/connection/transport/answer.go
@@ -45,7 +45,7 @@
 	if response.StatusCode < minStatus {
 		return defect{defectStatus, response.Status}
 	}
-	// net/http accepts blanks in names and forwards such a field as one of its own, even if it
+	// net/http accepts a blank in a name and then takes the field for another one, even if it
 	// states the length of the body.
 	for name := range response.Header {
 		if !isFieldName(name) {
--- a/fleet/connection/transport/conn.go
+++ b/fleet/connection/transport/conn.go
@@ -9,12 +9,12 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 )
 
 // sealableConn counts the bytes written to a connection and can be sealed, which
 // prevents further writes. After that the count shows whether a request was sent,
-// even if net/http still tries to write it. It also finds folded lines in responses.
+// even if net/http still tries to write it. Its reads tell an end from a reset, and find folded
+// lines in responses.
 type sealableConn struct {
 	net.Conn
 
@@ -67,47 +67,7 @@
 	return n, err
 }
 
-// isReset reports whether the connection, whose reads have come to an end, was reset before the
-// peer's end of it arrived. The kernel reports a reset once: if a write gets the report, reads see
-// an end as after an orderly one.
-func (c *sealableConn) isReset() bool {
-	state, isKnown := tcpState(c.Conn)
-	switch {
-	case isKnown && state != tcpClosed:
-		return false
-	case isKnown:
-		// No write blocks on a closed connection, so one in progress is about to get the report.
-		c.writing.Lock()
-	case !c.writing.TryLock():
-		// The write in progress may get it.
-		return true
-	}
-	defer c.writing.Unlock()
-	return c.isResetOnWrite
-}
-
-// tcpClosed is the state of a TCP connection that was reset, or closed by both sides.
-const tcpClosed = unix.BPF_TCP_CLOSE
-
-// tcpState returns the state of a TCP connection, or false if it can't be read.
-func tcpState(conn net.Conn) (state uint8, isKnown bool) {
-	source, isSource := conn.(syscall.Conn)
-	if !isSource {
-		return 0, false
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
-	var info *unix.TCPInfo
-	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if controlErr != nil || err != nil {
-		return 0, false
-	}
-	return info.State, true
-}
-
-// startHead is called before a request is written.
+// startHead prepares for the response to the request that is written next.
 func (c *sealableConn) startHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -123,7 +83,9 @@
 	return c.folds.folded
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. Once the peer has reset the connection, it returns only when nothing more
+// can be read: net/http closes the connection after a failed write, with what has arrived of an answer
+// unread.
 func (c *sealableConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.isSealed {
@@ -134,8 +96,6 @@
 	c.mu.Unlock()
 	n, err := c.write(p)
 	if errors.IsAny(err, syscall.ECONNRESET, syscall.EPIPE) {
-		// net/http closes the connection once a write has failed, with what has arrived of an
-		// answer unread.
 		<-c.readEnded
 	}
 	return n, err
