Separate what decides on broken answers from connections

responseHead.defect and connEnd.isReset take values and have no I/O; the guard and the connection collect these values. TestConnEndIsReset replays the orders in which the kernel reports an end and a reset. What they do is unchanged.

The raw servers of TestFaultsAnswerWire and TestHeadCutOffIsNoAnswer repeated platformtest.RawServer, which they use now; their checks are as before. The lists of broken heads of three packages are one, platformtest.HeadFaults.

--- a/fleet/cmd/gentianheadctl/broken_test.go
+++ b/fleet/cmd/gentianheadctl/broken_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -16,16 +15,13 @@
 	"gentianhead/platform/platformtest"
 )
 
-// headFaults are the broken heads of the tests of this package.
-var headFaults = slices.Concat(platformtest.StatusFaults, platformtest.FieldFaults, platformtest.FoldedFaults)
-
 func formatAnswer(body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
 // Guards against a call that prints what is no answer and succeeds.
 func TestCallBrokenHead(t *testing.T) {
-	for _, fault := range headFaults {
+	for _, fault := range platformtest.HeadFaults() {
 		var server *platformtest.RawServer
 		server = platformtest.NewRawServer(func(r *http.Request) (string, bool) {
 			if strings.HasPrefix(r.URL.Path, "/v1/entry") {
@@ -45,7 +41,7 @@
 
 // Guards against a write that is reported as not made because of what is no answer.
 func TestWriteBrokenHead(t *testing.T) {
-	for _, fault := range headFaults {
+	for _, fault := range platformtest.HeadFaults() {
 		t.Run(fault.Name, func(t *testing.T) {
 			t.Parallel()
 			server := platformtest.NewRawServer(func(*http.Request) (string, bool) { return fault.Apply(formatAnswer("{}")), true })
--- a/fleet/connection/engine/broken_test.go
+++ b/fleet/connection/engine/broken_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -16,13 +15,10 @@
 	"gentianhead/platform/platformtest"
 )
 
-// headFaults are the broken heads of the tests of this package.
-var headFaults = slices.Concat(platformtest.StatusFaults, platformtest.FieldFaults, platformtest.FoldedFaults)
-
 // Guards against an answer with a broken head that is forwarded, taken for the endpoint's word that
 // the request did not run, or whose connection is used again.
 func TestBrokenHeadIsNoAnswer(t *testing.T) {
-	for _, fault := range headFaults {
+	for _, fault := range platformtest.HeadFaults() {
 		for _, status := range []string{"200 OK", "410 Gone", "412 Precondition Failed", "503 Service Unavailable"} {
 			for _, body := range []string{"foreign", ""} {
 				for _, before := range []int64{0, 1} {
@@ -45,7 +41,7 @@
 					got, err := doRead(t, client, server.url)
 					assert.NilError(t, err, what)
 					assert.Equal(t, got, "own", what)
-					assert.Equal(t, server.conns.Load(), int64(2), what)
+					assert.Equal(t, server.Conns.Load(), int64(2), what)
 					client.Close()
 				}
 			}
@@ -64,7 +60,7 @@
 
 // Guards against a request rate that is believed though the answer that states it is broken.
 func TestRateInBrokenHeadIgnored(t *testing.T) {
-	for _, fault := range headFaults {
+	for _, fault := range platformtest.HeadFaults() {
 		server := startRaw(t, func(_ int64, r *http.Request) (string, bool) {
 			return fault.Apply(strings.Replace(httpText("200 OK", idOf(r), "own"), "\r\n", "\r\n"+HeaderRequestRate+": 0.1\r\n", 1)), true
 		})
@@ -87,7 +83,7 @@
 		}
 		return text.String() + "id: 4\ndata: [DONE]\n\n"
 	}
-	for _, fault := range headFaults {
+	for _, fault := range platformtest.HeadFaults() {
 		for _, isStream := range []bool{true, false} {
 			for _, brokenAt := range []int64{1, 2} {
 				server := startRaw(t, func(number int64, r *http.Request) (string, bool) {
--- a/fleet/connection/engine/engine_test.go
+++ b/fleet/connection/engine/engine_test.go
@@ -17,13 +17,13 @@
 	"gotest.tools/v3/assert"
 
 	"gentianhead/core/matrix"
+	"gentianhead/platform/platformtest"
 )
 
 // rawServer is an endpoint that writes raw bytes as its answers.
 type rawServer struct {
-	url      string
-	requests atomic.Int64
-	conns    atomic.Int64
+	*platformtest.RawServer
+	url string
 }
 
 // respond returns the bytes that answer a request and whether the connection
@@ -32,37 +32,10 @@
 
 func startRaw(t *testing.T, f respond) *rawServer {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &rawServer{url: "http://" + listener.Addr().String()}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			s.conns.Add(1)
-			go s.serve(conn, f)
-		}
-	}()
-	return s
-}
-
-func (s *rawServer) serve(conn net.Conn, f respond) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		text, isKept := f(s.requests.Add(1), r)
-		if _, err := io.WriteString(conn, text); err != nil || !isKept {
-			return
-		}
-	}
+	number := new(atomic.Int64)
+	server := platformtest.NewRawServer(func(r *http.Request) (string, bool) { return f(number.Add(1), r) })
+	t.Cleanup(server.Close)
+	return &rawServer{server, "http://" + server.Address}
 }
 
 func httpText(status, id, body string) string {
@@ -103,7 +76,7 @@
 		_, _ = io.Copy(io.Discard, response.Body)
 		response.Body.Close()
 	}
-	assert.Equal(t, plainServer.requests.Load(), int64(3), "net/http should have retried the second request")
+	assert.Equal(t, plainServer.Requests.Load(), int64(3), "net/http should have retried the second request")
 
 	server := startRaw(t, closeOnSecond)
 	client := NewClient()
@@ -119,7 +92,7 @@
 		_, err = ReadBody(response)
 		assert.NilError(t, err)
 	}
-	assert.Equal(t, server.requests.Load(), int64(2))
+	assert.Equal(t, server.Requests.Load(), int64(2))
 }
 
 func TestClientDoEndpointUnreachable(t *testing.T) {
@@ -200,7 +173,7 @@
 				verdict, note = matrix.Broken, fmt.Sprintf("a later request got %q", body)
 			}
 		}
-		if fault.isConnClosed && server.conns.Load() < 2 {
+		if fault.isConnClosed && server.Conns.Load() < 2 {
 			verdict, note = matrix.Broken, "the connection was reused"
 		}
 		faultMatrix.Record(matrix.Cell{Protocol: "answer", Step: "on the wire", Fault: fault.name}, verdict, 1, note)
--- a/fleet/connection/transport/answer.go
+++ b/fleet/connection/transport/answer.go
@@ -39,21 +39,30 @@
 	defectEnd = "end"
 )
 
-// headDefect returns what is broken in the head of a response that net/http accepted, which
-// arrived on conn.
-func headDefect(response *http.Response, conn *sealableConn) defect {
-	if response.StatusCode < minStatus {
-		return defect{defectStatus, response.Status}
+// responseHead is a head that net/http accepted.
+type responseHead struct {
+	code   int
+	status string
+	header http.Header
+	// folded is the beginning of its first folded line; nil if it has none.
+	folded []byte
+}
+
+// defect returns what is broken in the head. It answers endpoints in trouble that send heads which
+// net/http reads, but not as they were meant.
+func (h responseHead) defect() defect {
+	if h.code < minStatus {
+		return defect{defectStatus, h.status}
 	}
 	// net/http accepts a blank in a name and then takes the field for another one, even if it
 	// states the length of the body.
-	for name := range response.Header {
+	for name := range h.header {
 		if !isFieldName(name) {
 			return defect{defectField, name}
 		}
 	}
-	if folded := conn.foldedLine(); folded != nil {
-		return defect{defectFold, string(folded)}
+	if h.folded != nil {
+		return defect{defectFold, string(h.folded)}
 	}
 	return defect{}
 }
--- a/fleet/connection/transport/conn.go
+++ b/fleet/connection/transport/conn.go
@@ -50,7 +50,7 @@
 // Read implements net.Conn. An end that a reset brought about is an error.
 func (c *sealableConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	isReset := errors.Is(err, io.EOF) && c.isReset()
+	isReset := errors.Is(err, io.EOF) && c.end().isReset()
 	if err != nil {
 		c.endRead()
 	}
--- a/fleet/connection/transport/guard.go
+++ b/fleet/connection/transport/guard.go
@@ -62,7 +62,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if broken := headDefect(response, conn); broken.kind != "" {
+	head := responseHead{response.StatusCode, response.Status, response.Header, conn.foldedLine()}
+	if broken := head.defect(); broken.kind != "" {
 		_ = response.Body.Close()
 		conn.discard(ctx)
 		return nil, broken.record()
--- a/fleet/connection/transport/reset.go
+++ b/fleet/connection/transport/reset.go
@@ -7,28 +7,47 @@
 	"golang.org/x/sys/unix"
 )
 
-// isReset reports whether the connection, whose reads have come to an end, was reset before the
-// peer's end of it arrived. The kernel reports a reset once: if a write gets the report, reads see
-// an end as after an orderly one.
-func (c *sealableConn) isReset() bool {
-	state, isKnown := tcpState(c.Conn)
+// connEnd is what is known of a connection whose reads have come to an end while a request may still
+// be written. The kernel reports a reset once: if a write gets the report, reads see an end as after an
+// orderly one.
+type connEnd struct {
+	// state is the state of the TCP connection, if isStateKnown is set.
+	state        uint8
+	isStateKnown bool
+	// isWriting is set while a write is in progress, which may get the report of a reset.
+	isWriting bool
+	// isResetOnWrite is set if a write got it. Writes get another error where the peer's end arrived
+	// before the reset.
+	isResetOnWrite bool
+}
+
+// tcpClosed is the state of a TCP connection that was reset, or closed by both sides.
+const tcpClosed = unix.BPF_TCP_CLOSE
+
+// isOpen reports whether the peer's end arrived and this side isn't closed, so that nothing was reset.
+func (e connEnd) isOpen() bool { return e.isStateKnown && e.state != tcpClosed }
+
+// isReset reports whether a reset brought the end about. An end that may be one isn't believed.
+func (e connEnd) isReset() bool { return !e.isOpen() && (e.isWriting || e.isResetOnWrite) }
+
+// end returns what is known of the connection once its reads have come to an end.
+func (c *sealableConn) end() (end connEnd) {
+	end.state, end.isStateKnown = tcpState(c.Conn)
 	switch {
-	case isKnown && state != tcpClosed:
-		return false
-	case isKnown:
-		// No write blocks on a closed connection, so one in progress is about to get the report.
+	case end.isOpen():
+		return end
+	case end.isStateKnown:
+		// No write blocks on a closed connection, so one in progress ends now.
 		c.writing.Lock()
 	case !c.writing.TryLock():
-		// The write in progress may get it.
-		return true
+		end.isWriting = true
+		return end
 	}
 	defer c.writing.Unlock()
-	return c.isResetOnWrite
+	end.isResetOnWrite = c.isResetOnWrite
+	return end
 }
 
-// tcpClosed is the state of a TCP connection that was reset, or closed by both sides.
-const tcpClosed = unix.BPF_TCP_CLOSE
-
 // tcpState returns the state of a TCP connection, or false if it can't be read.
 func tcpState(conn net.Conn) (state uint8, isKnown bool) {
 	source, isSource := conn.(syscall.Conn)
--- a/fleet/connection/transport/reset_test.go
+++ b/fleet/connection/transport/reset_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"testing"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -79,3 +80,20 @@
 		_ = server.Close()
 	}
 }
+
+// Guards against an orderly end that is refused, and a reset that is believed to be one, for each order
+// in which the kernel reports them.
+func TestConnEndIsReset(t *testing.T) {
+	const closeWait = unix.BPF_TCP_CLOSE_WAIT
+	for end, want := range map[connEnd]bool{
+		{state: closeWait, isStateKnown: true}:                       false,
+		{state: closeWait, isStateKnown: true, isResetOnWrite: true}: false,
+		{state: tcpClosed, isStateKnown: true}:                       false,
+		{state: tcpClosed, isStateKnown: true, isResetOnWrite: true}: true,
+		{}:                     false,
+		{isResetOnWrite: true}: true,
+		{isWriting: true}:      true,
+	} {
+		assert.Equal(t, end.isReset(), want, "%+v", end)
+	}
+}
--- a/fleet/request/claims/broken_test.go
+++ b/fleet/request/claims/broken_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"testing"
 
@@ -15,13 +14,10 @@
 	"gentianhead/platform/platformtest"
 )
 
-// headFaults are the broken heads of the tests of this package.
-var headFaults = slices.Concat(platformtest.StatusFaults, platformtest.FieldFaults, platformtest.FoldedFaults)
-
 // Guards against an at-most-once request that is recorded as answered or not run because of an
 // answer with a broken head, and against a fence that is believed because of one.
 func TestBrokenHeadLeavesOutcomeUnknown(t *testing.T) {
-	for _, fault := range headFaults {
+	for _, fault := range platformtest.HeadFaults() {
 		for _, status := range []string{"200 OK", "410 Gone", "412 Precondition Failed"} {
 			runs := new(atomic.Int64)
 			server := platformtest.NewRawServer(func(r *http.Request) (string, bool) {
--- a/fleet/request/relay/broken_test.go
+++ b/fleet/request/relay/broken_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -127,7 +126,7 @@
 // Guards against the rest of a stream that is taken from an answer with a broken head, and against a
 // stream that isn't completed where the next endpoint's answer is sound.
 func TestRestOfStreamWithBrokenHead(t *testing.T) {
-	for _, fault := range slices.Concat(platformtest.StatusFaults, platformtest.FieldFaults, platformtest.FoldedFaults) {
+	for _, fault := range platformtest.HeadFaults() {
 		for _, isThirdSound := range []bool{true, false} {
 			// Two endpoints that broke an answer are tried in a row only if it is known by then that
 			// the first still accepts connections.
