--- a/review/third/third-crowd/main.go
+++ b/review/third/third-crowd/main.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gentianhead/platform"
@@ -61,7 +62,7 @@
 	// The crowd comes to one of them.
 	r := routers[0]
 	time.Sleep(time.Second)
-	record.Say("%s is ready: resident memory %d kB, of its machine %d kB", r.Name, r.MemoryKb("VmRSS"), memoryMb<<10)
+	record.Say("%s is ready: memory %d kB, of its machine %d kB", r.Name, r.MemoryKb("RssAnon"), memoryMb<<10)
 
 	query := "Name=a.example&Region=region-a&Zone=zone-a"
 	if lab.IsTroubled() {
@@ -89,6 +90,13 @@
 			}
 		})
 	}
+	// What the process has of its own, without the pages of its program file.
+	var peak atomic.Int64
+	go func() {
+		for ; ; time.Sleep(20 * time.Millisecond) {
+			peak.Store(max(peak.Load(), int64(r.MemoryKb("RssAnon"))))
+		}
+	}()
 	var ordinary sync.WaitGroup
 	for number := 0; time.Now().Before(end); number++ {
 		ordinary.Go(func() {
@@ -99,22 +107,22 @@
 		})
 		time.Sleep(ordinaryEvery)
 		if number%5 == 0 {
-			record.Add("resident memory %d kB, at its peak %d kB", r.MemoryKb("VmRSS"), r.MemoryKb("VmHWM"))
+			record.Add("memory %d kB, at its peak %d kB", r.MemoryKb("RssAnon"), peak.Load())
 		}
 	}
-	peak := r.MemoryKb("VmHWM")
+	resident := r.MemoryKb("VmHWM")
 	wg.Wait()
 	ordinary.Wait()
 	hasEnded, how := r.HasEnded()
 	record.Say("the crowd opened %d connections and sent %d requests", opened, sent)
 	record.Say("ordinary callers: %v", results)
-	record.Say("resident memory at its peak: %d kB; of the machine: %d kB", peak, memoryMb<<10)
+	record.Say("memory at its peak: %d kB, %d kB with the pages of the program file; of the machine: %d kB", peak.Load(), resident, memoryMb<<10)
 	os.RemoveAll(dir)
 	switch {
 	case hasEnded:
 		record.Say("Fault: the process ended: %s", how)
 		lab.Exit(lab.Broken)
-	case peak > memoryMb<<10:
+	case peak.Load() > memoryMb<<10:
 		record.Say("Fault: the process exceeded the memory of its machine, for which the platform kills it")
 		lab.Exit(lab.Broken)
 	}
