--- a/review/third/lab/lab.go
+++ b/review/third/lab/lab.go
@@ -112,8 +112,6 @@
 	command                       *exec.Cmd
 	settings, logs                string
 	done                          chan struct{}
-	wasEnded                      bool
-	mu                            sync.Mutex
 }
 
 // FreePort returns a port of which it and the ten next ones are free on 127.0.0.1.
@@ -183,21 +181,6 @@
 	}()
 }
 
-// Signal sends a signal to the process.
-func (r *Router) Signal(s syscall.Signal) { _ = r.command.Process.Signal(s) }
-
-// Kill kills the process and waits for its end.
-func (r *Router) Kill() {
-	_ = r.command.Process.Kill()
-	<-r.done
-}
-
-// Restart starts the process again.
-func (r *Router) Restart() { r.launch() }
-
-// Done is closed once the process has ended.
-func (r *Router) Done() <-chan struct{} { return r.done }
-
 func (r *Router) end() {
 	if r.command != nil {
 		_ = r.command.Process.Kill()
@@ -241,9 +224,3 @@
 	kb, _ := strconv.Atoi(strings.TrimSpace(line))
 	return kb
 }
-
-// Log returns the last bytes of the process's log.
-func (r *Router) Log(count int) string {
-	text, _ := os.ReadFile(r.logs)
-	return string(text[max(0, len(text)-count):])
-}
--- a/review/third/third-deadly/main.go
+++ b/review/third/third-deadly/main.go
@@ -1,5 +1,5 @@
-// Command third-deadly starts three routers before twelve model servers. Some
-// requests end each server that begins to answer them; each server is back after three seconds.
+// Command third-deadly starts three routers before twelve model servers. Some requests end each
+// server that begins to answer them; each server is back after some seconds.
 //
 // Its argument is the case: deep, burst, again or dark.
 package main
