Renumber the cases 12 and 13, and drop 14, to make room for a graver one

Done: 12 is 13 now, 13 is 14; the old 14 has no folder any more, its play stays in third-deadly ("burst").

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 for program in target/gentianhead target/review/third-deadly; do
 	[ -x "$program" ] || { echo "the case can't run: $program isn't built"; exit 2; }
 done
-ROOT="$PWD" RECORD="$PWD/review/13/record.txt" exec target/review/third-deadly dark
+ROOT="$PWD" RECORD="$PWD/review/13/record.txt" exec target/review/third-deadly deep
--- a/review/third/third-deadly/main.go
+++ b/review/third/third-deadly/main.go
@@ -1,7 +1,7 @@
 // Command third-deadly starts three routers before twelve model servers. Some requests end each
 // server that begins to answer them; each server is back after some seconds.
 //
-// Its argument is the case: deep, burst, again or dark.
+// Its argument is the play: deep, dark or again, which are cases, or burst.
 package main
 
 import (
