--- a/review/third/lab/engine.go
+++ b/review/third/lab/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -24,11 +25,16 @@
 	// HeadPause is the time before the first event, Pause that between two events.
 	HeadPause, Pause time.Duration
 	Events           int
+	// StatesLoad makes the engine state how many requests it holds; otherwise it states one.
+	StatesLoad bool
+	// Began and Ended are called when the engine has read a request and when it is done with it.
+	Began, Ended func(engine, attempt string)
 
 	listener *net.TCPListener
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
 	arrivals []platformtest.Arrival
+	held     int
 	darkAt   time.Time
 	dark     chan struct{}
 }
@@ -168,7 +174,19 @@
 	}
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, platformtest.Arrival{At: time.Now(), Attempt: id})
+	e.held++
 	e.mu.Unlock()
+	if e.Began != nil {
+		e.Began(e.ID, id)
+	}
+	defer func() {
+		e.mu.Lock()
+		e.held--
+		e.mu.Unlock()
+		if e.Ended != nil {
+			e.Ended(e.ID, id)
+		}
+	}()
 	if e.isDark(e.HeadPause) {
 		return false
 	}
@@ -179,7 +197,13 @@
 			return false
 		}
 	}
-	if _, err := io.WriteString(conn, Head("stream.txt", "id", id, "engine", e.ID)); err != nil {
+	load := 1
+	if e.StatesLoad {
+		e.mu.Lock()
+		load = e.held
+		e.mu.Unlock()
+	}
+	if _, err := io.WriteString(conn, Head("stream.txt", "id", id, "engine", e.ID, "load", strconv.Itoa(load))); err != nil {
 		return false
 	}
 	for number := 1; number <= e.Events; number++ {
